Fix the interfaces between folders

Cause: the parts are to be built side by side, so the value types, the two lists with parse and check, and the events and decisions of the decision logic come first, with build, formatter, linter and tests.

--- /dev/null
+++ b/src/decide/router.hpp
@@ -0,0 +1,59 @@
+#ifndef CAPERJUNCTION_DECIDE_ROUTER_HPP
+#define CAPERJUNCTION_DECIDE_ROUTER_HPP
+
+#include "decide/decision.hpp"
+#include "decide/event.hpp"
+#include "model/time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperjunction::decide {
+
+/// What distinguishes this host's decision logic from the others'.
+struct router_settings
+{
+    std::string host;
+    std::string region;
+    std::string data_centre;
+    /// Seeds the sampling of candidates.
+    std::uint64_t seed = 1;
+};
+
+/// The decision logic of one host: admitting, queueing, refusing, placing,
+/// shifting. It has no input, output, clock or thread of its own, so that a
+/// recorded list of events always gives the same decisions.
+///
+/// Thread safety: none; owned by one task.
+class router
+{
+public:
+    /// The longest time that may pass between two events.
+    static constexpr model::milliseconds tick_period{20};
+
+    explicit router(router_settings settings);
+    ~router();
+    router(router&&) noexcept;
+    router& operator=(router&&) noexcept;
+
+    /// Takes one event at time `now` and appends what is to be done to `out`.
+    ///
+    /// \pre `now` is not before that of any earlier call.
+    void handle(event const& event,
+                model::time_point now,
+                std::vector<decision>& out);
+
+    /// This host's load for its peers, at most a few kilobytes; they pass it
+    /// to their own `handle` as `digest_received`.
+    std::vector<std::uint8_t> digest(model::time_point now) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/lists/key_hash.hpp
@@ -0,0 +1,21 @@
+#ifndef CAPERJUNCTION_LISTS_KEY_HASH_HPP
+#define CAPERJUNCTION_LISTS_KEY_HASH_HPP
+
+#include <string>
+#include <string_view>
+
+namespace caperjunction::lists {
+
+/// Hex of SHA-256 over the text `salt_hex` followed by `key`.
+std::string hash_key(std::string_view salt_hex, std::string_view key);
+
+/// Compares in a time that does not depend on where the two differ, so that
+/// nobody can guess a hash by timing refusals.
+bool equal_constant_time(std::string_view left, std::string_view right);
+
+/// The part of an API key before its first dot; empty if there is no dot.
+std::string_view key_id(std::string_view key);
+
+} // namespace caperjunction::lists
+
+#endif
--- /dev/null
+++ b/src/lists/reader.cpp
@@ -0,0 +1,208 @@
+#include "lists/reader.hpp"
+
+#include "model/limits.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace caperjunction::lists {
+namespace {
+
+bool is_name_character(char c)
+{
+    bool const letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    bool const digit = c >= '0' && c <= '9';
+    return letter || digit || c == '-' || c == '_' || c == '.' || c == ':';
+}
+
+/// Names become log values, metric labels and parts of paths.
+bool is_name(std::string const& text)
+{
+    return !text.empty() && text.size() <= model::limits::max_name_length
+           && std::all_of(text.begin(), text.end(), is_name_character);
+}
+
+} // namespace
+
+reader::reader(nlohmann::json const& object,
+               std::string file,
+               std::string path,
+               std::vector<fault>& faults)
+    : m_object(object)
+    , m_file(std::move(file))
+    , m_path(std::move(path))
+    , m_faults(faults)
+{
+    if (!m_object.is_object()) {
+        m_faults.push_back(
+            {m_file, m_path, "is not an object", "write it as { ... }"});
+    }
+}
+
+void reader::note(char const* field, std::string message, std::string remedy)
+{
+    m_faults.push_back(
+        {m_file, m_path + '/' + field, std::move(message), std::move(remedy)});
+}
+
+nlohmann::json const* reader::find(char const* field)
+{
+    m_read.emplace_back(field);
+    if (!m_object.is_object()) {
+        return nullptr;
+    }
+    auto const found = m_object.find(field);
+    return found == m_object.end() ? nullptr : &*found;
+}
+
+nlohmann::json const* reader::need(char const* field)
+{
+    nlohmann::json const* const value = find(field);
+    if (value == nullptr && m_object.is_object()) {
+        note(field, "is missing", "add this field");
+    }
+    return value;
+}
+
+nlohmann::json const* reader::find_array(char const* field)
+{
+    nlohmann::json const* const value = find(field);
+    if (value != nullptr && !value->is_array()) {
+        note(field, "is not an array", "write it as [ ... ]");
+        return nullptr;
+    }
+    return value;
+}
+
+void reader::need_name(char const* field, std::string& into)
+{
+    if (need(field) != nullptr) {
+        name(field, into);
+    }
+}
+
+void reader::name(char const* field, std::string& into)
+{
+    nlohmann::json const* const value = find(field);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_string() || !is_name(value->get<std::string>())) {
+        note(field, "is not a name", "use 1 to 64 letters, digits, or - _ . :");
+        return;
+    }
+    into = value->get<std::string>();
+}
+
+void reader::need_text(char const* field, std::string& into)
+{
+    nlohmann::json const* const value = need(field);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_string() || value->get<std::string>().empty()) {
+        note(field, "is not a text", "write a text in quotes");
+        return;
+    }
+    into = value->get<std::string>();
+}
+
+void reader::boolean(char const* field, bool& into)
+{
+    nlohmann::json const* const value = find(field);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_boolean()) {
+        note(field, "is neither true nor false", "write true or false");
+        return;
+    }
+    into = value->get<bool>();
+}
+
+void reader::count(char const* field, std::uint32_t& into, std::uint32_t least)
+{
+    nlohmann::json const* const value = find(field);
+    if (value == nullptr) {
+        return;
+    }
+    bool const fits = value->is_number_unsigned()
+                      && value->get<std::uint64_t>() >= least
+                      && value->get<std::uint64_t>()
+                             <= std::numeric_limits<std::uint32_t>::max();
+    if (!fits) {
+        note(field,
+             "is not a whole number in range",
+             "write a whole number of at least " + std::to_string(least));
+        return;
+    }
+    into = value->get<std::uint32_t>();
+}
+
+void reader::rate(char const* field, double& into)
+{
+    nlohmann::json const* const value = find(field);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_number() || value->get<double>() < 0.0) {
+        note(field, "is not a rate", "write a number of at least 0");
+        return;
+    }
+    into = value->get<double>();
+}
+
+void reader::share(char const* field, double& into)
+{
+    nlohmann::json const* const value = find(field);
+    if (value == nullptr) {
+        return;
+    }
+    bool const fits = value->is_number() && value->get<double>() >= 0.0
+                      && value->get<double>() <= 1.0;
+    if (!fits) {
+        note(field, "is not a share", "write a number from 0 to 1");
+        return;
+    }
+    into = value->get<double>();
+}
+
+void reader::duration_ms(char const* field, std::chrono::milliseconds& into)
+{
+    auto whole = static_cast<std::uint32_t>(into.count());
+    count(field, whole, 1);
+    into = std::chrono::milliseconds(whole);
+}
+
+void reader::names(char const* field, std::vector<std::string>& into)
+{
+    nlohmann::json const* const array = find_array(field);
+    if (array == nullptr) {
+        return;
+    }
+    for (nlohmann::json const& item : *array) {
+        if (!item.is_string() || !is_name(item.get<std::string>())) {
+            note(field,
+                 "holds something that is not a name",
+                 "use 1 to 64 letters, digits, or - _ . :");
+            return;
+        }
+        into.push_back(item.get<std::string>());
+    }
+}
+
+void reader::refuse_unread()
+{
+    if (!m_object.is_object()) {
+        return;
+    }
+    for (auto const& [field, value] : m_object.items()) {
+        if (std::find(m_read.begin(), m_read.end(), field) == m_read.end()) {
+            note(field.c_str(),
+                 "is not a known field",
+                 "correct its spelling or remove it");
+        }
+    }
+}
+
+} // namespace caperjunction::lists
--- /dev/null
+++ b/src/lists/reader.hpp
@@ -0,0 +1,91 @@
+#ifndef CAPERJUNCTION_LISTS_READER_HPP
+#define CAPERJUNCTION_LISTS_READER_HPP
+
+#include "lists/fault.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caperjunction::lists {
+
+/// Reads one JSON object field by field and notes each fault with its path,
+/// so that an operator sees all of them at once.
+///
+/// Thread safety: none. Private to this folder.
+class reader
+{
+public:
+    reader(nlohmann::json const& object,
+           std::string file,
+           std::string path,
+           std::vector<fault>& faults);
+
+    /// Each of these leaves `into` as it is, and notes a fault, if the field
+    /// has the wrong type or range; a field that is not there is a fault only
+    /// for the `need_` forms.
+    void need_name(char const* field, std::string& into);
+    void name(char const* field, std::string& into);
+    void need_text(char const* field, std::string& into);
+    void boolean(char const* field, bool& into);
+    void count(char const* field, std::uint32_t& into, std::uint32_t least);
+    void rate(char const* field, double& into);
+    void share(char const* field, double& into);
+    void duration_ms(char const* field, std::chrono::milliseconds& into);
+    void names(char const* field, std::vector<std::string>& into);
+
+    /// Calls `each` with a reader for every object of the array.
+    template <typename Each>
+    void objects(char const* field, Each each)
+    {
+        nlohmann::json const* const array = find_array(field);
+        if (array == nullptr) {
+            return;
+        }
+        for (std::size_t place = 0; place < array->size(); ++place) {
+            reader item((*array)[place],
+                        m_file,
+                        m_path + '/' + field + '/' + std::to_string(place),
+                        m_faults);
+            each(item);
+            item.refuse_unread();
+        }
+    }
+
+    /// The same for one object.
+    template <typename Each>
+    void object(char const* field, Each each)
+    {
+        nlohmann::json const* const value = find(field);
+        if (value == nullptr) {
+            return;
+        }
+        reader item(*value, m_file, m_path + '/' + field, m_faults);
+        each(item);
+        item.refuse_unread();
+    }
+
+    /// Notes a fault for each field that nothing has asked for: a misspelt
+    /// name would otherwise silently leave its default in force.
+    void refuse_unread();
+
+private:
+    nlohmann::json const* find(char const* field);
+    nlohmann::json const* need(char const* field);
+    nlohmann::json const* find_array(char const* field);
+    void note(char const* field, std::string message, std::string remedy);
+
+    nlohmann::json const& m_object;
+    std::string m_file;
+    std::string m_path;
+    std::vector<fault>& m_faults;
+    std::vector<std::string> m_read;
+};
+
+} // namespace caperjunction::lists
+
+#endif
--- /dev/null
+++ b/src/lists/service_class.hpp
@@ -0,0 +1,32 @@
+#ifndef CAPERJUNCTION_LISTS_SERVICE_CLASS_HPP
+#define CAPERJUNCTION_LISTS_SERVICE_CLASS_HPP
+
+#include "model/time.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace caperjunction::lists {
+
+/// A kind of work with one latency target and one promise.
+struct service_class
+{
+    std::string name;
+    std::string tier;
+    /// Target for the time from arrival to the first token.
+    model::milliseconds first_token{490};
+    /// Target for the mean time between tokens.
+    model::milliseconds between_tokens{42};
+    /// Share of requests that the plan promises to be within both, 0..1.
+    double promised_attainment = 0.95;
+    /// A request that has waited this long is refused, with `Retry-After`.
+    model::milliseconds max_wait{30'000};
+    /// Bound on the output that a request of this class may ask for.
+    std::uint32_t max_output_tokens = 4096;
+    /// Retries allowed per first attempt, 0..1.
+    double retry_ratio = 0.1;
+};
+
+} // namespace caperjunction::lists
+
+#endif
--- /dev/null
+++ b/src/lists/tier.hpp
@@ -0,0 +1,20 @@
+#ifndef CAPERJUNCTION_LISTS_TIER_HPP
+#define CAPERJUNCTION_LISTS_TIER_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace caperjunction::lists {
+
+/// A rank of service. Rank 0 is the highest.
+struct tier
+{
+    std::string name;
+    std::uint32_t rank = 0;
+    /// Share of capacity that this tier gets under full saturation, 0..1.
+    double guaranteed_share = 0.0;
+};
+
+} // namespace caperjunction::lists
+
+#endif
--- /dev/null
+++ b/src/model/endpoint.hpp
@@ -0,0 +1,20 @@
+#ifndef CAPERJUNCTION_MODEL_ENDPOINT_HPP
+#define CAPERJUNCTION_MODEL_ENDPOINT_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace caperjunction::model {
+
+/// A numeric IP address and a port; no names are resolved anywhere.
+struct endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend bool operator==(endpoint const&, endpoint const&) = default;
+};
+
+} // namespace caperjunction::model
+
+#endif
