--- /dev/null
+++ b/src/runtime/clock.hpp
@@ -0,0 +1,21 @@
+#ifndef CAPERJUNCTION_RUNTIME_CLOCK_HPP
+#define CAPERJUNCTION_RUNTIME_CLOCK_HPP
+
+#include "model/time.hpp"
+
+#include <chrono>
+#include <functional>
+
+namespace caperjunction::runtime {
+
+/// Where all time comes from; a test puts a function of its own here.
+struct clock
+{
+    std::function<model::time_point()> now = [] {
+        return std::chrono::steady_clock::now();
+    };
+};
+
+} // namespace caperjunction::runtime
+
+#endif
--- /dev/null
+++ b/src/runtime/manual_clock.hpp
@@ -0,0 +1,43 @@
+#ifndef CAPERJUNCTION_RUNTIME_MANUAL_CLOCK_HPP
+#define CAPERJUNCTION_RUNTIME_MANUAL_CLOCK_HPP
+
+#include "model/time.hpp"
+#include "runtime/clock.hpp"
+
+#include <memory>
+
+namespace caperjunction::runtime {
+
+/// A clock that stands still until a test advances it.
+///
+/// Thread safety: none; for tests that run in one thread.
+class manual_clock
+{
+public:
+    clock view() const
+    {
+        return clock{[now = m_now] {
+            return *now;
+        }};
+    }
+
+    void advance(model::milliseconds by)
+    {
+        *m_now += by;
+    }
+
+    model::time_point now() const
+    {
+        return *m_now;
+    }
+
+private:
+    // An hour past the epoch: zero is the default of many fields and must
+    // differ from every time that a test sees.
+    std::shared_ptr<model::time_point> m_now =
+        std::make_shared<model::time_point>(std::chrono::hours(1));
+};
+
+} // namespace caperjunction::runtime
+
+#endif
--- /dev/null
+++ b/tests/runtime/mailbox_test.cpp
@@ -0,0 +1,22 @@
+#include "runtime/mailbox.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace caperjunction;
+
+// A task falls behind its senders. Unbounded, its queue would eat the host's
+// memory; the sender has to be told while it can still refuse its caller.
+TEST_CASE("a full mailbox leaves the message with its sender")
+{
+    runtime::mailbox<std::string> box(1);
+    std::string first = "first";
+    std::string second = "second";
+    using result = runtime::mailbox<std::string>::result;
+    CHECK(box.post(first) == result::first);
+    CHECK(box.post(second) == result::full);
+    CHECK(second == "second");
+    CHECK(box.take().size() == 1);
+    CHECK(box.post(second) == result::first);
+}
