--- /dev/null
+++ b/src/fleet/agent_event.hpp
@@ -0,0 +1,78 @@
+#ifndef CAPERJUNCTION_FLEET_AGENT_EVENT_HPP
+#define CAPERJUNCTION_FLEET_AGENT_EVENT_HPP
+
+#include "fleet/host_view.hpp"
+#include "fleet/peer_message.hpp"
+#include "model/hosts.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace caperjunction::fleet {
+
+/// The platform's list of hosts is in force from now on.
+struct hosts_listed
+{
+    model::hosts hosts;
+};
+
+/// A peer sent a message over the link.
+struct message_received
+{
+    std::string from;
+    peer_message message;
+};
+
+/// A link to a peer is up; what the peer missed is sent to it.
+struct link_up
+{
+    std::string host;
+};
+
+/// This host is about to stop. Spread at once.
+struct stop_planned
+{
+};
+
+/// The service answered a read or a watch of one value.
+struct value_read
+{
+    published_value value = published_value::plans;
+    std::uint64_t revision = 0;
+    std::shared_ptr<std::string const> body;
+};
+
+/// A watch ended without a change, or the service can't be reached.
+struct read_ended
+{
+    published_value value = published_value::plans;
+    bool failed = false;
+};
+
+/// The router's latest digest, to be sent to peers.
+struct digest_made
+{
+    std::vector<std::uint8_t> bytes;
+};
+
+/// Time has passed; sent at least every `agent::tick_period`.
+struct agent_tick
+{
+};
+
+/// Everything that the fleet's state machines can be told.
+using agent_event = std::variant<hosts_listed,
+                                 message_received,
+                                 link_up,
+                                 stop_planned,
+                                 value_read,
+                                 read_ended,
+                                 digest_made,
+                                 agent_tick>;
+
+} // namespace caperjunction::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/hand_over_message.hpp
@@ -0,0 +1,83 @@
+#ifndef CAPERJUNCTION_FLEET_HAND_OVER_MESSAGE_HPP
+#define CAPERJUNCTION_FLEET_HAND_OVER_MESSAGE_HPP
+
+#include "model/outcome.hpp"
+#include "model/request_id.hpp"
+#include "model/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperjunction::fleet {
+
+struct header_field
+{
+    std::string name;
+    std::string value;
+
+    friend bool operator==(header_field const&, header_field const&) = default;
+};
+
+/// One host asks another to serve a caller's request (one hop at most).
+struct handover_request
+{
+    model::request_id id;
+    std::string method;
+    std::string path;
+    std::vector<header_field> headers;
+    std::string body;
+    /// How long the request has waited already; clocks differ, ages don't.
+    model::milliseconds waited{0};
+
+    friend bool operator==(handover_request const&,
+                           handover_request const&) = default;
+};
+
+/// A part of the answer. `status` and `headers` come with the first alone.
+struct handover_chunk
+{
+    model::request_id id;
+    /// 0 in all parts but the first.
+    std::uint16_t status = 0;
+    std::vector<header_field> headers;
+    std::string bytes;
+
+    friend bool operator==(handover_chunk const&,
+                           handover_chunk const&) = default;
+};
+
+/// How the handed-over request ended at the other host.
+enum class handover_result : std::uint8_t
+{
+    /// The whole answer has been sent in chunks.
+    complete,
+    /// The other host won't serve it; nothing was handed to an upstream.
+    refused,
+    /// It broke off; `outcome` tells whether it may have run.
+    broken,
+};
+
+/// The last message about a handed-over request, from the serving host.
+struct handover_end
+{
+    model::request_id id;
+    handover_result result = handover_result::complete;
+    model::outcome outcome = model::outcome::unknown;
+    std::string reason;
+
+    friend bool operator==(handover_end const&, handover_end const&) = default;
+};
+
+/// The caller hung up, or the answer is of no use any more.
+struct handover_cancel
+{
+    model::request_id id;
+
+    friend bool operator==(handover_cancel const&,
+                           handover_cancel const&) = default;
+};
+
+} // namespace caperjunction::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/peer_message.hpp
@@ -0,0 +1,29 @@
+#ifndef CAPERJUNCTION_FLEET_PEER_MESSAGE_HPP
+#define CAPERJUNCTION_FLEET_PEER_MESSAGE_HPP
+
+#include "fleet/config_message.hpp"
+#include "fleet/hand_over_message.hpp"
+#include "fleet/load_digest.hpp"
+#include "fleet/membership_message.hpp"
+
+#include <variant>
+
+namespace caperjunction::fleet {
+
+/// Everything that one host says to another.
+using peer_message = std::variant<heartbeat,
+                                  host_rumours,
+                                  probe,
+                                  probe_reply,
+                                  config_announce,
+                                  config_fetch,
+                                  config_value,
+                                  load_digest,
+                                  handover_request,
+                                  handover_chunk,
+                                  handover_end,
+                                  handover_cancel>;
+
+} // namespace caperjunction::fleet
+
+#endif
