--- /dev/null
+++ b/src/fleet/claim_call.hpp
@@ -0,0 +1,41 @@
+#ifndef CAPERJUNCTION_FLEET_CLAIM_CALL_HPP
+#define CAPERJUNCTION_FLEET_CLAIM_CALL_HPP
+
+#include "fleet/claim_message.hpp"
+#include "model/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace caperjunction::fleet {
+
+/// How far a call has come on its entry host.
+enum class claim_phase : std::uint8_t
+{
+    /// Votes are being asked for.
+    asking,
+    /// A quorum is there; not dispatched yet.
+    granted,
+    dispatched,
+    done,
+};
+
+/// What an entry host remembers of one non-repeatable call.
+struct claim_call
+{
+    claim_phase phase = claim_phase::asking;
+    std::uint64_t number = 0;
+    std::uint64_t ticket = 0;
+    std::uint64_t fingerprint = 0;
+    model::time_point started{};
+    model::time_point asked{};
+    /// Chosen once per attempt; a vote from elsewhere doesn't count.
+    std::vector<std::string> witnesses;
+    std::map<std::string, claim_reply> replies;
+};
+
+} // namespace caperjunction::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/claim_key.hpp
@@ -0,0 +1,37 @@
+#ifndef CAPERJUNCTION_FLEET_CLAIM_KEY_HPP
+#define CAPERJUNCTION_FLEET_CLAIM_KEY_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace caperjunction::fleet {
+
+/// Names one non-repeatable call: 128 bits of hash over the customer and its
+/// Idempotency-Key. No witness sees either of them in the clear.
+struct claim_key
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend auto operator<=>(claim_key const&, claim_key const&) = default;
+};
+
+/// Hashes customer and key; two pairs never run into each other's text.
+///
+/// Thread safety: any thread.
+claim_key make_claim_key(std::string_view customer,
+                         std::string_view idempotency_key);
+
+/// The bucket of a key; votes are held per bucket, not per key.
+///
+/// \pre buckets is not 0.
+constexpr std::size_t claim_bucket(claim_key key, std::size_t buckets)
+{
+    return static_cast<std::size_t>(key.low % buckets);
+}
+
+} // namespace caperjunction::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/claimant.hpp
@@ -0,0 +1,107 @@
+#ifndef CAPERJUNCTION_FLEET_CLAIMANT_HPP
+#define CAPERJUNCTION_FLEET_CLAIMANT_HPP
+
+#include "fleet/claim_call.hpp"
+#include "fleet/claim_decision.hpp"
+#include "fleet/claim_event.hpp"
+#include "fleet/claim_settings.hpp"
+#include "fleet/claim_view.hpp"
+#include "fleet/wake_guard.hpp"
+#include "model/time.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperjunction::fleet {
+
+/// An entry host's side of non-repeatable calls: claims a key at its
+/// witnesses and says whether the call may be dispatched.
+///
+/// Made for a caller that sends a booking again, here or elsewhere, while the
+/// first copy runs or after its host died: a second run would charge twice.
+/// `claims_granted_total` above the upstream's own count of bookings, or
+/// `held` replies for keys that nobody has, are the signs of trouble.
+///
+/// Thread safety: none; owned by one task. Copyable, for exploration.
+class claimant
+{
+public:
+    claimant(std::string host,
+             std::uint64_t generation,
+             claim_settings const& settings);
+
+    /// Takes one event at time `now` and appends what is to be done to `out`.
+    ///
+    /// \pre `now` is not before that of any earlier call.
+    void handle(claimant_event const& event,
+                model::time_point now,
+                std::vector<claim_decision>& out);
+
+    /// To be asked right before the first byte of the call goes to an
+    /// upstream; true at most once for an attempt. After false the call is
+    /// ended by `claim_ended{not_run}`, and the caller told what follows.
+    ///
+    /// \pre `now` is read after everything that may take long.
+    bool begin_dispatch(claim_key key, model::time_point now);
+
+    /// Whether the key is being claimed, queued or run by this host.
+    bool active(claim_key key) const;
+
+    /// Calls that are remembered, active or done.
+    std::size_t calls() const
+    {
+        return m_calls.size();
+    }
+
+    /// Appends all that tells this state from another; equal states give
+    /// equal bytes.
+    void fingerprint(model::time_point now, std::string& out) const;
+
+private:
+    using decisions = std::vector<claim_decision>;
+
+    void on_event(claim_view_listed const& event,
+                  model::time_point now,
+                  decisions& out);
+    void on_event(claim_view_confirmed const& event,
+                  model::time_point now,
+                  decisions& out);
+    void
+    on_event(claim_started const& event, model::time_point now, decisions& out);
+    void
+    on_event(claim_ended const& event, model::time_point now, decisions& out);
+    void on_event(claim_received const& event,
+                  model::time_point now,
+                  decisions& out);
+    void
+    on_event(claim_tick const& event, model::time_point now, decisions& out);
+
+    void
+    on_reply(std::string const& from, claim_reply const& reply, decisions& out);
+    void on_query(claim_query const& query, decisions& out);
+    void answer_resend(claim_started const& event,
+                       claim_call const& call,
+                       decisions& out) const;
+    void ask(claim_key key, claim_call& call, decisions& out) const;
+    void weigh(claim_key key, decisions& out);
+    void give_up(claim_key key, decisions& out);
+    void release(claim_key key,
+                 claim_attempt const& attempt,
+                 std::vector<std::string> const& witnesses,
+                 decisions& out) const;
+    claim_attempt attempt_of(claim_call const& call) const;
+
+    std::string m_host;
+    std::uint64_t m_generation;
+    claim_settings m_settings;
+    wake_guard m_guard;
+    std::shared_ptr<claim_view const> m_view;
+    std::uint64_t m_attempts = 0;
+    std::map<claim_key, claim_call> m_calls;
+};
+
+} // namespace caperjunction::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/witness.hpp
@@ -0,0 +1,137 @@
+#ifndef CAPERJUNCTION_FLEET_WITNESS_HPP
+#define CAPERJUNCTION_FLEET_WITNESS_HPP
+
+#include "fleet/claim_event.hpp"
+#include "fleet/claim_settings.hpp"
+#include "fleet/claim_view.hpp"
+#include "fleet/wake_guard.hpp"
+#include "fleet/witness_hand_over.hpp"
+#include "fleet/witness_memory.hpp"
+#include "fleet/witness_settings.hpp"
+#include "model/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace caperjunction::fleet {
+
+/// Remembers in memory which attempt runs a non-repeatable call.
+///
+/// Each bucket of keys has a fixed number of votes in the whole fleet; a vote
+/// is held by one process, moves to one other when the list of hosts changes
+/// or its host leaves, and dies with its process. Whoever has a majority of
+/// the votes may run the call. Two majorities of the same votes share one,
+/// however far two hosts' lists differ; and that vote says no to the second.
+///
+/// Thread safety: none; owned by one task. Copyable, for exploration.
+class witness
+{
+public:
+    explicit witness(witness_settings settings);
+
+    /// Takes one event at time `now` and appends what is to be sent to `out`.
+    ///
+    /// \pre `now` is not before that of any earlier call.
+    void handle(witness_event const& event,
+                model::time_point now,
+                std::vector<claim_send>& out);
+
+    /// Whether this host has the vote of a bucket.
+    bool votes(std::size_t bucket) const
+    {
+        return m_buckets[bucket].vote;
+    }
+
+    /// Claims that are remembered.
+    std::size_t claims() const
+    {
+        return m_memory.size();
+    }
+
+    /// Whether all votes that were given away have arrived or are given up;
+    /// a planned stop waits for it.
+    bool handed_over() const
+    {
+        return m_hand_overs.empty();
+    }
+
+    /// Appends all that tells this state from another; equal states give
+    /// equal bytes.
+    void fingerprint(model::time_point now, std::string& out) const;
+
+private:
+    /// What this host has in one bucket.
+    struct bucket_state
+    {
+        bool member = false;
+        bool vote = false;
+        std::uint32_t voters = 0;
+        /// Since when it has been a member without a break.
+        model::time_point entered{};
+    };
+
+    using messages = std::vector<claim_send>;
+
+    void on_event(claim_view_listed const& event,
+                  model::time_point now,
+                  messages& out);
+    void on_event(claim_view_confirmed const& event,
+                  model::time_point now,
+                  messages& out);
+    void
+    on_event(claim_received const& event, model::time_point now, messages& out);
+    void on_event(claim_stop_planned const& event,
+                  model::time_point now,
+                  messages& out);
+    void
+    on_event(claim_tick const& event, model::time_point now, messages& out);
+
+    void on_message(std::string const& from,
+                    claim_request const& request,
+                    model::time_point now,
+                    messages& out);
+    void on_message(std::string const& from,
+                    claim_offer const& offer,
+                    model::time_point now,
+                    messages& out);
+    void on_message(std::string const& from,
+                    claim_accept const& accept,
+                    model::time_point now,
+                    messages& out);
+    void on_message(std::string const& from,
+                    claim_transfer const& transfer,
+                    model::time_point now,
+                    messages& out);
+
+    void lapse(model::time_point now);
+    void mature(std::size_t bucket, model::time_point now);
+    claim_refusal refusal(claim_request const& request,
+                          std::size_t bucket) const;
+    void adopt(std::shared_ptr<claim_view const> view,
+               model::time_point now,
+               messages& out);
+    void hand_over(std::map<std::string, std::vector<std::size_t>> const& to,
+                   model::time_point now,
+                   messages& out);
+    void drive_hand_overs(model::time_point now, messages& out);
+
+    witness_settings m_settings;
+    wake_guard m_guard;
+    std::shared_ptr<claim_view const> m_view;
+    model::time_point m_confirmed{};
+    bool m_leaving = false;
+    std::vector<bucket_state> m_buckets;
+    witness_memory m_memory;
+    std::uint64_t m_offers = 0;
+    std::map<std::uint64_t, witness_hand_over> m_hand_overs;
+    std::map<std::pair<std::string, std::uint64_t>, witness_intake> m_intakes;
+};
+
+} // namespace caperjunction::fleet
+
+#endif
