Read hosts and upstreams; stand in for the platform, engines and services

Cause: the path from caller to upstream needs something at both its ends before it can be run, and the lists of hosts and upstreams had no reader.

Change: parse_hosts and parse_upstreams; one document reader for all lists that bounds depth and refuses fields given twice and numbers out of range. build/bin/stand_in engine|service|platform on evhttp, each also usable in process. Tokens depend on prompt and index only, so that loss, doubling and an answer to the wrong caller are seen.

Conclusion: thin stand-ins that the path can be built on.

--- a/src/lists/parse.cpp
+++ b/src/lists/parse.cpp
@@ -1,33 +1,11 @@
 #include "lists/parse.hpp"
 
+#include "lists/parse_document.hpp"
 #include "lists/reader.hpp"
-#include "model/limits.hpp"
-
-#include <optional>
 
 namespace caperjunction::lists {
 namespace {
 
-std::optional<nlohmann::json> parse_text(std::string_view text,
-                                         std::string const& file,
-                                         std::vector<fault>& faults)
-{
-    if (text.size() > model::limits::max_list_bytes) {
-        faults.push_back(
-            {file, "", "is larger than 1 MiB", "split the customers up"});
-        return std::nullopt;
-    }
-    try {
-        return nlohmann::json::parse(text);
-    } catch (nlohmann::json::parse_error const& failure) {
-        faults.push_back({file,
-                          "",
-                          "is not JSON: byte " + std::to_string(failure.byte),
-                          "mend the syntax there"});
-        return std::nullopt;
-    }
-}
-
 void read_tier(reader& from, plan_list& into)
 {
     tier item;
@@ -133,7 +111,7 @@
                       std::vector<fault>& faults)
 {
     plan_list list;
-    auto const root = parse_text(text, file, faults);
+    auto const root = parse_document(text, file, faults);
     if (!root) {
         return list;
     }
@@ -159,7 +137,7 @@
                                     std::vector<fault>& faults)
 {
     entitlement_list list;
-    auto const root = parse_text(text, file, faults);
+    auto const root = parse_document(text, file, faults);
     if (!root) {
         return list;
     }
--- a/src/lists/reader.cpp
+++ b/src/lists/reader.cpp
@@ -2,6 +2,8 @@
 
 #include "model/limits.hpp"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -22,6 +24,13 @@
            && std::all_of(text.begin(), text.end(), is_name_character);
 }
 
+bool is_numeric_address(std::string const& text)
+{
+    in6_addr parsed{};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1
+           || inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
+}
+
 } // namespace
 
 reader::reader(nlohmann::json const& object,
@@ -191,6 +200,41 @@
     }
 }
 
+void reader::need_endpoint(char const* field, model::endpoint& into)
+{
+    if (need(field) == nullptr) {
+        return;
+    }
+    object(field, [&into](reader& item) {
+        item.read_address(into);
+        item.read_port(into);
+    });
+}
+
+void reader::read_address(model::endpoint& into)
+{
+    need_text("address", into.address);
+    if (!into.address.empty() && !is_numeric_address(into.address)) {
+        note("address",
+             "is not an IP address in numbers",
+             "write it as 10.0.0.1 or fd00::1; names are not resolved");
+    }
+}
+
+void reader::read_port(model::endpoint& into)
+{
+    std::uint32_t port = 0;
+    if (need("port") == nullptr) {
+        return;
+    }
+    count("port", port, 1);
+    if (port > std::numeric_limits<std::uint16_t>::max()) {
+        note("port", "is not a port", "write a number from 1 to 65535");
+        return;
+    }
+    into.port = static_cast<std::uint16_t>(port);
+}
+
 void reader::refuse_unread()
 {
     if (!m_object.is_object()) {
--- a/src/lists/reader.hpp
+++ b/src/lists/reader.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_LISTS_READER_HPP
 
 #include "lists/fault.hpp"
+#include "model/endpoint.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -37,6 +38,8 @@
     void share(char const* field, double& into);
     void duration_ms(char const* field, std::chrono::milliseconds& into);
     void names(char const* field, std::vector<std::string>& into);
+    /// An object of a numeric IP `address` and a `port` from 1 to 65535.
+    void need_endpoint(char const* field, model::endpoint& into);
 
     /// Calls `each` with a reader for every object of the array.
     template <typename Each>
@@ -73,11 +76,15 @@
     /// name would otherwise silently leave its default in force.
     void refuse_unread();
 
+    /// Notes a fault of this field.
+    void note(char const* field, std::string message, std::string remedy);
+
 private:
     nlohmann::json const* find(char const* field);
     nlohmann::json const* need(char const* field);
     nlohmann::json const* find_array(char const* field);
-    void note(char const* field, std::string message, std::string remedy);
+    void read_address(model::endpoint& into);
+    void read_port(model::endpoint& into);
 
     nlohmann::json const& m_object;
     std::string m_file;
--- /dev/null
+++ b/stand_ins/platform_settings.hpp
@@ -0,0 +1,27 @@
+#ifndef CAPERJUNCTION_STAND_INS_PLATFORM_SETTINGS_HPP
+#define CAPERJUNCTION_STAND_INS_PLATFORM_SETTINGS_HPP
+
+#include "model/endpoint.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace caperjunction::stand_ins {
+
+/// How the stand-in of the platform behaves.
+struct platform_settings
+{
+    model::endpoint listen{"127.0.0.1", 0};
+    /// JSON texts by name: plans, entitlements, hosts, upstreams.
+    std::map<std::string, std::string> values;
+    /// Calls that it answers in one second; more get 429. A waiting watch
+    /// counts as one.
+    std::uint32_t calls_per_second = 2000;
+    /// Rate of the weights store, for all its readers together.
+    std::uint64_t weights_bytes_per_second = 64 * 1024 * 1024;
+};
+
+} // namespace caperjunction::stand_ins
+
+#endif
--- /dev/null
+++ b/stand_ins/service.hpp
@@ -0,0 +1,79 @@
+#ifndef CAPERJUNCTION_STAND_INS_SERVICE_HPP
+#define CAPERJUNCTION_STAND_INS_SERVICE_HPP
+
+#include "stand_ins/http_server.hpp"
+#include "stand_ins/service_settings.hpp"
+#include "stand_ins/timer.hpp"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace caperjunction::stand_ins {
+
+/// Stands in for a plain service; it executes whatever it is sent, as often
+/// as it is sent, and counts that by Idempotency-Key ("" without one).
+///
+/// For tests: POST /control {"crash_before":true} or {"crash_after":true}
+/// closes each connection without a reply before or after executing,
+/// {"delay_ms":N}; GET /control/executions → {"KEY":COUNT,...}.
+///
+/// Thread safety: none; lives on the event_base's thread.
+class service
+{
+public:
+    /// \pre base outlives it.
+    /// \throws model::error if it cannot listen.
+    service(event_base* base, service_settings settings);
+    ~service();
+    service(service const&) = delete;
+    service& operator=(service const&) = delete;
+
+    model::endpoint const& address() const
+    {
+        return m_server.address();
+    }
+
+    std::uint16_t port() const
+    {
+        return address().port;
+    }
+
+    /// Executions so far by key.
+    std::map<std::string, std::uint64_t> const& executions() const
+    {
+        return m_executions;
+    }
+
+    void crash_before(bool on)
+    {
+        m_crash_before = on;
+    }
+
+    void crash_after(bool on)
+    {
+        m_crash_after = on;
+    }
+
+private:
+    void handle(std::shared_ptr<exchange> const& call);
+    void control(exchange& call);
+    void execute(exchange& call,
+                 std::string const& key,
+                 std::string const& method,
+                 std::string const& path);
+
+    event_base* m_base;
+    service_settings m_settings;
+    std::map<std::string, std::uint64_t> m_executions;
+    std::list<std::unique_ptr<timer>> m_delayed;
+    bool m_crash_before = false;
+    bool m_crash_after = false;
+    http_server m_server;
+};
+
+} // namespace caperjunction::stand_ins
+
+#endif
--- /dev/null
+++ b/stand_ins/timer.hpp
@@ -0,0 +1,37 @@
+#ifndef CAPERJUNCTION_STAND_INS_TIMER_HPP
+#define CAPERJUNCTION_STAND_INS_TIMER_HPP
+
+#include <event2/event.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace caperjunction::stand_ins {
+
+/// Calls a hook once, after a delay, on the event_base's thread.
+///
+/// Thread safety: none. Destroying it, also from within its hook, cancels it.
+class timer
+{
+public:
+    /// \pre base outlives the timer.
+    timer(event_base* base, std::function<void()> hook);
+    timer(timer const&) = delete;
+    timer& operator=(timer const&) = delete;
+    ~timer() = default;
+
+    /// Starts it; a start while it runs replaces the earlier delay.
+    void start(std::chrono::microseconds delay);
+    void stop();
+
+private:
+    static void expired(evutil_socket_t socket, short what, void* self);
+
+    std::function<void()> m_hook;
+    std::unique_ptr<event, decltype(&event_free)> m_event;
+};
+
+} // namespace caperjunction::stand_ins
+
+#endif
--- /dev/null
+++ b/tests/stand_ins/stand_ins_test.cpp
@@ -0,0 +1,57 @@
+#include "stand_ins/cache_event_log.hpp"
+#include "stand_ins/load_history.hpp"
+#include "stand_ins/prefix_cache.hpp"
+#include "stand_ins/token_text.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caperjunction;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::steady_clock::time_point start{};
+
+} // namespace
+
+TEST_CASE("an answer is the same on every engine and differs by prompt")
+{
+    CHECK(stand_ins::answer_text("a", 3) == stand_ins::answer_text("a", 3));
+    CHECK(stand_ins::answer_text("a", 3) != stand_ins::answer_text("b", 3));
+}
+
+TEST_CASE("a load report tells what was, not what is")
+{
+    stand_ins::load_history history(milliseconds(100));
+    history.note({1, 0, 0.0, start + milliseconds(1000)});
+    history.note({2, 0, 0.0, start + milliseconds(1050)});
+    CHECK(history.read(start + milliseconds(1050)).running == 0);
+    CHECK(history.read(start + milliseconds(1100)).running == 1);
+    CHECK(history.read(start + milliseconds(1200)).running == 2);
+}
+
+TEST_CASE("cache events come late and with gaps")
+{
+    stand_ins::cache_event_log log(milliseconds(100), 3);
+    for (std::uint64_t block = 1; block <= 4; ++block) {
+        log.add(block, true, start);
+    }
+    CHECK(log.read(0, start + milliseconds(99)) == R"({"events":[]})");
+    std::string const seen = log.read(1, start + milliseconds(100));
+    CHECK(seen.find(R"("seq":1,)") == std::string::npos);
+    CHECK(seen.find(R"("seq":2,)") != std::string::npos);
+    CHECK(seen.find(R"("seq":3,)") == std::string::npos);
+    CHECK(seen.find(R"("seq":4,)") != std::string::npos);
+}
+
+TEST_CASE("a prompt that was seen is cached until others push it out")
+{
+    stand_ins::prefix_cache cache(2, [](std::uint64_t, bool) {});
+    std::string const first(128, 'a');
+    std::string const other(128, 'b');
+    CHECK(cache.use("m", first) == doctest::Approx(0.0));
+    CHECK(cache.use("m", first) == doctest::Approx(1.0));
+    CHECK(cache.use("other model", first) == doctest::Approx(0.0));
+    CHECK(cache.use("m", other) == doctest::Approx(0.0));
+    CHECK(cache.use("m", first) == doctest::Approx(0.0));
+}
