Say the store's rate in one place

Cause: clang-tidy refuses a product of ints that widens afterwards. Change: one named constant of the wide type.

--- a/stand_ins/main.cpp
+++ b/stand_ins/main.cpp
@@ -25,7 +25,7 @@
 ABSL_FLAG(std::uint32_t, calls_per_second, 2000, "platform: rate of calls");
 ABSL_FLAG(std::uint64_t,
           weights_bytes_per_second,
-          64 * 1024 * 1024,
+          caperjunction::stand_ins::default_weights_rate,
           "platform: rate of the weights store");
 ABSL_FLAG(std::vector<std::string>, models, {"drafter"}, "engine: models");
 ABSL_FLAG(std::uint32_t, slots, 8, "engine: answers side by side");
--- a/stand_ins/platform_settings.hpp
+++ b/stand_ins/platform_settings.hpp
@@ -9,6 +9,10 @@
 
 namespace caperjunction::stand_ins {
 
+/// Bytes a second.
+inline constexpr std::uint64_t default_weights_rate =
+    std::uint64_t{64} * 1024 * 1024;
+
 /// How the stand-in of the platform behaves.
 struct platform_settings
 {
@@ -19,7 +23,7 @@
     /// counts as one.
     std::uint32_t calls_per_second = 2000;
     /// Rate of the weights store, for all its readers together.
-    std::uint64_t weights_bytes_per_second = 64 * 1024 * 1024;
+    std::uint64_t weights_bytes_per_second = default_weights_rate;
 };
 
 } // namespace caperjunction::stand_ins
