Decide by late binding, tiers, fair teams and predicted first token

Cause: the router sent each request to the engine with the least work at once, in order of arrival, without a bound; under a burst the engines' own queues grow and nothing in them can be reordered.

Change: requests wait here by tier, team and latency target until an engine has room under an adaptive bound; engines are chosen by predicted first token among a few samples; attempts are retried within a budget, resumed from the offset, or refused with a time to come back; digests share load, limits and suspects between hosts. router_settings gains the link's share and delay.

--- /dev/null
+++ b/src/decide/core_admit.cpp
@@ -0,0 +1,268 @@
+#include "decide/core.hpp"
+#include "decide/name_hash.hpp"
+#include "model/limits.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::decide {
+
+namespace {
+
+// A refusal's Retry-After: not so short that resends add to the burst that
+// caused it, not so long that a desk gives up the sale.
+constexpr model::milliseconds least_retry_after{250};
+constexpr model::milliseconds most_retry_after{60'000};
+constexpr char const* come_back = "send it again after the time in Retry-After";
+
+model::milliseconds clamp_retry(model::milliseconds wait)
+{
+    return std::clamp(wait, least_retry_after, most_retry_after);
+}
+
+} // namespace
+
+void core::on(request_arrived const& happened)
+{
+    if (happened.request.id == model::request_id{}
+        || find(happened.request.id) != nullptr) {
+        return;
+    }
+    entry& waiting = admit(happened.request);
+    if (refuse_quarantined(waiting) || refuse_over_limit(waiting)) {
+        return;
+    }
+    m_teams[waiting.team].limiter.admitted(token_cost(waiting), m_now);
+    waiting.charged = token_cost(waiting);
+    waiting.limited = true;
+    m_retries[waiting.class_place].record_attempt(
+        m_policy.rules(waiting.class_place).retry_ratio, m_now);
+    if (waiting.is_service) {
+        start_service(waiting);
+        return;
+    }
+    model_group& group = m_engines.groups()[waiting.group];
+    group.waits.arrived(waiting.tier, m_now);
+    if (group.engines.empty()) {
+        refuse_request(waiting,
+                       model::error_kind::unavailable,
+                       model::milliseconds{1000},
+                       "no_upstream",
+                       "wait until an engine that serves the model is listed");
+        return;
+    }
+    if (refuse_early(waiting)) {
+        return;
+    }
+    make_room(waiting);
+    model::request_id const id = waiting.id;
+    enqueue(waiting);
+    drain(waiting.group);
+    entry const* const still = find(id);
+    if (still != nullptr && still->phase == phase::queued) {
+        m_out->emplace_back(
+            queued{id,
+                   static_cast<std::uint32_t>(group.queue.size(still->tier)),
+                   "no_room"});
+    }
+}
+
+entry& core::admit(request const& source)
+{
+    entry& made = m_entries[source.id];
+    made.id = source.id;
+    made.fingerprint = source.fingerprint;
+    made.prefix_blocks = source.prefix_blocks;
+    made.arrived = m_now;
+    made.class_place = m_policy.class_index(source.service_class);
+    if (made.class_place >= m_retries.size()) {
+        m_retries.resize(made.class_place + 1);
+        m_class_seen.resize(made.class_place + 1);
+    }
+    m_class_seen[made.class_place] = m_now;
+    class_rules const& rules = m_policy.rules(made.class_place);
+    made.tier = rules.tier;
+    made.deadline = m_now + rules.first_token;
+    made.expires = m_now + rules.max_wait;
+    made.team = team_index(source.customer, source.team, source.plan);
+    made.prompt_tokens = source.prompt_tokens;
+    std::uint32_t const asked = source.max_output_tokens;
+    made.max_output_tokens = asked == 0
+                                 ? rules.max_output_tokens
+                                 : std::min(asked, rules.max_output_tokens);
+    made.repeatable = source.repeatable;
+    made.taken_over = source.handed_over;
+    made.is_service = !source.service.empty();
+    if (made.is_service) {
+        made.group = m_services.find(source.service);
+    } else {
+        made.group = m_engines.group(source.model, m_policy.shares());
+        made.expected_output =
+            m_lengths.predict(made.class_place, made.max_output_tokens);
+    }
+    made.suspect = m_quarantine.suspected(made.fingerprint);
+    return made;
+}
+
+bool core::refuse_quarantined(entry& waiting)
+{
+    auto const left = m_quarantine.remaining(waiting.fingerprint, m_now);
+    if (left.count() == 0) {
+        return false;
+    }
+    refuse_request(waiting,
+                   model::error_kind::quarantined,
+                   left,
+                   "crashed_engines",
+                   "change the request: each engine that ran it crashed");
+    return true;
+}
+
+bool core::refuse_over_limit(entry& waiting)
+{
+    // One team over its plan must not use what others have paid for; it is
+    // told so at once, since waiting here would not make it fit.
+    team_state const& team = m_teams[waiting.team];
+    auto const wait = team.limiter.check(team.limits, m_now);
+    if (wait.count() == 0 || waiting.taken_over) {
+        return false;
+    }
+    refuse_request(waiting,
+                   model::error_kind::refused,
+                   wait,
+                   "team_limit",
+                   "send less, or ask for a plan with higher limits");
+    return true;
+}
+
+bool core::refuse_early(entry& waiting)
+{
+    // Made for saturation: a queue that is longer than the longest wait only
+    // makes callers wait for a refusal. Said at once, it costs them nothing,
+    // and the time to come back is the best that is known.
+    model::milliseconds const wait = expected_wait(waiting);
+    class_rules const& rules = m_policy.rules(waiting.class_place);
+    if (wait < rules.max_wait) {
+        return false;
+    }
+    if (hand_to_peer(waiting, "queue_too_long")) {
+        return true;
+    }
+    refuse_request(waiting,
+                   model::error_kind::refused,
+                   wait - rules.max_wait,
+                   "queue_too_long",
+                   come_back);
+    return true;
+}
+
+bool core::hand_to_peer(entry& waiting, std::string const& reason)
+{
+    // A higher tier must not be refused here while another host still queues
+    // lower work for the same model. One hop only, so that it can't circle.
+    if (waiting.taken_over || waiting.may_have_run) {
+        return false;
+    }
+    std::uint32_t const model = name_hash(m_engines.model(waiting.group));
+    for (peer const& other : m_peers) {
+        if (!other.live) {
+            continue;
+        }
+        for (queue_load const& load : other.load.queues) {
+            if (load.model_hash == model && load.tier > waiting.tier
+                && load.queued > 0) {
+                m_out->emplace_back(hand_over{waiting.id, other.name, reason});
+                waiting.phase = phase::handed_over;
+                m_expiries.emplace(waiting.expires, waiting.id);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void core::make_room(entry const& arriving)
+{
+    // Made for a flood: memory is bounded, and what has to go is the lowest
+    // tier's newest, which has waited least and was promised least.
+    std::size_t total = 0;
+    for (model_group const& group : m_engines.groups()) {
+        total += group.queue.size();
+    }
+    if (total < model::limits::max_queued_requests) {
+        return;
+    }
+    for (index tier = m_policy.lowest_tier() + 1; tier-- > arriving.tier;) {
+        for (model_group& group : m_engines.groups()) {
+            if (group.queue.size(tier) == 0) {
+                continue;
+            }
+            entry& evicted = *group.queue.queue(tier).newest();
+            model::milliseconds const wait = expected_wait(evicted);
+            dequeue(evicted);
+            refuse_request(evicted,
+                           model::error_kind::refused,
+                           wait,
+                           "evicted",
+                           come_back);
+            return;
+        }
+    }
+}
+
+void core::enqueue(entry& waiting)
+{
+    waiting.phase = phase::queued;
+    m_expiries.emplace(waiting.expires, waiting.id);
+    if (waiting.suspect) {
+        m_waiting_suspects.push_back(waiting.id);
+        return;
+    }
+    m_engines.groups()[waiting.group].queue.push(waiting);
+}
+
+void core::dequeue(entry& waiting)
+{
+    m_expiries.erase({waiting.expires, waiting.id});
+    auto const place = std::find(
+        m_waiting_suspects.begin(), m_waiting_suspects.end(), waiting.id);
+    if (waiting.suspect && place != m_waiting_suspects.end()) {
+        m_waiting_suspects.erase(place);
+        return;
+    }
+    m_engines.groups()[waiting.group].queue.remove(waiting);
+}
+
+model::milliseconds core::expected_wait(entry const& waiting) const
+{
+    model_group const& group = m_engines.groups()[waiting.group];
+    return group.waits.predict(
+        group.queue, m_policy.shares(), waiting.tier, m_now);
+}
+
+void core::refuse_request(entry& waiting,
+                          model::error_kind kind,
+                          model::milliseconds retry_after,
+                          std::string reason,
+                          std::string remedy)
+{
+    auto const outcome = waiting.may_have_run ? model::outcome::unknown
+                                              : model::outcome::not_run;
+    m_out->emplace_back(refuse{waiting.id,
+                               kind,
+                               outcome,
+                               clamp_retry(retry_after),
+                               std::move(reason),
+                               std::move(remedy)});
+    finish(waiting);
+}
+
+void core::finish(entry& done)
+{
+    if (done.limited) {
+        double const used = done.attempt == 0 ? 0.0 : token_cost(done);
+        m_teams[done.team].limiter.ended(used - done.charged, m_now);
+    }
+    m_entries.erase(done.id);
+}
+
+} // namespace caperjunction::decide
--- /dev/null
+++ b/src/decide/core_place.cpp
@@ -0,0 +1,148 @@
+#include "decide/core.hpp"
+#include "decide/name_hash.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::decide {
+
+namespace {
+
+// Dispatches for one event: one event frees little room, and the rest is
+// found by the next.
+constexpr std::size_t most_starts = 32;
+constexpr std::size_t suspects_a_tick = 16;
+
+} // namespace
+
+void core::drain(index group_place)
+{
+    // Late binding: what has no room stays here, where it can still be put
+    // behind a higher tier; it starts when an engine's bound allows.
+    model_group& group = m_engines.groups()[group_place];
+    for (std::size_t started = 0; started < most_starts; ++started) {
+        entry* const head = group.queue.next();
+        if (head == nullptr || must_yield(*head) || !start(*head)) {
+            return;
+        }
+    }
+}
+
+void core::drain_suspects()
+{
+    std::size_t const count =
+        std::min(m_waiting_suspects.size(), suspects_a_tick);
+    std::vector<model::request_id> const waiting(
+        m_waiting_suspects.begin(),
+        m_waiting_suspects.begin() + static_cast<std::ptrdiff_t>(count));
+    for (model::request_id const id : waiting) {
+        entry* const one = find(id);
+        if (one == nullptr) {
+            continue;
+        }
+        auto const left = m_quarantine.remaining(one->fingerprint, m_now);
+        if (left.count() > 0) {
+            dequeue(*one);
+            refuse_quarantined(*one);
+        } else if (!m_quarantine.suspected(one->fingerprint)) {
+            // Another run of it ended well.
+            dequeue(*one);
+            one->suspect = false;
+            enqueue(*one);
+            drain(one->group);
+        } else {
+            start(*one);
+        }
+    }
+}
+
+bool core::must_yield(entry const& waiting) const
+{
+    // The engines are shared: room that this host sees may be what a higher
+    // tier on another host waits for. It goes first there, unless this tier
+    // has earned its guaranteed share.
+    model_group const& group = m_engines.groups()[waiting.group];
+    if (group.queue.owed(waiting)) {
+        return false;
+    }
+    for (index tier = 0; tier < waiting.tier; ++tier) {
+        if (tier < group.peer_queued.size() && group.peer_queued[tier] > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool core::start(entry& waiting)
+{
+    placement chosen = m_placer.place(waiting, m_engines, m_prefixes, m_now);
+    if (chosen.engine == no_index) {
+        return false;
+    }
+    m_placer.use(chosen, m_now);
+    dequeue(waiting);
+    model_group& group = m_engines.groups()[waiting.group];
+    if (!waiting.suspect) {
+        group.queue.serve(waiting, token_cost(waiting));
+    }
+    group.waits.started();
+    engine_state& engine = m_engines.at(chosen.engine);
+    waiting.upstream = chosen.engine;
+    waiting.prefill = chosen.prefill;
+    waiting.predicted = chosen.predicted;
+    engine.dispatched(waiting.id, chosen.prefill, m_now);
+    if (waiting.suspect) {
+        ++engine.suspects;
+        m_quarantine.running(waiting.fingerprint, name_hash(engine.name));
+    }
+    for (std::uint64_t const block : waiting.prefix_blocks) {
+        m_prefixes.store(block, chosen.engine, m_now);
+    }
+    m_engines.refresh(chosen.engine, m_now);
+    send(waiting, std::move(chosen), "predicted_first_token");
+    return true;
+}
+
+bool core::start_service(entry& waiting)
+{
+    bool const listed =
+        waiting.group != no_index && m_services.has_instances(waiting.group);
+    index const chosen =
+        listed ? m_services.choose(waiting.group, waiting.avoided) : no_index;
+    if (chosen == no_index) {
+        refuse_request(waiting,
+                       listed ? model::error_kind::refused
+                              : model::error_kind::unavailable,
+                       model::milliseconds{1000},
+                       listed ? "instances_full" : "no_upstream",
+                       "send it again after the time in Retry-After");
+        return false;
+    }
+    waiting.upstream = chosen;
+    m_services.started(chosen);
+    placement placed;
+    placed.engine = chosen;
+    send(waiting, std::move(placed), "least_outstanding");
+    return true;
+}
+
+void core::send(entry& waiting, placement chosen, std::string reason)
+{
+    waiting.phase = phase::running;
+    waiting.dispatched = m_now;
+    waiting.first_token = {};
+    waiting.last_token = {};
+    waiting.attempt_tokens = 0;
+    ++waiting.attempt;
+    std::string const& upstream = waiting.is_service
+                                      ? m_services.name(waiting.upstream)
+                                      : m_engines.at(waiting.upstream).name;
+    m_out->emplace_back(dispatch{waiting.id,
+                                 upstream,
+                                 waiting.tier,
+                                 waiting.relayed,
+                                 waiting.attempt,
+                                 std::move(chosen.candidates),
+                                 std::move(reason)});
+}
+
+} // namespace caperjunction::decide
--- /dev/null
+++ b/src/decide/decaying_rate.hpp
@@ -0,0 +1,50 @@
+#ifndef CAPERJUNCTION_DECIDE_DECAYING_RATE_HPP
+#define CAPERJUNCTION_DECIDE_DECAYING_RATE_HPP
+
+#include "model/time.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace caperjunction::decide {
+
+/// Events per second over about the last `horizon`, older ones fading out.
+///
+/// Thread safety: none; owned by one task.
+class decaying_rate
+{
+public:
+    explicit decaying_rate(model::milliseconds horizon)
+        : m_horizon(model::seconds(horizon).count())
+    {
+    }
+
+    void add(double amount, model::time_point now)
+    {
+        m_sum = faded(now) + amount;
+        m_updated = std::max(m_updated, now);
+    }
+
+    double per_second(model::time_point now) const
+    {
+        return faded(now) / m_horizon;
+    }
+
+private:
+    double faded(model::time_point now) const
+    {
+        if (now <= m_updated) {
+            return m_sum;
+        }
+        double const age = model::seconds(now - m_updated).count();
+        return m_sum * std::exp(-age / m_horizon);
+    }
+
+    double m_horizon;
+    double m_sum = 0.0;
+    model::time_point m_updated{};
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/decide/digest.hpp
@@ -0,0 +1,84 @@
+#ifndef CAPERJUNCTION_DECIDE_DIGEST_HPP
+#define CAPERJUNCTION_DECIDE_DIGEST_HPP
+
+#include "model/time.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace caperjunction::decide {
+
+/// What waits on a host for one model in one tier.
+struct queue_load
+{
+    std::uint32_t model_hash = 0;
+    std::uint8_t tier = 0;
+    std::uint16_t queued = 0;
+    /// Refused in the last seconds.
+    std::uint16_t refused = 0;
+
+    friend bool operator==(queue_load const&, queue_load const&) = default;
+};
+
+/// A host's requests on one engine.
+struct engine_load
+{
+    std::uint32_t engine_hash = 0;
+    std::uint16_t in_flight = 0;
+
+    friend bool operator==(engine_load const&, engine_load const&) = default;
+};
+
+/// What one team uses on a host.
+struct team_load
+{
+    std::uint32_t team_hash = 0;
+    float tokens_per_second = 0.0F;
+    float requests_per_second = 0.0F;
+    std::uint16_t concurrent = 0;
+
+    friend bool operator==(team_load const&, team_load const&) = default;
+};
+
+/// A fingerprint that was in flight at a crash.
+struct suspect_load
+{
+    std::uint64_t fingerprint = 0;
+    std::uint8_t crashes = 0;
+    /// Where it runs; 0 if it doesn't.
+    std::uint32_t engine_hash = 0;
+    /// Left of its quarantine; 0 if it is only suspect.
+    std::uint16_t seconds = 0;
+
+    friend bool operator==(suspect_load const&, suspect_load const&) = default;
+};
+
+/// One host's load as its peers see it.
+struct digest
+{
+    std::uint32_t region_hash = 0;
+    std::vector<queue_load> queues;
+    std::vector<engine_load> engines;
+    std::vector<team_load> teams;
+    std::vector<suspect_load> suspects;
+
+    friend bool operator==(digest const&, digest const&) = default;
+};
+
+/// Bounds on a digest's parts. At today's size all fit in 2 KB; at 10,000
+/// engines a digest tells only what is largest, within 8 KB.
+inline constexpr std::size_t max_digest_queues = 64;
+inline constexpr std::size_t max_digest_engines = 512;
+inline constexpr std::size_t max_digest_teams = 192;
+inline constexpr std::size_t max_digest_suspects = 48;
+
+/// \pre no part of `load` exceeds its bound.
+std::vector<std::uint8_t> encode(digest const& load);
+
+/// False, and `into` is unspecified, unless `bytes` is a whole digest of this
+/// version: bytes from another host may be of another version, or garbage.
+bool decode(std::vector<std::uint8_t> const& bytes, digest& into);
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/decide/engine_state.hpp
@@ -0,0 +1,144 @@
+#ifndef CAPERJUNCTION_DECIDE_ENGINE_STATE_HPP
+#define CAPERJUNCTION_DECIDE_ENGINE_STATE_HPP
+
+#include "decide/event.hpp"
+#include "decide/indices.hpp"
+#include "decide/moving_average.hpp"
+#include "model/request_id.hpp"
+#include "model/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperjunction::decide {
+
+/// Whether an engine gets new work.
+enum class engine_health : std::uint8_t
+{
+    good,
+    /// Slow against its peers; gets none until `probe_at`.
+    ejected,
+    /// Its process went away; gets none until `probe_at`.
+    lost,
+    /// Gets a few requests that show whether it has recovered.
+    probing,
+    /// No longer listed, or about to leave.
+    leaving,
+};
+
+/// What this host knows of one engine's load and speed.
+///
+/// The bound on outstanding work is adaptive: it follows the time between
+/// tokens that requests have seen, against the tightest target in use. Made
+/// for bursts: an engine that is handed more than it can decode in time makes
+/// all of its requests late, and what waits inside it can't be reordered.
+///
+/// Thread safety: none; owned by one task.
+class engine_state
+{
+public:
+    explicit engine_state(std::string engine_name);
+
+    /// Takes over what the platform lists; keeps what was learnt.
+    void describe(model::engine const& listed, bool in_own_region);
+
+    void dispatched(model::request_id id,
+                    double prefill_tokens,
+                    model::time_point now);
+
+    void first_token(double prefill_tokens,
+                     std::uint32_t prompt_tokens,
+                     model::milliseconds taken,
+                     model::milliseconds predicted);
+
+    /// Counts one gap between tokens and moves the bound.
+    void between_tokens(model::seconds gap,
+                        model::milliseconds tightest_target,
+                        model::time_point now);
+
+    /// \pre one `dispatched` of this id has had no `ended`.
+    void
+    ended(model::request_id id, double pending_prefill, model::time_point now);
+
+    void report(engine_report const& report);
+
+    /// Requests on this engine, of all hosts, as well as it can be known.
+    double outstanding(model::time_point now) const;
+
+    /// Bound on `outstanding`, in requests.
+    double bound() const;
+
+    /// Prompt tokens per second that it computes.
+    double prefill_rate() const;
+
+    /// Predicted time from dispatch to first token, without the link.
+    model::milliseconds predict_first_token(double uncached_tokens,
+                                            model::time_point now) const;
+
+    std::string name;
+    std::vector<index> groups;
+    bool own_region = true;
+    std::uint32_t slots = 0;
+    engine_health health = engine_health::good;
+    model::time_point probe_at{};
+    /// Time of the next ejection, doubled while it keeps failing.
+    model::milliseconds penalty{0};
+    /// Requests of other hosts on it, by their digests.
+    std::uint32_t peer_requests = 0;
+    /// Requests of lower tiers that this host may still send it before its
+    /// share of the free room is renewed.
+    double allowance = 1.0;
+    model::time_point allowance_renewed{};
+    /// Suspects of this host and of others that run on it.
+    std::uint32_t suspects = 0;
+    std::uint32_t peer_suspects = 0;
+    /// Trust in what is known of its prefix cache, 0..1.
+    double cache_trust = 1.0;
+    std::uint64_t cache_sequence = 0;
+    moving_average gap_ms{0.05};
+    moving_average first_token_ratio{0.1};
+    /// Good answers since it began probing.
+    std::uint32_t probes = 0;
+    std::vector<model::request_id> flights;
+
+    std::uint32_t local() const
+    {
+        return static_cast<std::uint32_t>(flights.size());
+    }
+
+    double pending_prefill() const
+    {
+        return m_pending_prefill;
+    }
+
+private:
+    struct moment
+    {
+        model::time_point at{};
+        std::uint32_t local = 0;
+    };
+
+    void remember(model::time_point now);
+    std::uint32_t local_at(model::time_point when) const;
+    void widen(model::time_point now);
+    void narrow(model::time_point now);
+
+    static constexpr std::size_t history = 8;
+
+    double m_bound = 0.0;
+    double m_pending_prefill = 0.0;
+    moving_average m_prefill_rate{0.05};
+    model::time_point m_bound_moved{};
+    std::array<moment, history> m_history{};
+    std::size_t m_history_end = 0;
+    model::time_point m_report_taken{};
+    double m_reported = 0.0;
+    std::uint32_t m_local_at_report = 0;
+    bool m_has_report = false;
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/decide/fair_queue.hpp
@@ -0,0 +1,89 @@
+#ifndef CAPERJUNCTION_DECIDE_FAIR_QUEUE_HPP
+#define CAPERJUNCTION_DECIDE_FAIR_QUEUE_HPP
+
+#include "decide/entry.hpp"
+#include "decide/tier_queue.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace caperjunction::decide {
+
+/// What waits for one model: the highest tier first, but each tier gets its
+/// guaranteed share of what is served while it waits.
+///
+/// Made for full saturation: strict priority would let a higher tier's burst
+/// starve the smallest society for as long as it lasts. Each tier earns its
+/// share of every token served while it waits, and goes first once it has
+/// earned its next request. Earnings stop at a few requests, so that a long
+/// wait is not paid out in one block in front of the higher tiers.
+///
+/// Thread safety: none; owned by one task.
+class fair_queue
+{
+public:
+    /// Sets the guaranteed shares, highest tier first.
+    /// \pre nothing is queued in a tier beyond them.
+    void set_shares(std::vector<double> const& shares);
+
+    void push(entry& waiting);
+
+    void remove(entry& waiting);
+
+    /// The request that goes next; null if there is none.
+    entry* next();
+
+    /// Whether `waiting`'s tier goes ahead of higher ones by its share.
+    bool owed(entry const& waiting) const;
+
+    /// Counts `tokens` of `served` (already removed) against team and tier.
+    void serve(entry& served, double tokens);
+
+    /// Counts tokens that another host's higher tier got instead of ours.
+    void yield_turn(double tokens);
+
+    /// Corrects what was charged in advance, once the output is known.
+    void correct(index tier, index team, double tokens);
+
+    std::size_t size() const
+    {
+        return m_size;
+    }
+
+    std::size_t size(index tier) const
+    {
+        return tier < m_tiers.size() ? m_tiers[tier].queue.size() : 0;
+    }
+
+    tier_queue const& queue(index tier) const
+    {
+        return m_tiers[tier].queue;
+    }
+
+    std::size_t tiers() const
+    {
+        return m_tiers.size();
+    }
+
+private:
+    struct tier_state
+    {
+        tier_queue queue;
+        double share = 0.0;
+        /// Tokens that its share has earned and that it has not yet got.
+        double earned = 0.0;
+    };
+
+    void earn(double tokens);
+
+    std::vector<tier_state> m_tiers{1};
+    std::size_t m_size = 0;
+};
+
+/// Tokens a request counts for: the prompt is computed in parallel and so
+/// weighs less than the output.
+double token_cost(entry const& waiting);
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/decide/moving_average.hpp
@@ -0,0 +1,54 @@
+#ifndef CAPERJUNCTION_DECIDE_MOVING_AVERAGE_HPP
+#define CAPERJUNCTION_DECIDE_MOVING_AVERAGE_HPP
+
+#include <cstdint>
+
+namespace caperjunction::decide {
+
+/// An exponentially weighted mean; the first samples count as a plain mean.
+///
+/// Thread safety: none; owned by one task.
+class moving_average
+{
+public:
+    /// \pre 0 < weight <= 1, the share of each new sample.
+    explicit moving_average(double weight = 0.05)
+        : m_weight(weight)
+    {
+    }
+
+    void add(double sample)
+    {
+        ++m_samples;
+        double const plain = 1.0 / m_samples;
+        double const share = plain > m_weight ? plain : m_weight;
+        m_value += (sample - m_value) * share;
+    }
+
+    /// Forgets all samples.
+    void reset()
+    {
+        m_value = 0.0;
+        m_samples = 0;
+    }
+
+    std::uint32_t samples() const
+    {
+        return m_samples;
+    }
+
+    /// `otherwise` while there are no samples.
+    double value_or(double otherwise) const
+    {
+        return m_samples == 0 ? otherwise : m_value;
+    }
+
+private:
+    double m_weight;
+    double m_value = 0.0;
+    std::uint32_t m_samples = 0;
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/decide/policy_table.cpp
@@ -0,0 +1,82 @@
+#include "decide/policy_table.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::decide {
+
+policy_table::policy_table()
+    : m_tier_names{""}
+    , m_shares{1.0}
+{
+}
+
+bool policy_table::apply(std::shared_ptr<lists::catalogue const> catalogue)
+{
+    if (!catalogue) {
+        return false;
+    }
+    m_catalogue = std::move(catalogue);
+    std::vector<lists::tier> tiers = m_catalogue->plans().tiers;
+    std::sort(tiers.begin(), tiers.end(), [](auto const& a, auto const& b) {
+        return a.rank < b.rank;
+    });
+    if (tiers.empty()) {
+        tiers.emplace_back();
+    }
+    std::vector<std::string> names;
+    std::vector<double> shares;
+    for (lists::tier const& tier : tiers) {
+        names.push_back(tier.name);
+        shares.push_back(tier.guaranteed_share);
+    }
+    bool changed = names != m_tier_names || shares != m_shares;
+    m_tier_names = std::move(names);
+    m_shares = std::move(shares);
+    for (lists::service_class const& source : m_catalogue->plans().classes) {
+        class_rules const fresh = read(source);
+        index const place = class_index(source.name);
+        changed = changed || !(m_rules[place] == fresh);
+        m_rules[place] = fresh;
+    }
+    for (index place = 0; place < m_rules.size(); ++place) {
+        if (m_catalogue->find_class(m_class_names.name(place)) == nullptr) {
+            m_rules[place].tier = lowest_tier();
+        }
+    }
+    return changed;
+}
+
+index policy_table::class_index(std::string const& name)
+{
+    index const place = m_class_names.intern(name);
+    if (place == m_rules.size()) {
+        m_rules.emplace_back();
+        m_rules.back().tier = lowest_tier();
+    }
+    return place;
+}
+
+lists::usage_limits policy_table::limits(std::string const& plan) const
+{
+    lists::plan const* const found =
+        m_catalogue ? m_catalogue->find_plan(plan) : nullptr;
+    return found == nullptr ? lists::usage_limits{} : found->team_limits;
+}
+
+class_rules policy_table::read(lists::service_class const& source) const
+{
+    class_rules rules;
+    auto const found =
+        std::find(m_tier_names.begin(), m_tier_names.end(), source.tier);
+    rules.tier = found == m_tier_names.end()
+                     ? lowest_tier()
+                     : static_cast<index>(found - m_tier_names.begin());
+    rules.first_token = source.first_token;
+    rules.between_tokens = source.between_tokens;
+    rules.max_wait = source.max_wait;
+    rules.max_output_tokens = source.max_output_tokens;
+    rules.retry_ratio = source.retry_ratio;
+    return rules;
+}
+
+} // namespace caperjunction::decide
--- /dev/null
+++ b/src/decide/rate_limiter.hpp
@@ -0,0 +1,101 @@
+#ifndef CAPERJUNCTION_DECIDE_RATE_LIMITER_HPP
+#define CAPERJUNCTION_DECIDE_RATE_LIMITER_HPP
+
+#include "decide/decaying_rate.hpp"
+#include "lists/plan.hpp"
+#include "model/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace caperjunction::decide {
+
+/// Keeps one team within its plan's limits, over all hosts.
+///
+/// A host asks nobody: it takes what its peers' digests say they let through
+/// off the limit. Digests are late, so a burst that hits all hosts at once
+/// can pass by the lag's worth of traffic; a round trip per request would
+/// cost every request the time that only the bursts deserve.
+///
+/// Thread safety: none; owned by one task.
+class rate_limiter
+{
+public:
+    /// Zero if a request may pass now, otherwise when to come back.
+    model::milliseconds check(lists::usage_limits const& limits,
+                              model::time_point now) const
+    {
+        if (limits.concurrent_requests > 0
+            && m_concurrent + peer_concurrent >= limits.concurrent_requests) {
+            return concurrent_pause;
+        }
+        model::milliseconds const requests =
+            excess(limits.requests_per_second, m_requests, peer_requests, now);
+        model::milliseconds const tokens =
+            excess(limits.tokens_per_second, m_tokens, peer_tokens, now);
+        return std::max(requests, tokens);
+    }
+
+    void admitted(double tokens, model::time_point now)
+    {
+        ++m_concurrent;
+        m_requests.add(1.0, now);
+        m_tokens.add(tokens, now);
+    }
+
+    /// \pre one `admitted` has had no `ended`.
+    void ended(double token_correction, model::time_point now)
+    {
+        m_concurrent -= m_concurrent > 0 ? 1 : 0;
+        m_tokens.add(token_correction, now);
+    }
+
+    std::uint32_t concurrent() const
+    {
+        return m_concurrent;
+    }
+
+    double requests_per_second(model::time_point now) const
+    {
+        return m_requests.per_second(now);
+    }
+
+    double tokens_per_second(model::time_point now) const
+    {
+        return std::max(0.0, m_tokens.per_second(now));
+    }
+
+    /// Sums over the other hosts' digests.
+    double peer_requests = 0.0;
+    double peer_tokens = 0.0;
+    std::uint32_t peer_concurrent = 0;
+
+private:
+    // Long enough that a team's pause and burst even out, short enough that
+    // one over its limit is let in again within seconds.
+    static constexpr model::milliseconds horizon{5000};
+    static constexpr model::milliseconds concurrent_pause{1000};
+
+    static model::milliseconds excess(double limit,
+                                      decaying_rate const& own,
+                                      double peers,
+                                      model::time_point now)
+    {
+        double const rate = own.per_second(now) + peers;
+        if (limit <= 0.0 || rate < limit) {
+            return model::milliseconds{0};
+        }
+        // The rate fades by e over the horizon.
+        double const share = std::min(1.0, rate / limit - 1.0);
+        auto const wait = static_cast<std::int64_t>(share * horizon.count());
+        return model::milliseconds{std::max<std::int64_t>(100, wait)};
+    }
+
+    std::uint32_t m_concurrent = 0;
+    decaying_rate m_requests{horizon};
+    decaying_rate m_tokens{horizon};
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- a/src/decide/router.hpp
+++ b/src/decide/router.hpp
@@ -20,6 +20,10 @@
     std::string data_centre;
     /// Seeds the sampling of candidates.
     std::uint64_t seed = 1;
+    /// This host's share of the link between regions.
+    double link_bytes_per_second = 150'000.0;
+    /// Time that a message takes across regions.
+    model::milliseconds link_delay{30};
 };
 
 /// The decision logic of one host: admitting, queueing, refusing, placing,
@@ -41,7 +45,7 @@
     /// Takes one event at time `now` and appends what is to be done to `out`.
     ///
     /// \pre `now` is not before that of any earlier call.
-    void handle(event const& event,
+    void handle(event const& happened,
                 model::time_point now,
                 std::vector<decision>& out);
 
--- /dev/null
+++ b/src/decide/service_table.hpp
@@ -0,0 +1,64 @@
+#ifndef CAPERJUNCTION_DECIDE_SERVICE_TABLE_HPP
+#define CAPERJUNCTION_DECIDE_SERVICE_TABLE_HPP
+
+#include "decide/indices.hpp"
+#include "decide/name_table.hpp"
+#include "model/upstreams.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperjunction::decide {
+
+/// The instances of the plain services and this host's calls to them.
+///
+/// Thread safety: none; owned by one task.
+class service_table
+{
+public:
+    explicit service_table(std::string region);
+
+    void apply(model::upstreams const& listed);
+
+    /// The number of a service; `no_index` if none of it was ever listed.
+    index find(std::string const& service) const
+    {
+        return m_services.find(service);
+    }
+
+    /// The instance with the fewest calls, first of this region; `no_index`
+    /// if all are full or there is none but `avoided`.
+    index choose(index service, index avoided) const;
+
+    bool has_instances(index service) const;
+
+    void started(index place);
+
+    /// \pre one `started` has had no `ended`.
+    void ended(index place);
+
+    std::string const& name(index place) const
+    {
+        return m_names.name(place);
+    }
+
+private:
+    struct instance
+    {
+        index service = no_index;
+        bool own_region = false;
+        bool listed = false;
+        std::uint32_t outstanding = 0;
+    };
+
+    std::string m_region;
+    name_table m_services;
+    name_table m_names;
+    std::vector<instance> m_instances;
+    std::vector<std::vector<index>> m_by_service;
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/src/decide/tier_queue.cpp
@@ -0,0 +1,51 @@
+#include "decide/tier_queue.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::decide {
+
+void tier_queue::push(entry& waiting)
+{
+    team_queue& team = m_teams[waiting.team];
+    if (team.requests.empty()) {
+        if (!m_active.empty()) {
+            team.counter = std::max(team.counter, m_active.begin()->first);
+        }
+        m_active.emplace(team.counter, waiting.team);
+    }
+    team.requests.emplace(order{waiting.deadline, waiting.id}, &waiting);
+    waiting.arrival_place = m_arrivals.insert(m_arrivals.end(), &waiting);
+}
+
+void tier_queue::remove(entry& waiting)
+{
+    team_queue& team = m_teams[waiting.team];
+    team.requests.erase(order{waiting.deadline, waiting.id});
+    if (team.requests.empty()) {
+        m_active.erase({team.counter, waiting.team});
+    }
+    m_arrivals.erase(waiting.arrival_place);
+}
+
+entry* tier_queue::head()
+{
+    if (m_active.empty()) {
+        return nullptr;
+    }
+    return m_teams[m_active.begin()->second].requests.begin()->second;
+}
+
+void tier_queue::charge(index team, double tokens)
+{
+    team_queue& charged = m_teams[team];
+    bool const active = !charged.requests.empty();
+    if (active) {
+        m_active.erase({charged.counter, team});
+    }
+    charged.counter += tokens;
+    if (active) {
+        m_active.emplace(charged.counter, team);
+    }
+}
+
+} // namespace caperjunction::decide
--- /dev/null
+++ b/src/decide/wait_estimator.hpp
@@ -0,0 +1,96 @@
+#ifndef CAPERJUNCTION_DECIDE_WAIT_ESTIMATOR_HPP
+#define CAPERJUNCTION_DECIDE_WAIT_ESTIMATOR_HPP
+
+#include "decide/decaying_rate.hpp"
+#include "decide/fair_queue.hpp"
+#include "decide/moving_average.hpp"
+#include "model/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+namespace caperjunction::decide {
+
+/// Predicts how long a request of a tier would wait for one model.
+///
+/// By Little's law: as many requests as this host has running end in the time
+/// that one of them takes on average. A tier gets what higher tiers' arrivals
+/// leave, and never less than its guaranteed share. Used for refusing early
+/// and for the Retry-After of refusals.
+///
+/// Thread safety: none; owned by one task.
+class wait_estimator
+{
+public:
+    void arrived(index tier, model::time_point now)
+    {
+        while (tier >= m_arrivals.size()) {
+            m_arrivals.emplace_back(horizon);
+        }
+        m_arrivals[tier].add(1.0, now);
+    }
+
+    void started()
+    {
+        ++m_running;
+    }
+
+    /// \pre one `started` has had no `ended`.
+    void ended(model::milliseconds running_time)
+    {
+        m_running -= m_running > 0 ? 1 : 0;
+        m_durations.add(model::seconds(running_time).count());
+    }
+
+    std::uint32_t running() const
+    {
+        return m_running;
+    }
+
+    /// Requests a second that this host's share of the engines ends.
+    double rate() const
+    {
+        double const duration =
+            std::max(shortest, m_durations.value_or(unknown_duration));
+        return std::max<double>(1.0, m_running) / duration;
+    }
+
+    /// Wait of a request that would come last in its tier's queue.
+    model::milliseconds predict(fair_queue const& queue,
+                                std::vector<double> const& shares,
+                                index tier,
+                                model::time_point now) const
+    {
+        double const total = rate();
+        double higher_arrivals = 0.0;
+        double ahead = 0.0;
+        for (index place = 0; place < tier; ++place) {
+            ahead += static_cast<double>(queue.size(place));
+            higher_arrivals += place < m_arrivals.size()
+                                   ? m_arrivals[place].per_second(now)
+                                   : 0.0;
+        }
+        double const share = tier < shares.size() ? shares[tier] : 0.0;
+        double const left =
+            std::max({total - higher_arrivals, share * total, 0.02 * total});
+        double const own = static_cast<double>(queue.size(tier)) / left;
+        double const seconds = std::min(most, ahead / total + own);
+        return model::milliseconds(static_cast<std::int64_t>(seconds * 1000.0));
+    }
+
+private:
+    static constexpr model::milliseconds horizon{3000};
+    static constexpr double shortest = 0.02;
+    static constexpr double unknown_duration = 1.0;
+    // A longer forecast is worth nothing: demand will have changed.
+    static constexpr double most = 600.0;
+
+    std::vector<decaying_rate> m_arrivals;
+    std::uint32_t m_running = 0;
+    moving_average m_durations{0.05};
+};
+
+} // namespace caperjunction::decide
+
+#endif
--- /dev/null
+++ b/tests/decide/support.hpp
@@ -0,0 +1,131 @@
+#ifndef CAPERJUNCTION_TESTS_DECIDE_SUPPORT_HPP
+#define CAPERJUNCTION_TESTS_DECIDE_SUPPORT_HPP
+
+#include "decide/router.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace caperjunction::tests {
+
+/// Three tiers with one class each: counter, desk, office.
+inline std::shared_ptr<lists::catalogue const> small_catalogue()
+{
+    using model::milliseconds;
+    lists::plan_list plans;
+    plans.tiers = {{"counter", 0, 0.4}, {"desk", 1, 0.2}, {"office", 2, 0.2}};
+    plans.classes.resize(3);
+    for (std::size_t place = 0; place < 3; ++place) {
+        plans.classes[place].name = plans.tiers[place].name;
+        plans.classes[place].tier = plans.tiers[place].name;
+    }
+    plans.classes[0].max_wait = milliseconds{5'000};
+    plans.classes[1].first_token = milliseconds{2'000};
+    plans.classes[2].first_token = milliseconds{8'000};
+    plans.plans.push_back({"all", {"counter", "desk", "office"}, {}});
+    return std::make_shared<lists::catalogue const>(plans,
+                                                    lists::entitlement_list{});
+}
+
+/// One router and everything that it has decided.
+struct session
+{
+    session()
+    {
+        handle(decide::lists_changed{small_catalogue()});
+    }
+
+    void handle(decide::event const& happened)
+    {
+        router.handle(happened, now, out);
+    }
+
+    void add_engines(std::size_t count, std::uint32_t slots)
+    {
+        for (std::size_t made = 0; made < count; ++made) {
+            model::engine engine;
+            engine.name =
+                "engine-" + std::to_string(upstreams.engines.size() + 1);
+            engine.region = "west";
+            engine.models = {"draft"};
+            engine.slots = slots;
+            upstreams.engines.push_back(engine);
+        }
+        handle(decide::upstreams_changed{upstreams});
+        handle(decide::tick{});
+    }
+
+    decide::request make(std::uint64_t id, std::string const& service_class)
+    {
+        decide::request request;
+        request.id = {id};
+        request.customer = "shop";
+        request.team = "team-1";
+        request.plan = "all";
+        request.service_class = service_class;
+        request.model = "draft";
+        request.prompt_tokens = 100;
+        request.max_output_tokens = 100;
+        request.fingerprint = id;
+        request.arrived = now;
+        return request;
+    }
+
+    void arrive(std::uint64_t id,
+                std::string const& service_class,
+                bool repeatable = true)
+    {
+        decide::request request = make(id, service_class);
+        request.repeatable = repeatable;
+        handle(decide::request_arrived{request});
+    }
+
+    void tokens(model::request_id id, std::uint32_t count)
+    {
+        handle(decide::tokens_relayed{id, count});
+    }
+
+    void end(model::request_id id,
+             std::string const& upstream,
+             decide::attempt_end end,
+             std::uint32_t relayed = 0)
+    {
+        handle(decide::attempt_ended{id, upstream, end, relayed, 0});
+    }
+
+    /// Passes time in ticks.
+    void pass(model::milliseconds span)
+    {
+        model::time_point const until = now + span;
+        while (now < until) {
+            now += decide::router::tick_period;
+            handle(decide::tick{});
+        }
+    }
+
+    /// Every decision of one kind so far.
+    template <typename Decision>
+    std::vector<Decision> all() const
+    {
+        std::vector<Decision> found;
+        for (decide::decision const& made : out) {
+            if (auto const* one = std::get_if<Decision>(&made)) {
+                found.push_back(*one);
+            }
+        }
+        return found;
+    }
+
+    decide::router router{{"host-1", "west", "west-a", 1}};
+    model::time_point now = model::time_point{} + std::chrono::seconds{100};
+    model::upstreams upstreams;
+    std::vector<decide::decision> out;
+};
+
+} // namespace caperjunction::tests
+
+#endif
