Compare request ids by hand

Change: equality stays defaulted, the order is written out; conversions of durations to real numbers are explicit.

--- a/src/decide/engine_state.cpp
+++ b/src/decide/engine_state.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+double to_ms(model::milliseconds span)
+{
+    return static_cast<double>(span.count());
+}
+
 // An engine that doesn't say its slots starts small and widens as it proves
 // fast: too small only queues here, too large makes all its work late.
 constexpr double first_bound = 8.0;
@@ -70,7 +75,7 @@
                                model::milliseconds taken,
                                model::milliseconds predicted)
 {
-    double const ms = std::max<double>(1.0, taken.count());
+    double const ms = std::max(1.0, to_ms(taken));
     if (prompt_tokens >= telling_prompt && prefill_tokens >= telling_prompt) {
         double const computing = std::max(1.0, ms - step_ms);
         double const ahead = std::max(m_pending_prefill, prefill_tokens);
@@ -78,7 +83,7 @@
             std::clamp(ahead / computing * 1000.0, 200.0, 500'000.0));
     }
     m_pending_prefill = std::max(0.0, m_pending_prefill - prefill_tokens);
-    first_token_ratio.add(ms / std::max<double>(1.0, predicted.count()));
+    first_token_ratio.add(ms / std::max(1.0, to_ms(predicted)));
 }
 
 void engine_state::between_tokens(model::seconds gap,
@@ -86,7 +91,7 @@
                                   model::time_point now)
 {
     gap_ms.add(gap.count() * 1000.0);
-    double const target = std::max<double>(1.0, tightest_target.count());
+    double const target = std::max(1.0, to_ms(tightest_target));
     double const ratio = gap_ms.value_or(0.0) / target;
     if (ratio > narrow_above) {
         narrow(now);
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -60,6 +60,7 @@
                                 model::time_point now)
 {
     std::vector<index> groups;
+    groups.reserve(models.size());
     for (std::string const& name : models) {
         groups.push_back(group(name, shares));
     }
--- a/src/model/request_id.hpp
+++ b/src/model/request_id.hpp
@@ -1,7 +1,6 @@
 #ifndef CAPERJUNCTION_MODEL_REQUEST_ID_HPP
 #define CAPERJUNCTION_MODEL_REQUEST_ID_HPP
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 
@@ -13,7 +12,12 @@
 {
     std::uint64_t value = 0;
 
-    friend auto operator<=>(request_id const&, request_id const&) = default;
+    friend bool operator==(request_id const&, request_id const&) = default;
+
+    friend bool operator<(request_id const& left, request_id const& right)
+    {
+        return left.value < right.value;
+    }
 };
 
 } // namespace caperjunction::model
