--- a/src/lists/check.cpp
+++ b/src/lists/check.cpp
@@ -29,17 +29,27 @@
     {
         std::set<std::string> names;
         for (std::size_t place = 0; place < entries.size(); ++place) {
-            if (!names.insert(entries[place].name).second) {
-                m_faults.push_back(
-                    {file,
-                     path + '/' + std::to_string(place) + "/name",
-                     "'" + entries[place].name + "' is given twice",
-                     "rename or remove one of the two"});
-            }
+            take(file,
+                 path + '/' + std::to_string(place) + "/name",
+                 names,
+                 entries[place].name);
         }
         return names;
     }
 
+    void take(char const* file,
+              std::string const& path,
+              std::set<std::string>& taken,
+              std::string const& name)
+    {
+        if (!taken.insert(name).second) {
+            m_faults.push_back({file,
+                                path,
+                                "'" + name + "' is given twice",
+                                "rename or remove one of the two"});
+        }
+    }
+
     void refer(char const* file,
                std::string const& path,
                std::set<std::string> const& names,
@@ -157,8 +167,13 @@
         names.collect(entitlements_file, "/models", list.models);
     auto const services =
         names.collect(entitlements_file, "/services", list.services);
+    std::set<std::string> entitled;
     for (std::size_t place = 0; place < list.entitlements.size(); ++place) {
         entitlement const& entry = list.entitlements[place];
+        names.take(entitlements_file,
+                   place_path("entitlements", place, "/plan"),
+                   entitled,
+                   entry.plan);
         names.refer(entitlements_file,
                     place_path("entitlements", place, "/plan"),
                     plan_names,
--- a/src/lists/customer.hpp
+++ b/src/lists/customer.hpp
@@ -15,6 +15,8 @@
     std::string salt;
     /// Hex of SHA-256 over the salt's text and the whole key.
     std::string sha256;
+
+    friend bool operator==(api_key const&, api_key const&) = default;
 };
 
 /// A shop, society or desk that sends requests under one plan.
@@ -23,12 +25,16 @@
     std::string name;
     std::string plan;
     std::vector<api_key> keys;
+
+    friend bool operator==(team const&, team const&) = default;
 };
 
 struct customer
 {
     std::string name;
     std::vector<team> teams;
+
+    friend bool operator==(customer const&, customer const&) = default;
 };
 
 } // namespace caperjunction::lists
--- /dev/null
+++ b/src/lists/diff.hpp
@@ -0,0 +1,23 @@
+#ifndef CAPERJUNCTION_LISTS_DIFF_HPP
+#define CAPERJUNCTION_LISTS_DIFF_HPP
+
+#include "lists/change.hpp"
+#include "lists/entitlement_list.hpp"
+#include "lists/plan_list.hpp"
+
+#include <vector>
+
+namespace caperjunction::lists {
+
+/// What a new list of plans changes, by array and name, for the log line of
+/// its revision. Holds names alone: no key, salt or hash.
+/// \pre both lists have passed `check`. Thread safety: no shared state.
+std::vector<change> diff(plan_list const& before, plan_list const& after);
+
+/// The same for the list of entitlements.
+std::vector<change> diff(entitlement_list const& before,
+                         entitlement_list const& after);
+
+} // namespace caperjunction::lists
+
+#endif
--- a/src/lists/entitlement_list.hpp
+++ b/src/lists/entitlement_list.hpp
@@ -12,6 +12,8 @@
 {
     std::string name;
     std::uint32_t context_tokens = 8192;
+
+    friend bool operator==(model_entry const&, model_entry const&) = default;
 };
 
 /// One call of a plain service, by method and leading part of its path.
@@ -21,6 +23,8 @@
     std::string path_prefix;
     /// False: it runs at most once, and needs an Idempotency-Key.
     bool repeatable = false;
+
+    friend bool operator==(service_call const&, service_call const&) = default;
 };
 
 struct service_entry
@@ -29,6 +33,9 @@
     /// Where its claims are kept; empty: anywhere in the fleet.
     std::string home_region;
     std::vector<service_call> calls;
+
+    friend bool operator==(service_entry const&,
+                           service_entry const&) = default;
 };
 
 /// What the holders of one plan may use.
@@ -37,6 +44,8 @@
     std::string plan;
     std::vector<std::string> models;
     std::vector<std::string> services;
+
+    friend bool operator==(entitlement const&, entitlement const&) = default;
 };
 
 /// The second of the operators' two lists: what each plan may use.
--- a/src/lists/parse.cpp
+++ b/src/lists/parse.cpp
@@ -6,6 +6,17 @@
 namespace caperjunction::lists {
 namespace {
 
+// 64 bits keep equal keys apart over any number of lists.
+constexpr std::size_t min_salt_digits = 16;
+constexpr std::size_t max_salt_digits = 128;
+constexpr std::size_t hash_digits = 64;
+
+bool is_method(std::string const& name)
+{
+    return name == "GET" || name == "HEAD" || name == "POST" || name == "PUT"
+           || name == "PATCH" || name == "DELETE";
+}
+
 void read_tier(reader& from, plan_list& into)
 {
     tier item;
@@ -55,8 +66,12 @@
     from.objects("keys", [&item](reader& key) {
         api_key kept;
         key.need_name("id", kept.id);
-        key.need_text("salt", kept.salt);
-        key.need_text("sha256", kept.sha256);
+        if (kept.id.find('.') != std::string::npos) {
+            // The id ends at the key's first dot; this one is never found.
+            key.note("id", "holds a dot", "leave the dot out of the id");
+        }
+        key.need_hex("salt", kept.salt, min_salt_digits, max_salt_digits);
+        key.need_hex("sha256", kept.sha256, hash_digits, hash_digits);
         item.keys.push_back(std::move(kept));
     });
     into.teams.push_back(std::move(item));
@@ -88,7 +103,17 @@
     from.objects("calls", [&item](reader& call_reader) {
         service_call call;
         call_reader.need_name("method", call.method);
+        if (!call.method.empty() && !is_method(call.method)) {
+            call_reader.note("method",
+                             "is not a method",
+                             "write GET, HEAD, POST, PUT, PATCH or DELETE");
+        }
         call_reader.need_text("path_prefix", call.path_prefix);
+        if (!call.path_prefix.empty() && call.path_prefix.front() != '/') {
+            call_reader.note("path_prefix",
+                             "does not begin with a slash",
+                             "write it as /path");
+        }
         call_reader.boolean("repeatable", call.repeatable);
         item.calls.push_back(std::move(call));
     });
--- a/src/lists/parse_document.cpp
+++ b/src/lists/parse_document.cpp
@@ -96,10 +96,8 @@
             if (step.is_array) {
                 text += '/' + std::to_string(step.items - 1);
             } else if (!step.key.empty()) {
-                text += '/' + step.key;
-            }
-            if (text.size() > model::limits::max_name_length * max_depth) {
-                return text + "/...";
+                text +=
+                    '/' + step.key.substr(0, model::limits::max_name_length);
             }
         }
         return text;
--- a/src/lists/plan.hpp
+++ b/src/lists/plan.hpp
@@ -13,6 +13,8 @@
     double requests_per_second = 0.0;
     double tokens_per_second = 0.0;
     std::uint32_t concurrent_requests = 0;
+
+    friend bool operator==(usage_limits const&, usage_limits const&) = default;
 };
 
 /// What a customer buys: classes of service and limits for each team.
@@ -22,6 +24,8 @@
     /// Classes that a caller may name; the first is the default.
     std::vector<std::string> classes;
     usage_limits team_limits;
+
+    friend bool operator==(plan const&, plan const&) = default;
 };
 
 } // namespace caperjunction::lists
--- a/src/lists/reader.cpp
+++ b/src/lists/reader.cpp
@@ -17,6 +17,32 @@
     return letter || digit || c == '-' || c == '_' || c == '.' || c == ':';
 }
 
+constexpr std::size_t max_faults = 500;
+// Above any real rate; keeps sums of rates finite.
+constexpr double max_rate = 1e12;
+// A day. Longer times are slips, such as seconds written in microseconds.
+constexpr std::uint32_t max_duration_ms = 86'400'000;
+
+bool is_hex_digit(char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+}
+
+/// What may be shown of a field that some list names: a fault goes into logs,
+/// where a long or many-lined text would hide or forge others.
+std::string printable(std::string const& field)
+{
+    std::string text = field.substr(0, model::limits::max_name_length);
+    std::replace_if(
+        text.begin(),
+        text.end(),
+        [](char c) {
+            return !is_name_character(c);
+        },
+        '?');
+    return text;
+}
+
 /// Names become log values, metric labels and parts of paths.
 bool is_name(std::string const& text)
 {
@@ -50,8 +76,12 @@
 
 void reader::note(char const* field, std::string message, std::string remedy)
 {
-    m_faults.push_back(
-        {m_file, m_path + '/' + field, std::move(message), std::move(remedy)});
+    if (m_faults.size() < max_faults) {
+        m_faults.push_back({m_file,
+                            m_path + '/' + printable(field),
+                            std::move(message),
+                            std::move(remedy)});
+    }
 }
 
 nlohmann::json const* reader::find(char const* field)
@@ -116,6 +146,29 @@
     into = value->get<std::string>();
 }
 
+void reader::need_hex(char const* field,
+                      std::string& into,
+                      std::size_t least,
+                      std::size_t most)
+{
+    nlohmann::json const* const value = need(field);
+    if (value == nullptr) {
+        return;
+    }
+    std::string const text =
+        value->is_string() ? value->get<std::string>() : std::string();
+    bool const fits = text.size() >= least && text.size() <= most
+                      && std::all_of(text.begin(), text.end(), is_hex_digit);
+    if (!fits) {
+        note(field,
+             "is not a text of lower-case hex digits of the right length",
+             "write " + std::to_string(least) + " to " + std::to_string(most)
+                 + " of the digits 0-9 and a-f");
+        return;
+    }
+    into = text;
+}
+
 void reader::boolean(char const* field, bool& into)
 {
     nlohmann::json const* const value = find(field);
@@ -154,8 +207,10 @@
     if (value == nullptr) {
         return;
     }
-    if (!value->is_number() || value->get<double>() < 0.0) {
-        note(field, "is not a rate", "write a number of at least 0");
+    bool const fits = value->is_number() && value->get<double>() >= 0.0
+                      && value->get<double>() <= max_rate;
+    if (!fits) {
+        note(field, "is not a rate", "write a number from 0 to 1e12");
         return;
     }
     into = value->get<double>();
@@ -180,6 +235,10 @@
 {
     auto whole = static_cast<std::uint32_t>(into.count());
     count(field, whole, 1);
+    if (whole > max_duration_ms) {
+        note(field, "is longer than a day", "write it in milliseconds");
+        return;
+    }
     into = std::chrono::milliseconds(whole);
 }
 
--- a/src/lists/reader.hpp
+++ b/src/lists/reader.hpp
@@ -32,6 +32,11 @@
     void need_name(char const* field, std::string& into);
     void name(char const* field, std::string& into);
     void need_text(char const* field, std::string& into);
+    /// Lower-case hex digits, `least` to `most` of them.
+    void need_hex(char const* field,
+                  std::string& into,
+                  std::size_t least,
+                  std::size_t most);
     void boolean(char const* field, bool& into);
     void count(char const* field, std::uint32_t& into, std::uint32_t least);
     void rate(char const* field, double& into);
@@ -76,7 +81,8 @@
     /// name would otherwise silently leave its default in force.
     void refuse_unread();
 
-    /// Notes a fault of this field.
+    /// Notes a fault of this field; the first few hundred of a list are kept,
+    /// so that a list of nothing but faults does not fill the memory.
     void note(char const* field, std::string message, std::string remedy);
 
 private:
--- a/src/lists/service_class.hpp
+++ b/src/lists/service_class.hpp
@@ -25,6 +25,9 @@
     std::uint32_t max_output_tokens = 4096;
     /// Retries allowed per first attempt, 0..1.
     double retry_ratio = 0.1;
+
+    friend bool operator==(service_class const&,
+                           service_class const&) = default;
 };
 
 } // namespace caperjunction::lists
--- a/src/lists/tier.hpp
+++ b/src/lists/tier.hpp
@@ -13,6 +13,8 @@
     std::uint32_t rank = 0;
     /// Share of capacity that this tier gets under full saturation, 0..1.
     double guaranteed_share = 0.0;
+
+    friend bool operator==(tier const&, tier const&) = default;
 };
 
 } // namespace caperjunction::lists
