Split the examples' check in two

Cause: the linter bounds the statements of a function, and each check expands to many. Change: one function for faults, one for sizes.

--- a/tests/lists/examples_test.cpp
+++ b/tests/lists/examples_test.cpp
@@ -56,13 +56,17 @@
     model::upstreams upstreams;
 };
 
-void check_example(example const& shown, std::size_t engines)
+void check_faultless(example const& shown)
 {
     CHECK(shown.faults.empty());
     CHECK(lists::check(shown.plans, shown.entitlements).empty());
     CHECK(lists::check_deployment(
               shown.entitlements, shown.hosts, shown.upstreams)
               .empty());
+}
+
+void check_size(example const& shown, std::size_t engines)
+{
     CHECK(shown.hosts.members.size() == 7);
     CHECK(shown.upstreams.engines.size() == engines);
     CHECK(shown.upstreams.services.size() == 3);
@@ -92,12 +96,16 @@
 
 TEST_CASE("the example of Kitanomine is without faults and of its size")
 {
-    check_example(example("kitanomine"), 12);
+    example const shown("kitanomine");
+    check_faultless(shown);
+    check_size(shown, 12);
 }
 
 TEST_CASE("the example of Gangasagar is without faults and of its size")
 {
-    check_example(example("gangasagar"), 9);
+    example const shown("gangasagar");
+    check_faultless(shown);
+    check_size(shown, 9);
 }
 
 TEST_CASE("every key that an example shows opens its team and no other")
