Probe by host, judge slow engines over time, learn prefill per model

Cause: hosts stayed with the engines they had tried first, since each engine's prefill rate was learnt alone; engines on probation compared a bound of two with all hosts' work and never came back; short spells beside a long prompt were taken for slow engines; an engine's loss ended attempts that were still to be reported, so that two ran at once.

Change: one prefill rate per model by the tokens that engines really computed; two probes for each host; slowness has to last 1.5 s at 2.2 times the peers' median; a loss only marks what is in flight, and each attempt's own end moves it on. Lower tiers leave a tenth of an engine to the highest.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -102,7 +102,7 @@
     void eject(index engine);
     void lose(index engine);
     void blame(index engine);
-    void suspect(model::request_id id, std::uint64_t fingerprint);
+    void suspect(model::request_id id, std::uint64_t fingerprint, index engine);
     void revisit_engines();
     void probe(index engine);
     void drain_engine(index engine);
--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -30,11 +30,7 @@
     engine_state& engine = m_engines.at(running->upstream);
     if (running->first_token == model::time_point{}) {
         running->first_token = m_now;
-        engine.first_token(running->prefill,
-                           running->prompt_tokens,
-                           std::chrono::duration_cast<model::milliseconds>(
-                               m_now - running->dispatched),
-                           running->predicted);
+        engine.first_token(running->prefill);
         running->prefill = 0.0;
     } else {
         model::seconds const gap =
@@ -144,6 +140,13 @@
 {
     if (!running.is_service) {
         engine_state& engine = m_engines.at(running.upstream);
+        if (running.attempt == 1 && running.first_token > running.dispatched) {
+            double const computed =
+                static_cast<double>(running.prompt_tokens)
+                - std::min(running.prompt_tokens, happened.cached_tokens);
+            m_engines.groups()[running.group].prefill.observe(
+                computed, running.first_token - running.dispatched);
+        }
         if (!running.prefix_blocks.empty() && running.attempt == 1) {
             // What the engine found in its cache tells how far the index can
             // be trusted with this engine.
@@ -183,7 +186,10 @@
 void core::end_broken(entry& running, index upstream)
 {
     running.may_have_run = true;
-    if (!running.is_service) {
+    if (running.blamed) {
+        running.blamed = false;
+        running.suspect = true;
+    } else if (!running.is_service) {
         if (m_broken.size() >= most_broken) {
             m_broken.erase(m_broken.begin());
         }
--- a/src/decide/core_engine.cpp
+++ b/src/decide/core_engine.cpp
@@ -85,22 +85,25 @@
     // Its cache went with its memory.
     engine.cache_trust = 0.0;
     m_engines.refresh(place, m_now);
-    std::vector<model::request_id> const flights = engine.flights;
-    for (model::request_id const id : flights) {
-        entry* const running = find(id);
-        if (running != nullptr && running->phase == phase::running
-            && running->upstream == place) {
-            release(*running);
-            end_broken(*running, place);
-        }
-    }
 }
 
 void core::blame(index place)
 {
-    // The cause most often strikes before its first token. Those that were
-    // streaming are blamed only if nothing else was there: they would have
-    // to wait for engines of their own, and most are innocent.
+    // What is in flight ends as broken by events of its own; what broke just
+    // before was part of the same crash. The cause most often strikes before
+    // its first token. Those that were streaming are blamed only if nothing
+    // else was there: they would have to wait for engines of their own, and
+    // most are innocent.
+    for (model::request_id const id : m_engines.at(place).flights) {
+        entry* const running = find(id);
+        if (running != nullptr && running->phase == phase::running) {
+            m_broken.push_back({id,
+                                running->fingerprint,
+                                place,
+                                m_now,
+                                running->attempt_tokens == 0});
+        }
+    }
     std::vector<broken_attempt> here;
     bool any_early = false;
     for (broken_attempt const& one : m_broken) {
@@ -118,12 +121,14 @@
                    m_broken.end());
     for (broken_attempt const& one : here) {
         if (one.early || !any_early) {
-            suspect(one.id, one.fingerprint);
+            suspect(one.id, one.fingerprint, place);
         }
     }
 }
 
-void core::suspect(model::request_id id, std::uint64_t fingerprint)
+void core::suspect(model::request_id id,
+                   std::uint64_t fingerprint,
+                   index engine)
 {
     bool const caught = m_quarantine.crashed(fingerprint, m_now);
     if (caught) {
@@ -137,6 +142,10 @@
         return;
     }
     if (waiting->phase == phase::running) {
+        if (waiting->upstream == engine) {
+            waiting->blamed = true;
+            return;
+        }
         // Already sent on, before its engine was known to be lost.
         if (!waiting->suspect && !waiting->is_service) {
             waiting->suspect = true;
@@ -164,7 +173,7 @@
         }
         return;
     }
-    if (m_outliers.slow(m_engines, place)) {
+    if (m_outliers.slow(m_engines, place, m_now)) {
         eject(place);
     }
 }
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -88,7 +88,6 @@
     engine_state& engine = m_engines.at(chosen.engine);
     waiting.upstream = chosen.engine;
     waiting.prefill = chosen.prefill;
-    waiting.predicted = chosen.predicted;
     engine.dispatched(waiting.id, chosen.prefill, m_now);
     if (waiting.suspect) {
         ++engine.suspects;
--- a/src/decide/engine_state.cpp
+++ b/src/decide/engine_state.cpp
@@ -17,7 +17,8 @@
 constexpr double first_bound = 8.0;
 constexpr double least_bound = 2.0;
 constexpr double most_bound = 512.0;
-constexpr double probing_bound = 2.0;
+// Requests that each host risks on an engine that was slow or away.
+constexpr std::uint32_t most_probes = 2;
 // The bound narrows fast and widens slowly: beyond the target every request
 // of the engine is late, below it some capacity lies idle.
 constexpr double narrow_above = 0.92;
@@ -31,13 +32,8 @@
 // Reports are worth little once the requests they counted have ended.
 constexpr double report_horizon_seconds = 2.0;
 constexpr model::milliseconds history_step{100};
-// Prompt tokens a second of an engine that has shown nothing yet.
-constexpr double unknown_prefill_rate = 8000.0;
 // Fixed part of a first token: one step of the batch.
 constexpr double step_ms = 25.0;
-// Below this many prompt tokens a first token tells of the step, not of the
-// prefill rate.
-constexpr double telling_prompt = 256.0;
 
 } // namespace
 
@@ -70,20 +66,9 @@
     m_pending_prefill += prefill_tokens;
 }
 
-void engine_state::first_token(double prefill_tokens,
-                               std::uint32_t prompt_tokens,
-                               model::milliseconds taken,
-                               model::milliseconds predicted)
+void engine_state::first_token(double prefill_tokens)
 {
-    double const ms = std::max(1.0, to_ms(taken));
-    if (prompt_tokens >= telling_prompt && prefill_tokens >= telling_prompt) {
-        double const computing = std::max(1.0, ms - step_ms);
-        double const ahead = std::max(m_pending_prefill, prefill_tokens);
-        m_prefill_rate.add(
-            std::clamp(ahead / computing * 1000.0, 200.0, 500'000.0));
-    }
     m_pending_prefill = std::max(0.0, m_pending_prefill - prefill_tokens);
-    first_token_ratio.add(ms / std::max(1.0, to_ms(predicted)));
 }
 
 void engine_state::between_tokens(model::seconds gap,
@@ -147,30 +132,21 @@
 
 double engine_state::bound() const
 {
-    switch (health) {
-    case engine_health::good:
-        return m_bound;
-    case engine_health::probing:
-        return probing_bound;
-    case engine_health::ejected:
-    case engine_health::lost:
-    case engine_health::leaving:
-        break;
-    }
-    return 0.0;
+    bool const open =
+        health == engine_health::good || health == engine_health::probing;
+    return open ? m_bound : 0.0;
 }
 
-double engine_state::prefill_rate() const
+bool engine_state::takes_probe() const
 {
-    return m_prefill_rate.value_or(unknown_prefill_rate);
+    return health == engine_health::probing && local() < most_probes;
 }
 
-model::milliseconds
-engine_state::predict_first_token(double uncached_tokens,
-                                  model::time_point now) const
+model::milliseconds engine_state::predict_first_token(
+    double uncached_tokens, double prefill_rate, model::time_point now) const
 {
     double const ahead = m_pending_prefill + uncached_tokens;
-    double const compute = ahead / prefill_rate() * 1000.0;
+    double const compute = ahead / prefill_rate * 1000.0;
     double const full = std::max(1.0, bound());
     double const over = std::max(0.0, outstanding(now) + 1.0 - full);
     // Beyond its bound a request waits for one of the others to end.
--- a/src/decide/engine_state.hpp
+++ b/src/decide/engine_state.hpp
@@ -48,10 +48,7 @@
                     double prefill_tokens,
                     model::time_point now);
 
-    void first_token(double prefill_tokens,
-                     std::uint32_t prompt_tokens,
-                     model::milliseconds taken,
-                     model::milliseconds predicted);
+    void first_token(double prefill_tokens);
 
     /// Counts one gap between tokens and moves the bound.
     void between_tokens(model::seconds gap,
@@ -70,11 +67,13 @@
     /// Bound on `outstanding`, in requests.
     double bound() const;
 
-    /// Prompt tokens per second that it computes.
-    double prefill_rate() const;
+    /// Whether this host may send it one more request by way of probing.
+    bool takes_probe() const;
 
     /// Predicted time from dispatch to first token, without the link.
+    /// `prefill_rate` is in tokens per second.
     model::milliseconds predict_first_token(double uncached_tokens,
+                                            double prefill_rate,
                                             model::time_point now) const;
 
     std::string name;
@@ -98,7 +97,8 @@
     double cache_trust = 1.0;
     std::uint64_t cache_sequence = 0;
     moving_average gap_ms{0.05};
-    moving_average first_token_ratio{0.1};
+    /// Since when it has been slow against its peers; zero if it is not.
+    model::time_point slow_since{};
     /// Good answers since it began probing.
     std::uint32_t probes = 0;
     std::vector<model::request_id> flights;
@@ -129,7 +129,6 @@
 
     double m_bound = 0.0;
     double m_pending_prefill = 0.0;
-    moving_average m_prefill_rate{0.05};
     model::time_point m_bound_moved{};
     std::array<moment, history> m_history{};
     std::size_t m_history_end = 0;
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -12,7 +12,7 @@
 // The last of the bound is kept for the highest tier, which may also go a
 // little over it: its burst must not wait for a lower tier's long answers,
 // and the engine runs it first by its priority.
-constexpr double lower_tiers_share = 0.96;
+constexpr double lower_tiers_share = 0.9;
 constexpr double highest_tier_share = 1.12;
 // Prefill waiting on an engine delays every first token there. Below the
 // tightest first-token targets, so that what waits stays here, in order.
@@ -104,8 +104,9 @@
         // All hosts see the same free room at the same time. If each filled
         // it, an engine would get it as many times over as there are hosts;
         // so each takes its share, and the remainder goes round by hash.
+        double const limit = state.bound() * lower_tiers_share;
         double const free =
-            std::max(0.0, std::floor(state.bound() - state.outstanding(now)));
+            std::max(0.0, std::floor(limit - state.outstanding(now)));
         double const sharers =
             std::max(1U, state.own_region ? hosts_in_region : hosts);
         auto const period = static_cast<std::uint64_t>(now.time_since_epoch()
@@ -130,7 +131,14 @@
         return room::none;
     }
     double const outstanding = state.outstanding(now);
-    double const pending = state.pending_prefill() / state.prefill_rate();
+    if (state.health == engine_health::probing) {
+        return state.takes_probe() ? room::any_tier : room::none;
+    }
+    double const pending =
+        state.groups.empty()
+            ? 0.0
+            : state.pending_prefill()
+                  / m_groups[state.groups.front()].prefill.tokens_per_second();
     if (outstanding < bound * lower_tiers_share && pending < prefill_seconds
         && state.allowance >= 1.0) {
         return room::any_tier;
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -34,8 +34,6 @@
     model::time_point dispatched{};
     model::time_point first_token{};
     model::time_point last_token{};
-    /// First token as predicted when it was sent.
-    model::milliseconds predicted{0};
     /// Place in its tier's order of arrival, while queued.
     std::list<entry*>::iterator arrival_place{};
     index class_place = 0;
@@ -66,6 +64,8 @@
     bool may_have_run = false;
     /// In flight at a crash; runs apart from other suspects.
     bool suspect = false;
+    /// In flight on an engine that is lost; its end is still to come.
+    bool blamed = false;
     /// Counted against its team's limits.
     bool limited = false;
 };
--- a/src/decide/model_group.hpp
+++ b/src/decide/model_group.hpp
@@ -3,6 +3,7 @@
 
 #include "decide/fair_queue.hpp"
 #include "decide/open_list.hpp"
+#include "decide/prefill_rate.hpp"
 #include "decide/wait_estimator.hpp"
 
 #include <array>
@@ -46,6 +47,7 @@
     /// Engines that serve it, whatever their health.
     std::vector<index> engines;
     wait_estimator waits;
+    prefill_rate prefill;
     /// What other hosts hold in queue and refuse, by tier.
     std::vector<std::uint32_t> peer_queued;
 };
--- a/src/decide/outlier_detector.cpp
+++ b/src/decide/outlier_detector.cpp
@@ -9,8 +9,10 @@
 
 // Engines of a batch differ by tens of percent; a throttled or failing one by
 // a factor.
-constexpr double slow_factor = 1.8;
+constexpr double slow_factor = 2.2;
 constexpr std::uint32_t telling_samples = 20;
+// A long prompt beside them slows an engine's answers for a moment only.
+constexpr model::milliseconds telling_time{1500};
 constexpr std::size_t sampled_peers = 7;
 constexpr std::size_t least_peers = 2;
 // Never more than this share of a model's engines out at once: the evidence
@@ -32,7 +34,7 @@
 {
 }
 
-bool outlier_detector::slow(engine_table const& engines, index place)
+bool outlier_detector::slower(engine_table const& engines, index place)
 {
     engine_state const& engine = engines.at(place);
     if (engine.health == engine_health::leaving || out(engine)
@@ -68,6 +70,21 @@
     return engine.gap_ms.value_or(0.0) > slow_factor * *middle;
 }
 
+bool outlier_detector::slow(engine_table& engines,
+                            index place,
+                            model::time_point now)
+{
+    engine_state& engine = engines.at(place);
+    if (!slower(engines, place)) {
+        engine.slow_since = {};
+        return false;
+    }
+    if (engine.slow_since == model::time_point{}) {
+        engine.slow_since = now;
+    }
+    return now - engine.slow_since >= telling_time;
+}
+
 model::milliseconds outlier_detector::penalty(engine_state& engine)
 {
     engine.penalty =
--- a/src/decide/outlier_detector.hpp
+++ b/src/decide/outlier_detector.hpp
@@ -24,12 +24,14 @@
     explicit outlier_detector(std::uint64_t seed);
 
     /// Whether this engine should get no new work for now.
-    bool slow(engine_table const& engines, index engine);
+    bool slow(engine_table& engines, index engine, model::time_point now);
 
     /// Time that it is out for, longer each time it fails.
     static model::milliseconds penalty(engine_state& engine);
 
 private:
+    bool slower(engine_table const& engines, index engine);
+
     std::mt19937_64 m_random;
 };
 
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -138,8 +138,10 @@
         std::max(0.0,
                  waiting.prompt_tokens + static_cast<double>(waiting.relayed)
                      - own.cached_tokens(place));
-    model::milliseconds predicted =
-        engine.predict_first_token(uncached, own.now);
+    model::milliseconds predicted = engine.predict_first_token(
+        uncached,
+        own.engines.groups()[waiting.group].prefill.tokens_per_second(),
+        own.now);
     double score = static_cast<double>(predicted.count());
     score += load_penalty_ms * engine.outstanding(own.now)
              / std::max(1.0, engine.bound());
--- /dev/null
+++ b/src/decide/prefill_rate.hpp
@@ -0,0 +1,52 @@
+#ifndef CAPERJUNCTION_DECIDE_PREFILL_RATE_HPP
+#define CAPERJUNCTION_DECIDE_PREFILL_RATE_HPP
+
+#include "model/time.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::decide {
+
+/// Prompt tokens per second that the engines of one model compute.
+///
+/// Kept for all engines of a model together: one engine's samples are few,
+/// and a host that trusted them would stay with the engines that it happened
+/// to try first. It follows a quantile, since a sample is too low whenever
+/// another host's prompt was ahead.
+///
+/// Thread safety: none; owned by one task.
+class prefill_rate
+{
+public:
+    /// `computed` is what the engine did not find in its cache.
+    void observe(double computed, model::seconds first_token)
+    {
+        double const time = std::max(shortest, first_token.count());
+        if (computed < telling_tokens) {
+            return;
+        }
+        double const sample = computed / time;
+        m_rate *= sample > m_rate ? 1.0 + step * quantile
+                                  : 1.0 - step * (1.0 - quantile);
+        m_rate = std::clamp(m_rate, least, most);
+    }
+
+    double tokens_per_second() const
+    {
+        return m_rate;
+    }
+
+private:
+    static constexpr double quantile = 0.5;
+    static constexpr double step = 0.05;
+    static constexpr double telling_tokens = 192.0;
+    static constexpr double shortest = 0.001;
+    static constexpr double least = 200.0;
+    static constexpr double most = 500'000.0;
+
+    double m_rate = 8000.0;
+};
+
+} // namespace caperjunction::decide
+
+#endif
