Add policy_bench: the decision logic in virtual time, beside baselines

Cause: nothing measured what the decisions are worth under load.

An auditor outside the policies notes what must never happen.

Scenarios other than steady, burst and saturation run but have not been looked at yet.

--- /dev/null
+++ b/bench/policy_bench/deployment.hpp
@@ -0,0 +1,60 @@
+#ifndef CAPERJUNCTION_BENCH_DEPLOYMENT_HPP
+#define CAPERJUNCTION_BENCH_DEPLOYMENT_HPP
+
+#include "bench/policy_bench/class_load.hpp"
+#include "bench/policy_bench/engine_numbers.hpp"
+#include "bench/policy_bench/network.hpp"
+#include "bench/policy_bench/place.hpp"
+#include "lists/catalogue.hpp"
+#include "model/host.hpp"
+#include "model/upstreams.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caperjunction::bench {
+
+/// One user's installation at its size of today.
+struct deployment
+{
+    std::string name;
+    /// In the order of `place::region` and `place::data_centre`.
+    std::vector<std::string> regions;
+    std::vector<std::string> data_centres;
+    std::vector<model::host> hosts;
+    model::upstreams upstreams;
+    std::shared_ptr<lists::catalogue const> catalogue;
+    std::vector<class_load> loads;
+    /// In the order of the customer's teams: a few large, the others small.
+    std::vector<double> team_weights;
+    network::delays delays;
+    engine_numbers engine;
+
+    place place_of(std::string const& region,
+                   std::string const& data_centre) const;
+
+    lists::service_class const& class_of(std::size_t load) const;
+    lists::tier const& tier_of(std::size_t load) const;
+
+    /// Engine time that a request of these lengths costs with a full batch
+    /// and nothing cached.
+    double engine_seconds(double prompt_tokens, double output_tokens) const;
+
+    /// Work of a request in output tokens: a prompt token counts for as many
+    /// as the engine could have put out in the same time with a full batch.
+    double work(double prompt_tokens, double output_tokens) const;
+
+    /// Work that all engines do in a second with full batches.
+    double capacity() const;
+};
+
+/// \throws model::error if there is no deployment of that name.
+deployment make_deployment(std::string_view name);
+
+std::vector<std::string> deployment_names();
+
+} // namespace caperjunction::bench
+
+#endif
--- /dev/null
+++ b/bench/policy_bench/event_queue.hpp
@@ -0,0 +1,54 @@
+#ifndef CAPERJUNCTION_BENCH_EVENT_QUEUE_HPP
+#define CAPERJUNCTION_BENCH_EVENT_QUEUE_HPP
+
+#include "model/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace caperjunction::bench {
+
+/// The bench's clock and its list of things to come. Time passes only by
+/// taking the next of them; those of one instant run in the order in which
+/// they were asked for, so that a run depends on its seed alone.
+///
+/// Thread safety: none.
+class event_queue
+{
+public:
+    using action = std::function<void()>;
+
+    model::time_point now() const
+    {
+        return m_now;
+    }
+
+    /// \pre `when` is not before `now()`.
+    void at(model::time_point when, action run);
+
+    /// \pre `delay` is not negative.
+    void after(std::chrono::nanoseconds delay, action run);
+
+    /// Runs everything due up to `end` and sets the clock to it.
+    void run_until(model::time_point end);
+
+private:
+    struct entry
+    {
+        model::time_point when;
+        std::uint64_t order = 0;
+        action run;
+    };
+
+    static bool later(entry const& left, entry const& right);
+
+    std::vector<entry> m_entries;
+    model::time_point m_now{};
+    std::uint64_t m_order = 0;
+};
+
+} // namespace caperjunction::bench
+
+#endif
--- /dev/null
+++ b/bench/policy_bench/fake_service.hpp
@@ -0,0 +1,47 @@
+#ifndef CAPERJUNCTION_BENCH_FAKE_SERVICE_HPP
+#define CAPERJUNCTION_BENCH_FAKE_SERVICE_HPP
+
+#include "bench/policy_bench/event_queue.hpp"
+#include "bench/policy_bench/upstream_hooks.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+
+namespace caperjunction::bench {
+
+/// A plain service with a few workers and a queue in order of arrival.
+///
+/// Thread safety: none.
+class fake_service
+{
+public:
+    /// Calls that it runs side by side; our own assumption.
+    static constexpr std::uint32_t workers = 4;
+
+    fake_service(event_queue& queue, upstream_hooks hooks);
+    fake_service(fake_service const&) = delete;
+    fake_service& operator=(fake_service const&) = delete;
+
+    /// Runs the call for `length` once a worker is free. A call that has been
+    /// handed over runs to its end, whether or not somebody waits for it.
+    void submit(std::uint64_t attempt, std::chrono::nanoseconds length);
+
+private:
+    struct call
+    {
+        std::uint64_t attempt = 0;
+        std::chrono::nanoseconds length{0};
+    };
+
+    void start();
+
+    event_queue& m_queue;
+    upstream_hooks m_hooks;
+    std::deque<call> m_waiting;
+    std::uint32_t m_running = 0;
+};
+
+} // namespace caperjunction::bench
+
+#endif
--- /dev/null
+++ b/bench/policy_bench/fleet_answers.cpp
@@ -0,0 +1,273 @@
+// What upstreams and other hosts say, and how it reaches policy and caller.
+#include "bench/policy_bench/fleet.hpp"
+
+#include <fmt/format.h>
+
+namespace caperjunction::bench {
+
+upstream_hooks fleet::hooks_of(std::size_t upstream)
+{
+    upstream_hooks hooks;
+    hooks.tokens = [this, upstream](std::uint64_t number, std::uint32_t count) {
+        m_network.send(m_upstreams.where(upstream),
+                       m_hosts[attempt_of(number).host].place,
+                       bytes_per_output_token * count,
+                       [this, number, count] {
+                           take_tokens(number, count);
+                       });
+    };
+    hooks.ended = [this, upstream](job_result const& result) {
+        attempt_of(result.attempt).result = result;
+        m_network.send(m_upstreams.where(upstream),
+                       m_hosts[attempt_of(result.attempt).host].place,
+                       message_bytes,
+                       [this, number = result.attempt, end = result.end] {
+                           take_end(number, end);
+                       });
+    };
+    hooks.crashed = [this, upstream] {
+        take_crash(upstream);
+    };
+    return hooks;
+}
+
+void fleet::hand_to_upstream(std::uint64_t number,
+                             std::uint32_t priority,
+                             std::uint32_t resume_offset)
+{
+    attempt const& made = attempt_of(number);
+    send& which = m_sends[made.send];
+    if (!m_upstreams.up(made.upstream)) {
+        m_network.send(
+            m_upstreams.where(made.upstream),
+            m_hosts[made.host].place,
+            message_bytes,
+            [this, number] {
+                take_end(number, decide::attempt_end::unreachable);
+                attempt const& lost = attempt_of(number);
+                tell(lost.host,
+                     decide::engine_lost{m_upstreams.name(lost.upstream)});
+            });
+        return;
+    }
+    ++which.accepted;
+    planned_request const& plan = *which.plan;
+    if (made.upstream >= m_upstreams.engine_count()) {
+        m_upstreams.service(made.upstream).submit(number, plan.call_length);
+        return;
+    }
+    engine_job job;
+    job.attempt = number;
+    job.priority = priority;
+    job.prompt_tokens = plan.prompt_tokens;
+    job.output_tokens = plan.output_tokens;
+    job.resume_offset = resume_offset;
+    job.prefix_blocks = plan.prefix_blocks;
+    job.crashes_engine = plan.killer;
+    m_upstreams.engine(made.upstream).submit(job);
+}
+
+void fleet::take_tokens(std::uint64_t number, std::uint32_t tokens)
+{
+    attempt& from = attempt_of(number);
+    send& which = m_sends[from.send];
+    if (!from.open || from.abandoned || which.state == send_state::done) {
+        return;
+    }
+    from.relayed += tokens;
+    which.relayed += tokens;
+    if (from.host == which.entry_host) {
+        relay(from.send, tokens);
+    } else {
+        m_network.send(m_hosts[from.host].place,
+                       m_hosts[which.entry_host].place,
+                       bytes_per_output_token * tokens,
+                       [this, index = from.send, tokens] {
+                           relay(index, tokens);
+                       });
+    }
+    tell(from.host, decide::tokens_relayed{which.id, tokens});
+}
+
+void fleet::relay(std::size_t which, std::uint32_t tokens)
+{
+    send& to = m_sends[which];
+    if (to.state == send_state::done) {
+        return;
+    }
+    to.last_token = m_queue.now();
+    if (!to.has_answer()) {
+        to.first_token = m_queue.now();
+        m_auditor.first_answer(to, m_queue.now());
+    }
+    if (m_queue.now() <= m_window_end) {
+        to.relayed_in_window += tokens;
+    }
+}
+
+void fleet::take_end(std::uint64_t number, decide::attempt_end end)
+{
+    attempt& ended = attempt_of(number);
+    if (!ended.open) {
+        return;
+    }
+    ended.open = false;
+    send& which = m_sends[ended.send];
+    if (end == decide::attempt_end::refused) {
+        --which.accepted;
+    }
+    if (which.attempt == number) {
+        which.attempt = 0;
+        if (which.state != send_state::done) {
+            if (end == decide::attempt_end::complete) {
+                complete(which);
+            } else {
+                put_in_wait(which);
+            }
+        }
+    }
+    // A host that closed the connection itself hears of nothing else.
+    bool const cancelled = ended.abandoned;
+    tell(ended.host,
+         decide::attempt_ended{which.id,
+                               m_upstreams.name(ended.upstream),
+                               cancelled ? decide::attempt_end::cancelled : end,
+                               which.relayed,
+                               ended.result.cached_tokens});
+}
+
+void fleet::complete(send& which)
+{
+    if (which.relayed != which.plan->output_tokens) {
+        m_violations.note("truncated_answer",
+                          fmt::format("{} of {} tokens",
+                                      which.relayed,
+                                      which.plan->output_tokens));
+    }
+    std::size_t const index = index_of(which);
+    auto const hand_out = [this, index] {
+        send& to = m_sends[index];
+        if (to.state != send_state::done) {
+            relay(index, 0);
+            finish(to, send_end::ran, {});
+        }
+    };
+    if (which.serving_host == which.entry_host) {
+        hand_out();
+        return;
+    }
+    which.state = send_state::moving;
+    m_network.send(m_hosts[which.serving_host].place,
+                   m_hosts[which.entry_host].place,
+                   message_bytes,
+                   hand_out);
+}
+
+void fleet::take_crash(std::size_t upstream)
+{
+    std::vector<bool> concerned(m_hosts.size());
+    for (attempt const& one : m_attempts) {
+        if (one.open && one.upstream == upstream) {
+            concerned[one.host] = true;
+        }
+    }
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (concerned[host]) {
+            decide::engine_lost const lost{m_upstreams.name(upstream)};
+            m_network.send(m_upstreams.where(upstream),
+                           m_hosts[host].place,
+                           message_bytes,
+                           [this, host, lost] {
+                               tell(host, lost);
+                           });
+        }
+    }
+}
+
+void fleet::take_over(std::size_t which, std::size_t host)
+{
+    send& taken = m_sends[which];
+    if (taken.state == send_state::done) {
+        return;
+    }
+    taken.serving_host = host;
+    put_in_wait(taken);
+    tell(host, decide::request_arrived{describe(taken, true)});
+}
+
+void fleet::hand_back(std::size_t which)
+{
+    send& back = m_sends[which];
+    if (back.state == send_state::done) {
+        return;
+    }
+    std::string const from = m_where.hosts[back.serving_host].name;
+    back.serving_host = back.entry_host;
+    put_in_wait(back);
+    tell(back.entry_host, decide::hand_over_refused{back.id, from});
+}
+
+void fleet::cut(bool is_cut)
+{
+    m_network.cut(is_cut);
+    m_auditor.cut(is_cut);
+    if (!is_cut) {
+        return;
+    }
+    m_queue.after(silence_timeout, [this] {
+        break_attempts_across();
+        break_hand_overs_across();
+        for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+            for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+                if (!m_network.reachable(m_hosts[host].place,
+                                         m_hosts[other].place)) {
+                    tell(host, decide::host_lost{m_where.hosts[other].name});
+                }
+            }
+        }
+    });
+}
+
+void fleet::break_attempts_across()
+{
+    std::size_t const count = m_attempts.size();
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        attempt const& one = attempt_of(number);
+        if (!one.open || one.unsent
+            || m_network.reachable(m_hosts[one.host].place,
+                                   m_upstreams.where(one.upstream))) {
+            continue;
+        }
+        if (one.upstream < m_upstreams.engine_count()) {
+            m_upstreams.engine(one.upstream).cancel(number);
+        }
+        take_end(number, decide::attempt_end::broken);
+    }
+}
+
+// A hand-over across the cut: the entry host may serve it itself unless some
+// of the answer is out or a second run would do harm.
+void fleet::break_hand_overs_across()
+{
+    std::size_t const count = m_sends.size();
+    for (std::size_t index = 0; index < count; ++index) {
+        send& one = m_sends[index];
+        if (one.state == send_state::done
+            || m_network.reachable(m_hosts[one.entry_host].place,
+                                   m_hosts[one.serving_host].place)) {
+            continue;
+        }
+        m_hanging_up = true;
+        tell(one.serving_host, decide::request_cancelled{one.id});
+        m_hanging_up = false;
+        m_auditor.waits_no_more(one);
+        bool const repeatable = m_where.loads[one.plan->load].service.empty();
+        if (one.relayed == 0 && (repeatable || one.accepted == 0)) {
+            hand_back(index);
+        } else {
+            finish(one, send_end::failed, std::chrono::seconds{1});
+        }
+    }
+}
+
+} // namespace caperjunction::bench
--- /dev/null
+++ b/bench/policy_bench/main.cpp
@@ -0,0 +1,67 @@
+// Runs the decision logic and the baselines in virtual time.
+#include "bench/policy_bench/report.hpp"
+#include "bench/policy_bench/run_plan.hpp"
+#include "model/error.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <string>
+
+ABSL_FLAG(std::string, deployment, "kitanomine", "names, or all");
+ABSL_FLAG(std::string, scenario, "steady", "names, or all");
+ABSL_FLAG(std::string, policy, "caperjunction", "names, or all");
+ABSL_FLAG(std::string, seed, "1", "one seed, or several with commas");
+ABSL_FLAG(std::string, seeds, "", "the same; goes before --seed");
+ABSL_FLAG(std::string, format, "table", "table or json");
+ABSL_FLAG(bool, list, false, "print all names and end");
+
+namespace {
+
+using namespace caperjunction;
+
+void run_program()
+{
+    if (absl::GetFlag(FLAGS_list)) {
+        fmt::print("{}", bench::list_names());
+        return;
+    }
+    std::string const format = absl::GetFlag(FLAGS_format);
+    if (format != "table" && format != "json") {
+        throw model::error(model::error_kind::bad_settings,
+                           "there is no format '" + format + "'",
+                           "name table or json");
+    }
+    std::string const seeds = absl::GetFlag(FLAGS_seeds);
+    auto const results = bench::run(
+        bench::parse_plan(absl::GetFlag(FLAGS_deployment),
+                          absl::GetFlag(FLAGS_scenario),
+                          absl::GetFlag(FLAGS_policy),
+                          seeds.empty() ? absl::GetFlag(FLAGS_seed) : seeds));
+    fmt::print("{}",
+               format == "json" ? bench::to_json(results)
+                                : bench::to_table(results));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "Runs the decision logic and the baselines in virtual time.");
+    absl::ParseCommandLine(argc, argv);
+    try {
+        run_program();
+        return 0;
+    } catch (model::error const& wrong) {
+        fmt::print(stderr,
+                   "error={} message=\"{}\" remedy=\"{}\"\n",
+                   model::to_string(wrong.kind()),
+                   wrong.what(),
+                   wrong.remedy());
+        return 2;
+    }
+}
--- /dev/null
+++ b/bench/policy_bench/run_plan.hpp
@@ -0,0 +1,37 @@
+#ifndef CAPERJUNCTION_BENCH_RUN_PLAN_HPP
+#define CAPERJUNCTION_BENCH_RUN_PLAN_HPP
+
+#include "bench/policy_bench/run_result.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperjunction::bench {
+
+/// The runs that a command line asks for: each deployment with each scenario,
+/// policy and seed.
+struct run_plan
+{
+    std::vector<std::string> deployments;
+    std::vector<std::string> scenarios;
+    std::vector<std::string> policies;
+    std::vector<std::uint64_t> seeds;
+};
+
+/// Fills a plan from switches; `all` stands for every name there is, and
+/// commas part several.
+/// \throws model::error naming the remedy for a name that does not exist.
+run_plan parse_plan(std::string const& deployments,
+                    std::string const& scenarios,
+                    std::string const& policies,
+                    std::string const& seeds);
+
+std::vector<run_result> run(run_plan const& plan);
+
+/// What `--list` prints.
+std::string list_names();
+
+} // namespace caperjunction::bench
+
+#endif
--- /dev/null
+++ b/bench/policy_bench/score.cpp
@@ -0,0 +1,186 @@
+#include "bench/policy_bench/score.hpp"
+
+#include "bench/policy_bench/trace.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::bench {
+
+score::score(deployment const& where,
+             scenario const& what,
+             std::uint64_t seed,
+             callers const& from,
+             fleet const& hosts)
+    : m_where(where)
+    , m_what(what)
+    , m_seed(seed)
+    , m_from(from)
+    , m_hosts(hosts)
+{
+}
+
+model::time_point score::window_end() const
+{
+    return model::time_point{} + m_what.length;
+}
+
+double score::capacity() const
+{
+    return m_where.capacity() * model::seconds(m_what.length).count();
+}
+
+bool score::within(caller const& who) const
+{
+    send const& last = m_hosts.sends()[who.send];
+    if (last.end != send_end::ran) {
+        return false;
+    }
+    lists::service_class const& own = m_where.class_of(who.plan->load);
+    if (last.first_token - who.plan->when > own.first_token) {
+        return false;
+    }
+    return last.relayed < 2
+           || (last.last_token - last.first_token) / (last.relayed - 1)
+                  <= own.between_tokens;
+}
+
+bool score::left_in_time(caller const& who) const
+{
+    if (!who.left) {
+        return false;
+    }
+    send const& last = m_hosts.sends()[who.send];
+    model::time_point const until =
+        last.has_answer() ? last.first_token
+                          : who.plan->when + who.plan->hangs_up_after;
+    return until - who.plan->when
+           <= m_where.class_of(who.plan->load).first_token;
+}
+
+double score::work_of(caller const& who) const
+{
+    return m_where.work(who.plan->prompt_tokens, who.plan->output_tokens);
+}
+
+double score::work_in_window(send const& which) const
+{
+    bool const begun = which.has_answer() && which.first_token <= window_end();
+    return m_where.work(begun ? which.plan->prompt_tokens : 0,
+                        which.relayed_in_window);
+}
+
+class_result score::describe(std::size_t load) const
+{
+    class_result made;
+    made.name = m_where.loads[load].service_class;
+    made.tier = m_where.tier_of(load).name;
+    made.promised = m_where.class_of(load).promised_attainment;
+    double share = 0.0;
+    for (std::size_t other = 0; other < m_where.loads.size(); ++other) {
+        if (m_where.tier_of(other).name == made.tier) {
+            share += peak_share(m_where, m_what, m_seed, other);
+        }
+    }
+    made.fits_share = share <= m_where.tier_of(load).guaranteed_share;
+    return made;
+}
+
+void score::count(caller const& who, class_result& into) const
+{
+    send_end const end = m_hosts.sends()[who.send].end;
+    ++into.offered;
+    into.served += end == send_end::ran ? 1 : 0;
+    into.refused += end == send_end::refused ? 1 : 0;
+    into.failed += end == send_end::failed ? 1 : 0;
+    into.hung_up += end == send_end::hung_up ? 1 : 0;
+    into.within += within(who) ? 1 : 0;
+    into.not_counted += left_in_time(who) ? 1 : 0;
+}
+
+score::work_sums score::sum_work() const
+{
+    work_sums sums;
+    for (caller const& who : m_from.all()) {
+        if (who.plan->killer || left_in_time(who)) {
+            continue;
+        }
+        sums.demanded += work_of(who);
+        if (within(who)) {
+            sums.in_time += work_of(who);
+            sums.in_time_in_window += work_in_window(m_hosts.sends()[who.send]);
+        }
+    }
+    return sums;
+}
+
+double score::wasted() const
+{
+    std::vector<bool> begun(m_hosts.sends().size());
+    double computed = 0.0;
+    double useful = 0.0;
+    for (attempt const& one : m_hosts.attempts()) {
+        computed += m_where.work(one.result.computed_prompt,
+                                 one.result.computed_output);
+        send const& whose = m_hosts.sends()[one.send];
+        bool const taken =
+            whose.end == send_end::ran || whose.end == send_end::hung_up;
+        if (!taken || one.relayed == 0) {
+            continue;
+        }
+        // A prompt taken in again for a resumed answer is work done twice.
+        std::uint32_t const prompt = begun[one.send]
+                                         ? 0
+                                         : std::min(one.result.computed_prompt,
+                                                    whose.plan->prompt_tokens);
+        begun[one.send] = true;
+        useful += m_where.work(prompt, one.relayed);
+    }
+    return computed > 0.0 ? (computed - useful) / computed : 0.0;
+}
+
+std::vector<tier_result> score::tiers() const
+{
+    std::vector<tier_result> all;
+    for (lists::tier const& tier : m_where.catalogue->plans().tiers) {
+        tier_result made;
+        made.name = tier.name;
+        made.guaranteed = tier.guaranteed_share;
+        for (caller const& who : m_from.all()) {
+            if (m_where.tier_of(who.plan->load).name != tier.name
+                || who.plan->killer) {
+                continue;
+            }
+            made.demanded += work_of(who) / capacity();
+            made.delivered +=
+                work_in_window(m_hosts.sends()[who.send]) / capacity();
+        }
+        all.push_back(made);
+    }
+    return all;
+}
+
+void score::fill(run_result& result) const
+{
+    for (std::size_t load = 0; load < m_where.loads.size(); ++load) {
+        result.classes.push_back(describe(load));
+    }
+    for (caller const& who : m_from.all()) {
+        if (!who.plan->killer) {
+            count(who, result.classes[who.plan->load]);
+        }
+    }
+    for (send const& one : m_hosts.sends()) {
+        model::time_point const until =
+            one.has_answer() ? one.first_token : one.ended;
+        double& longest = result.classes[one.plan->load].max_wait_s;
+        longest = std::max(longest, model::seconds(until - one.at).count());
+    }
+    work_sums const sums = sum_work();
+    bool const saturated = sums.demanded > capacity();
+    result.goodput_ratio = saturated ? sums.in_time_in_window / capacity()
+                                     : sums.in_time / sums.demanded;
+    result.wasted_ratio = wasted();
+    result.tiers = tiers();
+}
+
+} // namespace caperjunction::bench
--- /dev/null
+++ b/bench/policy_bench/score.hpp
@@ -0,0 +1,55 @@
+#ifndef CAPERJUNCTION_BENCH_SCORE_HPP
+#define CAPERJUNCTION_BENCH_SCORE_HPP
+
+#include "bench/policy_bench/callers.hpp"
+#include "bench/policy_bench/deployment.hpp"
+#include "bench/policy_bench/fleet.hpp"
+#include "bench/policy_bench/run_result.hpp"
+#include "bench/policy_bench/scenario.hpp"
+
+#include <cstdint>
+
+namespace caperjunction::bench {
+
+/// Works out the figures of a finished run, but for its violations and bytes.
+class score
+{
+public:
+    score(deployment const& where,
+          scenario const& what,
+          std::uint64_t seed,
+          callers const& from,
+          fleet const& hosts);
+
+    void fill(run_result& result) const;
+
+private:
+    struct work_sums
+    {
+        double demanded = 0.0;
+        double in_time = 0.0;
+        double in_time_in_window = 0.0;
+    };
+
+    class_result describe(std::size_t load) const;
+    void count(caller const& who, class_result& into) const;
+    bool within(caller const& who) const;
+    bool left_in_time(caller const& who) const;
+    double work_of(caller const& who) const;
+    double work_in_window(send const& which) const;
+    work_sums sum_work() const;
+    double wasted() const;
+    std::vector<tier_result> tiers() const;
+    double capacity() const;
+    model::time_point window_end() const;
+
+    deployment const& m_where;
+    scenario const& m_what;
+    std::uint64_t m_seed;
+    callers const& m_from;
+    fleet const& m_hosts;
+};
+
+} // namespace caperjunction::bench
+
+#endif
--- /dev/null
+++ b/bench/policy_bench/simulation.cpp
@@ -0,0 +1,123 @@
+#include "bench/policy_bench/simulation.hpp"
+
+#include "bench/policy_bench/callers.hpp"
+#include "bench/policy_bench/fleet.hpp"
+#include "bench/policy_bench/score.hpp"
+#include "bench/policy_bench/telemetry.hpp"
+#include "bench/policy_bench/trace.hpp"
+
+#include <fmt/format.h>
+
+namespace caperjunction::bench {
+namespace {
+
+// After the last first send, so long at most until all are answered: the
+// longest answers take minutes.
+constexpr std::chrono::seconds longest_rest{900};
+// How much further load reports lag while one engine is slow.
+constexpr std::chrono::milliseconds slow_lag{2'000};
+constexpr std::uint32_t most_engines_lost = 2;
+
+void plan_faults(scenario const& what,
+                 std::uint64_t seed,
+                 event_queue& queue,
+                 fleet& hosts,
+                 telemetry& reports)
+{
+    model::time_point const from = model::time_point{} + what.from;
+    model::time_point const until = model::time_point{} + what.until;
+    if (what.slowness > 1.0) {
+        std::size_t const slow = seed % hosts.upstreams().engine_count();
+        queue.at(from, [&, slow] {
+            hosts.upstreams().engine(slow).slow_down(what.slowness);
+            reports.lag_more(slow_lag);
+        });
+        queue.at(until, [&, slow] {
+            hosts.upstreams().engine(slow).slow_down(1.0);
+            reports.lag_more({});
+        });
+    }
+    if (what.cut) {
+        queue.at(from, [&hosts] {
+            hosts.cut(true);
+        });
+        queue.at(until, [&hosts] {
+            hosts.cut(false);
+        });
+    }
+}
+
+void run_to_end(scenario const& what, event_queue& queue, callers const& from)
+{
+    model::time_point now = model::time_point{} + what.length;
+    queue.run_until(now);
+    model::time_point const last = now + longest_rest;
+    while (!from.all_done() && now < last) {
+        now += std::chrono::seconds{1};
+        queue.run_until(now);
+    }
+}
+
+void check_answers(callers const& from, violation_list& violations)
+{
+    for (caller const& who : from.all()) {
+        if (!who.done) {
+            violations.note("no_final_answer",
+                            fmt::format("caller of load {}, {} sends",
+                                        who.plan->load,
+                                        who.sends));
+        }
+    }
+}
+
+} // namespace
+
+run_result simulate(deployment const& where,
+                    scenario const& what,
+                    policy_maker const& make,
+                    std::uint64_t seed)
+{
+    event_queue queue;
+    network net(where.delays, queue);
+    violation_list violations;
+    auditor watch(where, violations);
+    fleet hosts(where, seed, make, queue, net, watch, violations);
+    auto const trace = draw_trace(where, what, seed);
+    callers from(where, what, trace, queue, hosts);
+    telemetry reports(where,
+                      seed,
+                      queue,
+                      net,
+                      hosts.upstreams(),
+                      [&hosts](std::size_t host, decide::event const& event) {
+                          hosts.tell(host, event);
+                      });
+    hosts.start(
+        [&from](send const& which, model::milliseconds retry) {
+            from.answered(which, retry);
+        },
+        model::time_point{} + what.length);
+    reports.start();
+    from.start();
+    plan_faults(what, seed, queue, hosts, reports);
+    run_to_end(what, queue, from);
+    hosts.stop();
+    reports.stop();
+    watch.finish();
+    check_answers(from, violations);
+    run_result result;
+    result.seed = seed;
+    score(where, what, seed, from, hosts).fill(result);
+    result.cross_region_bytes = net.cross_region_bytes();
+    for (std::size_t one = 0; one < hosts.upstreams().engine_count(); ++one) {
+        result.engines_lost += hosts.upstreams().engine(one).crashes();
+    }
+    if (result.engines_lost > most_engines_lost) {
+        violations.note("engines_lost_to_one_request",
+                        fmt::format("{} engines", result.engines_lost));
+    }
+    result.violations = violations.all();
+    return result;
+}
+
+} // namespace caperjunction::bench
--- /dev/null
+++ b/bench/policy_bench/simulation.hpp
@@ -0,0 +1,22 @@
+#ifndef CAPERJUNCTION_BENCH_SIMULATION_HPP
+#define CAPERJUNCTION_BENCH_SIMULATION_HPP
+
+#include "bench/policy_bench/deployment.hpp"
+#include "bench/policy_bench/policy.hpp"
+#include "bench/policy_bench/run_result.hpp"
+#include "bench/policy_bench/scenario.hpp"
+
+#include <cstdint>
+
+namespace caperjunction::bench {
+
+/// Runs one scenario on one deployment in virtual time; the same arguments
+/// always give the same result. The caller fills in the result's names.
+run_result simulate(deployment const& where,
+                    scenario const& what,
+                    policy_maker const& make,
+                    std::uint64_t seed);
+
+} // namespace caperjunction::bench
+
+#endif
--- /dev/null
+++ b/bench/policy_bench/trace.cpp
@@ -0,0 +1,239 @@
+#include "bench/policy_bench/trace.hpp"
+
+#include "bench/policy_bench/random_source.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace caperjunction::bench {
+namespace {
+
+// Blocks that a router hashes; longer prefixes bring little more.
+constexpr std::uint32_t hashed_blocks = 8;
+constexpr double hang_up_share = 0.01;
+constexpr double mean_hang_up_s = 2.0;
+// A burst of the highest tier stays within what its share and idle capacity
+// allow; otherwise no policy could keep the lower tiers' shares as well.
+constexpr double highest_tier_burst = 2.0;
+
+// Mixed lengths: this share of the answers is that much longer than the mean,
+// and the others so much shorter that the mean stays.
+constexpr double long_share = 0.1;
+constexpr double long_factor = 5.0;
+constexpr double short_factor =
+    (1.0 - long_share * long_factor) / (1.0 - long_share);
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 30;
+    value *= 0xbf58476d1ce4e5b9ULL;
+    value ^= value >> 27;
+    value *= 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+double usual_scale(deployment const& where, scenario const& what)
+{
+    double total = 0.0;
+    for (class_load const& load : where.loads) {
+        total += load.share_of_capacity;
+    }
+    return what.load_of_capacity > 0.0 ? what.load_of_capacity / total
+                                       : what.load;
+}
+
+/// What comes on top in the window, as a multiple of the usual.
+double
+extra_demand(deployment const& where, scenario const& what, std::size_t load)
+{
+    double const wanted = std::max(what.flood, what.burst - 1.0);
+    bool const highest = where.tier_of(load).rank == 0;
+    return highest ? std::min(wanted, highest_tier_burst - 1.0) : wanted;
+}
+
+/// Draws the requests of one load.
+class load_source
+{
+public:
+    load_source(deployment const& where,
+                scenario const& what,
+                std::uint64_t seed,
+                std::size_t load)
+        : m_where(where)
+        , m_what(what)
+        , m_load(load)
+        , m_random(seed, load)
+        , m_pressed(pressed_load(where, seed) == load)
+    {
+    }
+
+    void draw(std::vector<planned_request>& out)
+    {
+        double const usual = usual_rate();
+        double const extra =
+            m_pressed ? extra_demand(m_where, m_what, m_load) : 0.0;
+        double const peak = usual * (1.0 + extra);
+        double const end = static_cast<double>(m_what.length.count());
+        double at = m_random.exponential(1.0 / peak);
+        while (at < end) {
+            bool const in_window =
+                at >= static_cast<double>(m_what.from.count())
+                && at < static_cast<double>(m_what.until.count());
+            double const share = m_random.uniform() * peak / usual;
+            if (share < 1.0) {
+                out.push_back(
+                    draw_one(at, m_random.pick(m_where.team_weights)));
+            } else if (in_window) {
+                bool const flood = m_what.flood > 0.0;
+                std::size_t const team =
+                    flood ? 0 : m_random.pick(m_where.team_weights);
+                out.push_back(draw_one(at, team));
+            }
+            at += m_random.exponential(1.0 / peak);
+        }
+    }
+
+private:
+    class_load const& own() const
+    {
+        return m_where.loads[m_load];
+    }
+
+    double usual_rate() const
+    {
+        double const scale = usual_scale(m_where, m_what);
+        if (!own().service.empty()) {
+            return own().calls_per_second * scale;
+        }
+        double const engines =
+            static_cast<double>(m_where.upstreams.engines.size());
+        return scale * own().share_of_capacity * engines
+               / m_where.engine_seconds(own().mean_prompt_tokens,
+                                        own().mean_output_tokens);
+    }
+
+    planned_request draw_one(double at, std::size_t team)
+    {
+        planned_request made;
+        made.when = model::time_point{}
+                    + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                        model::seconds(at));
+        made.load = m_load;
+        made.team = team;
+        made.balancer = m_random.bits();
+        made.fingerprint = m_random.bits();
+        if (m_random.uniform() < hang_up_share) {
+            made.hangs_up_after =
+                std::chrono::duration_cast<std::chrono::nanoseconds>(
+                    model::seconds(m_random.exponential(mean_hang_up_s)));
+        }
+        if (own().service.empty()) {
+            draw_lengths(made);
+        } else {
+            made.call_length =
+                std::chrono::duration_cast<std::chrono::nanoseconds>(
+                    own().mean_call * m_random.lognormal(1.0, own().spread));
+        }
+        return made;
+    }
+
+    void draw_lengths(planned_request& made)
+    {
+        double mean = own().mean_output_tokens;
+        if (m_what.mixed_lengths) {
+            mean *=
+                m_random.uniform() < long_share ? long_factor : short_factor;
+        }
+        double const longest = m_where.class_of(m_load).max_output_tokens;
+        made.output_tokens = static_cast<std::uint32_t>(
+            std::clamp(m_random.lognormal(mean, own().spread), 2.0, longest));
+        double const prompt =
+            m_random.lognormal(own().mean_prompt_tokens, own().spread);
+        made.prompt_tokens =
+            static_cast<std::uint32_t>(std::clamp(prompt, 16.0, 16'384.0));
+        draw_blocks(made);
+    }
+
+    // The leading blocks are those of one of the team's documents; what
+    // follows is the caller's own and never comes again but in a resend.
+    void draw_blocks(planned_request& made)
+    {
+        double const tokens = own().mean_prompt_tokens * own().document_share;
+        std::uint32_t const block = m_where.engine.block_tokens;
+        auto const shared = static_cast<std::uint32_t>(tokens / block);
+        std::uint64_t const document = m_random.bits() % own().documents;
+        std::uint64_t hash = mix(1 + m_load * 1000 + made.team * 10 + document);
+        std::uint32_t const count =
+            std::min(hashed_blocks, made.prompt_tokens / block);
+        for (std::uint32_t index = 0; index < count; ++index) {
+            hash = mix(hash + (index < shared ? 1 : made.fingerprint));
+            made.prefix_blocks.push_back(hash);
+        }
+    }
+
+    deployment const& m_where;
+    scenario const& m_what;
+    std::size_t m_load;
+    random_source m_random;
+    bool m_pressed;
+};
+
+planned_request
+make_killer(deployment const& where, scenario const& what, std::uint64_t seed)
+{
+    random_source random(seed, where.loads.size());
+    planned_request made;
+    made.when = model::time_point{} + what.from;
+    made.load = pressed_load(where, seed);
+    made.team = random.bits() % where.team_weights.size();
+    made.prompt_tokens = where.loads[made.load].mean_prompt_tokens;
+    made.output_tokens = where.loads[made.load].mean_output_tokens;
+    made.fingerprint = random.bits();
+    made.balancer = random.bits();
+    made.killer = true;
+    return made;
+}
+
+} // namespace
+
+std::size_t pressed_load(deployment const& where, std::uint64_t seed)
+{
+    std::vector<std::size_t> candidates;
+    for (std::size_t load = 0; load < where.loads.size(); ++load) {
+        if (where.loads[load].service.empty()) {
+            candidates.push_back(load);
+        }
+    }
+    return candidates[seed % candidates.size()];
+}
+
+double peak_share(deployment const& where,
+                  scenario const& what,
+                  std::uint64_t seed,
+                  std::size_t load)
+{
+    double const extra = pressed_load(where, seed) == load
+                             ? extra_demand(where, what, load)
+                             : 0.0;
+    return where.loads[load].share_of_capacity * usual_scale(where, what)
+           * (1.0 + extra);
+}
+
+std::vector<planned_request>
+draw_trace(deployment const& where, scenario const& what, std::uint64_t seed)
+{
+    std::vector<planned_request> trace;
+    for (std::size_t load = 0; load < where.loads.size(); ++load) {
+        load_source(where, what, seed, load).draw(trace);
+    }
+    if (what.killer) {
+        trace.push_back(make_killer(where, what, seed));
+    }
+    std::stable_sort(
+        trace.begin(), trace.end(), [](auto const& left, auto const& right) {
+            return left.when < right.when;
+        });
+    return trace;
+}
+
+} // namespace caperjunction::bench
--- /dev/null
+++ b/bench/policy_bench/upstream_set.cpp
@@ -0,0 +1,57 @@
+#include "bench/policy_bench/upstream_set.hpp"
+
+namespace caperjunction::bench {
+
+upstream_set::upstream_set(deployment const& where,
+                           event_queue& queue,
+                           hook_maker const& make_hooks)
+{
+    for (model::engine const& one : where.upstreams.engines) {
+        m_engines.push_back(std::make_unique<fake_engine>(
+            where.engine, queue, make_hooks(m_names.size())));
+        m_places.push_back(where.place_of(one.region, one.data_centre));
+        m_names.push_back(one.name);
+    }
+    for (model::service_instance const& one : where.upstreams.services) {
+        m_services.push_back(
+            std::make_unique<fake_service>(queue, make_hooks(m_names.size())));
+        m_places.push_back(where.place_of(one.region, one.data_centre));
+        m_names.push_back(one.name);
+    }
+    for (std::size_t place = 0; place < m_names.size(); ++place) {
+        m_index[m_names[place]] = place;
+    }
+}
+
+std::size_t upstream_set::find(std::string const& name) const
+{
+    auto const found = m_index.find(name);
+    return found == m_index.end() ? none : found->second;
+}
+
+std::string const& upstream_set::name(std::size_t upstream) const
+{
+    return m_names[upstream];
+}
+
+place const& upstream_set::where(std::size_t upstream) const
+{
+    return m_places[upstream];
+}
+
+bool upstream_set::up(std::size_t upstream) const
+{
+    return upstream >= m_engines.size() || m_engines[upstream]->up();
+}
+
+fake_engine& upstream_set::engine(std::size_t upstream)
+{
+    return *m_engines[upstream];
+}
+
+fake_service& upstream_set::service(std::size_t upstream)
+{
+    return *m_services[upstream - m_engines.size()];
+}
+
+} // namespace caperjunction::bench
