--- a/bench/policy_bench/callers.cpp
+++ b/bench/policy_bench/callers.cpp
@@ -78,7 +78,7 @@
                       send const& sent = m_fleet.sends()[which];
                       if (sent.state != send_state::done
                           && !sent.has_answer()) {
-                          m_fleet.hang_up(which);
+                          m_fleet.give_up(which);
                           close(index);
                       }
                   });
--- a/bench/policy_bench/fleet.cpp
+++ b/bench/policy_bench/fleet.cpp
@@ -171,6 +171,14 @@
     m_hanging_up = false;
 }
 
+void fleet::give_up(std::size_t which)
+{
+    send const& gone = m_sends[which];
+    m_violations.note("no_answer_in_time",
+                      m_where.loads[gone.plan->load].service_class);
+    hang_up(which);
+}
+
 void fleet::put_in_wait(send& which)
 {
     which.state = send_state::waiting;
--- a/bench/policy_bench/fleet.hpp
+++ b/bench/policy_bench/fleet.hpp
@@ -64,6 +64,9 @@
     /// Nothing if the send has its final answer.
     void hang_up(std::size_t which);
 
+    /// The same for a caller that has run out of patience: a violation.
+    void give_up(std::size_t which);
+
     /// Tells a host's policy something and does what it decides.
     void tell(std::size_t host, decide::event const& event);
 
