Serve callers through one host: the thin whole path

Cause: nothing ran end to end yet. Change: serve reads lists and upstreams from the platform, authenticates, decides (first version: least outstanding), relays events, whole answers and service calls, logs each decision, counts, explains, stops when drained. Ruled out: freeing libevent's connections inside their callbacks (undefined there; put off to the loop's next turn); its own timers (they follow the system clock) and its notion of silence (it can't tell a held stream).

--- /dev/null
+++ b/src/net/answer_assembler.hpp
@@ -0,0 +1,35 @@
+#ifndef CAPERJUNCTION_NET_ANSWER_ASSEMBLER_HPP
+#define CAPERJUNCTION_NET_ANSWER_ASSEMBLER_HPP
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace caperjunction::net {
+
+/// Puts the events of an engine's stream together into the one JSON answer
+/// that a caller without streaming expects.
+///
+/// Thread safety: none; one for each request, over all its attempts.
+class answer_assembler
+{
+public:
+    answer_assembler();
+    ~answer_assembler();
+    answer_assembler(answer_assembler&&) noexcept;
+    answer_assembler& operator=(answer_assembler&&) noexcept;
+
+    /// Takes whole events. False if one of them is not JSON.
+    bool add(std::string_view events);
+
+    /// The whole answer as JSON text.
+    std::string finish() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace caperjunction::net
+
+#endif
--- /dev/null
+++ b/src/net/exchange.hpp
@@ -0,0 +1,71 @@
+#ifndef CAPERJUNCTION_NET_EXCHANGE_HPP
+#define CAPERJUNCTION_NET_EXCHANGE_HPP
+
+#include "decide/request.hpp"
+#include "model/time.hpp"
+#include "net/answer_assembler.hpp"
+#include "net/caller_reply.hpp"
+#include "net/header.hpp"
+#include "net/sse_scanner.hpp"
+#include "net/upstream_call.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+struct evhttp_request;
+
+namespace caperjunction::net {
+
+/// How an answer reaches the caller.
+enum class reply_mode : std::uint8_t
+{
+    /// Events, passed on as they come.
+    events,
+    /// One JSON answer, put together from the engine's events.
+    assembled,
+    /// A plain service's answer, passed on when it is whole.
+    collected,
+};
+
+/// One caller's request and its answer, over all attempts.
+struct exchange
+{
+    decide::request request;
+    reply_mode mode = reply_mode::events;
+    /// Null once the caller has hung up or has been answered.
+    evhttp_request* caller = nullptr;
+    /// Some of the answer has been sent; no status can be chosen any more.
+    bool begun = false;
+    /// A planned attempt has been handed to an upstream at least once.
+    bool handed = false;
+
+    std::string method = "POST";
+    std::string path;
+    std::string body;
+    std::string idempotency_key;
+    std::string content_type = "application/json";
+
+    // The running attempt.
+    call_handle call;
+    std::string upstream;
+    int status = 0;
+    bool upstream_not_run = false;
+    bool done_seen = false;
+    std::string answer_type;
+    sse_scanner scanner;
+
+    // Over all attempts.
+    answer_assembler assembler;
+    std::string collected;
+    std::uint32_t relayed_tokens = 0;
+    /// Relayed, but not yet told to the decision logic.
+    std::uint32_t untold_tokens = 0;
+    bool first_told = false;
+    /// When the first byte went to the caller.
+    model::time_point first_byte{};
+};
+
+} // namespace caperjunction::net
+
+#endif
--- /dev/null
+++ b/src/net/sse_scanner.cpp
@@ -0,0 +1,89 @@
+#include "net/sse_scanner.hpp"
+
+namespace caperjunction::net {
+namespace {
+
+constexpr std::string_view line_break = "\n\n";
+constexpr std::string_view wide_line_break = "\n\r\n";
+
+/// The place just after the event that starts at `start`; npos if its end
+/// has not come yet.
+std::size_t end_of_event(std::string_view text, std::size_t start)
+{
+    std::size_t const narrow = text.find(line_break, start);
+    std::size_t const wide = text.find(wide_line_break, start);
+    if (narrow == std::string_view::npos && wide == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    if (narrow < wide) {
+        return narrow + line_break.size();
+    }
+    return wide + wide_line_break.size();
+}
+
+/// Whether `field` stands in the event with a text that isn't empty. Quotes
+/// inside a JSON text are escaped, so that output can't imitate a field.
+bool has_text(std::string_view event, std::string_view field)
+{
+    std::size_t const place = event.find(field);
+    if (place == std::string_view::npos) {
+        return false;
+    }
+    std::size_t const value = place + field.size();
+    std::size_t const quote =
+        value < event.size() && event[value] == ' ' ? value + 1 : value;
+    return quote + 1 < event.size() && event[quote] == '"'
+           && event[quote + 1] != '"';
+}
+
+bool carries_output(std::string_view event)
+{
+    return has_text(event, "\"content\":") || has_text(event, "\"text\":")
+           || event.find("\"tool_calls\":") != std::string_view::npos;
+}
+
+bool is_done(std::string_view event)
+{
+    return event.rfind("data: [DONE]", 0) == 0
+           || event.rfind("data:[DONE]", 0) == 0;
+}
+
+} // namespace
+
+void sse_scanner::take_event(std::string_view event,
+                             std::string& events,
+                             sse_found& found)
+{
+    if (is_done(event)) {
+        found.done = true;
+        return;
+    }
+    if (carries_output(event)) {
+        ++found.tokens;
+    }
+    events.append(event);
+}
+
+sse_found sse_scanner::feed(std::string_view bytes, std::string& events)
+{
+    sse_found found;
+    // The usual case has nothing left over and copies each event once.
+    bool const whole = m_partial.empty();
+    if (!whole) {
+        m_partial.append(bytes);
+    }
+    std::string_view const text = whole ? bytes : std::string_view(m_partial);
+    std::size_t start = 0;
+    for (std::size_t end = end_of_event(text, start);
+         end != std::string_view::npos;
+         end = end_of_event(text, start)) {
+        take_event(text.substr(start, end - start), events, found);
+        start = end;
+    }
+    std::string rest(text.substr(start));
+    m_partial = std::move(rest);
+    found.overlong = m_partial.size() > max_event_bytes;
+    return found;
+}
+
+} // namespace caperjunction::net
--- /dev/null
+++ b/src/net/upstream_client.cpp
@@ -0,0 +1,299 @@
+#include "net/upstream_client.hpp"
+
+#include "net/sockets.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::net {
+namespace {
+
+// libevent's own limit would also cut long pauses that the sweep allows.
+constexpr int no_limit_s = 24 * 3600;
+
+std::string key_of(model::endpoint const& to)
+{
+    return fmt::format("{}:{}", to.address, to.port);
+}
+
+evhttp_cmd_type method_of(std::string const& name)
+{
+    if (name == "GET") {
+        return EVHTTP_REQ_GET;
+    }
+    if (name == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (name == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    return name == "PATCH" ? EVHTTP_REQ_PATCH : EVHTTP_REQ_POST;
+}
+
+std::string header_of(evhttp_request* request, char const* name)
+{
+    char const* const value =
+        evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value == nullptr ? "" : value;
+}
+
+} // namespace
+
+upstream_client::upstream_client(runtime::event_loop& loop,
+                                 upstream_timeouts timeouts)
+    : m_loop(loop)
+    , m_timeouts(timeouts)
+    , m_sweep(loop.every(sweep_period, [this] {
+        sweep();
+    }))
+{
+}
+
+upstream_client::~upstream_client()
+{
+    m_loop.cancel(m_sweep);
+    for (auto& [handle, call] : m_calls) {
+        evhttp_connection_free(call->connection);
+    }
+    for (auto& [key, idle] : m_idle) {
+        for (idle_connection const& kept : idle) {
+            evhttp_connection_free(kept.connection);
+        }
+    }
+    for (evhttp_connection* const connection : m_dropped) {
+        evhttp_connection_free(connection);
+    }
+}
+
+evhttp_connection* upstream_client::take_connection(upstream_call const& call)
+{
+    auto& idle = m_idle[key_of(call.to)];
+    if (!call.fresh && !idle.empty()) {
+        evhttp_connection* const kept = idle.back().connection;
+        idle.pop_back();
+        return kept;
+    }
+    evhttp_connection* const made = evhttp_connection_base_new(
+        m_loop.base(), nullptr, call.to.address.c_str(), call.to.port);
+    evhttp_connection_set_timeout(made, no_limit_s);
+    return made;
+}
+
+call_handle upstream_client::start(upstream_call const& call, call_hooks hooks)
+{
+    auto running = std::make_shared<running_call>();
+    running->owner = this;
+    running->handle = {++m_last_call};
+    running->to = call.to;
+    running->hooks = std::move(hooks);
+    running->connection = take_connection(call);
+    running->started = m_loop.now();
+    running->progressed = running->started;
+
+    evhttp_request* const request =
+        evhttp_request_new(handle_done, running.get());
+    evhttp_request_set_header_cb(request, handle_head);
+    evhttp_request_set_chunked_cb(request, handle_bytes);
+    // Called only for connections that had come about; a refused connection
+    // goes straight to `handle_done`.
+    evhttp_request_set_error_cb(
+        request, [](evhttp_request_error /*error*/, void* self) {
+            static_cast<running_call*>(self)->failed = true;
+        });
+    auto* const headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", key_of(call.to).c_str());
+    for (header const& item : call.headers) {
+        evhttp_add_header(headers, item.name.c_str(), item.value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request),
+                 call.body.data(),
+                 call.body.size());
+
+    call_handle const handle = running->handle;
+    evhttp_connection* const connection = running->connection;
+    m_calls.emplace(handle.value, std::move(running));
+    evhttp_make_request(
+        connection, request, method_of(call.method), call.path.c_str());
+    send_at_once(connection);
+    return handle;
+}
+
+std::shared_ptr<upstream_client::running_call>
+upstream_client::remove(call_handle handle)
+{
+    auto const found = m_calls.find(handle.value);
+    if (found == m_calls.end()) {
+        return nullptr;
+    }
+    auto call = std::move(found->second);
+    m_calls.erase(found);
+    call->ended = true;
+    // libevent or a hook of this very call may be running now; it must not
+    // lose the ground it stands on.
+    m_loop.defer([call] {});
+    return call;
+}
+
+void upstream_client::cancel(call_handle handle)
+{
+    if (auto const call = remove(handle)) {
+        drop(call->connection);
+    }
+}
+
+// The caller may stand inside a callback of this connection, which libevent
+// doesn't allow to be freed there.
+void upstream_client::drop(evhttp_connection* connection)
+{
+    m_dropped.push_back(connection);
+    m_loop.defer([this, connection] {
+        auto const found =
+            std::find(m_dropped.begin(), m_dropped.end(), connection);
+        if (found != m_dropped.end()) {
+            m_dropped.erase(found);
+            evhttp_connection_free(connection);
+        }
+    });
+}
+
+void upstream_client::hold(call_handle handle, bool held)
+{
+    auto const found = m_calls.find(handle.value);
+    if (found == m_calls.end() || found->second->held == held) {
+        return;
+    }
+    running_call& call = *found->second;
+    call.held = held;
+    call.progressed = m_loop.now();
+    bufferevent* const stream =
+        evhttp_connection_get_bufferevent(call.connection);
+    if (held) {
+        bufferevent_disable(stream, EV_READ);
+    } else {
+        bufferevent_enable(stream, EV_READ);
+    }
+}
+
+int upstream_client::handle_head(evhttp_request* request, void* self)
+{
+    auto& call = *static_cast<running_call*>(self);
+    call.answered = true;
+    call.progressed = call.owner->m_loop.now();
+    if (call.hooks.head && !call.ended) {
+        call.hooks.head(
+            {evhttp_request_get_response_code(request),
+             header_of(request, "Content-Type"),
+             header_of(request, "caperjunction-outcome") == "not-run"});
+    }
+    return 0;
+}
+
+void upstream_client::handle_bytes(evhttp_request* request, void* self)
+{
+    auto& call = *static_cast<running_call*>(self);
+    call.progressed = call.owner->m_loop.now();
+    evbuffer* const input = evhttp_request_get_input_buffer(request);
+    std::size_t const size = evbuffer_get_length(input);
+    auto const* const bytes =
+        reinterpret_cast<char const*>(evbuffer_pullup(input, -1));
+    if (call.hooks.body && !call.ended && size > 0) {
+        call.hooks.body({bytes, size});
+    }
+}
+
+void upstream_client::handle_done(evhttp_request* request, void* self)
+{
+    auto& call = *static_cast<running_call*>(self);
+    if (call.ended) {
+        return;
+    }
+    bool const whole =
+        request != nullptr && evhttp_request_get_response_code(request) != 0;
+    if (whole) {
+        call.owner->finish(call, call_end::complete);
+    } else if (request != nullptr && !call.failed && !call.answered) {
+        call.owner->finish(call, call_end::unreachable);
+    } else {
+        call.owner->finish(call, call_end::broken);
+    }
+}
+
+void upstream_client::finish(running_call& call, call_end end)
+{
+    auto const own = remove(call.handle);
+    if (own == nullptr) {
+        return;
+    }
+    if (end == call_end::complete) {
+        keep_connection(*own);
+    } else {
+        drop(own->connection);
+    }
+    if (own->hooks.done) {
+        own->hooks.done(end);
+    }
+}
+
+void upstream_client::keep_connection(running_call& call)
+{
+    auto& idle = m_idle[key_of(call.to)];
+    if (idle.size() >= max_idle) {
+        drop(call.connection);
+        return;
+    }
+    idle.push_back({call.connection, m_loop.now()});
+}
+
+bool upstream_client::is_overdue(running_call& call) const
+{
+    auto const now = m_loop.now();
+    call.connected = call.connected || is_connected(call.connection);
+    if (!call.connected) {
+        return now - call.started > m_timeouts.connect;
+    }
+    if (!call.answered) {
+        return now - call.started > m_timeouts.first_byte;
+    }
+    return !call.held && now - call.progressed > m_timeouts.progress;
+}
+
+void upstream_client::sweep()
+{
+    std::vector<std::shared_ptr<running_call>> overdue;
+    for (auto& [handle, call] : m_calls) {
+        if (is_overdue(*call)) {
+            overdue.push_back(call);
+        }
+    }
+    for (auto const& call : overdue) {
+        bool const reached = call->connected;
+        finish(*call, reached ? call_end::broken : call_end::unreachable);
+    }
+    sweep_idle();
+}
+
+void upstream_client::sweep_idle()
+{
+    auto const now = m_loop.now();
+    for (auto& [key, idle] : m_idle) {
+        // The oldest stand first: the newest is taken first and comes back
+        // to the end.
+        auto const young = std::find_if(
+            idle.begin(), idle.end(), [now](idle_connection const& kept) {
+                return now - kept.since <= max_idle_time;
+            });
+        for (auto old = idle.begin(); old != young; ++old) {
+            drop(old->connection);
+        }
+        idle.erase(idle.begin(), young);
+    }
+}
+
+} // namespace caperjunction::net
--- /dev/null
+++ b/src/program/commands.cpp
@@ -0,0 +1,168 @@
+#include "program/commands.hpp"
+
+#include "lists/check.hpp"
+#include "lists/parse.hpp"
+#include "model/error.hpp"
+#include "net/upstream_client.hpp"
+#include "program/flags.hpp"
+#include "program/report.hpp"
+#include "program/serve.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <absl/flags/flag.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace caperjunction::program {
+namespace {
+
+constexpr char const* version = "0.1.0";
+
+[[noreturn]] void refuse(std::string const& message, std::string const& remedy)
+{
+    throw model::error(model::error_kind::bad_settings, message, remedy);
+}
+
+std::string read_file(std::string const& name)
+{
+    std::ifstream file(name, std::ios::binary);
+    if (!file) {
+        refuse("cannot read " + name, "check the name and its permissions");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int run_check(command_line const& line)
+{
+    if (line.arguments.size() != 2) {
+        refuse("check takes two files",
+               "run caperjunction check PLANS ENTITLEMENTS");
+    }
+    std::vector<lists::fault> faults;
+    auto const plans = lists::parse_plans(
+        read_file(line.arguments[0]), line.arguments[0], faults);
+    auto const entitlements = lists::parse_entitlements(
+        read_file(line.arguments[1]), line.arguments[1], faults);
+    for (lists::fault const& item : lists::check(plans, entitlements)) {
+        faults.push_back(item);
+    }
+    for (lists::fault const& item : faults) {
+        fmt::print(
+            "{}:{}: {}; {}\n", item.file, item.path, item.message, item.remedy);
+    }
+    if (faults.empty()) {
+        fmt::print("both lists are sound\n");
+    }
+    return faults.empty() ? 0 : 1;
+}
+
+/// One answer of a host's admin address.
+struct fetched
+{
+    int status = 0;
+    std::string body;
+    bool reached = false;
+};
+
+fetched fetch(model::endpoint const& from, std::string const& path)
+{
+    runtime::event_loop loop;
+    net::upstream_client client(loop, {});
+    fetched answer;
+    net::upstream_call call;
+    call.to = from;
+    call.method = "GET";
+    call.path = path;
+    client.start(call,
+                 {[&answer](net::call_head const& head) {
+                      answer.status = head.status;
+                  },
+                  [&answer](std::string_view bytes) {
+                      answer.body.append(bytes);
+                  },
+                  [&](net::call_end end) {
+                      answer.reached = end == net::call_end::complete;
+                      loop.stop();
+                  }});
+    loop.run();
+    return answer;
+}
+
+int print_answer(std::string const& path,
+                 std::string (*to_table)(std::string const&))
+{
+    model::endpoint const from = absl::GetFlag(FLAGS_admin).value;
+    std::string const format = absl::GetFlag(FLAGS_format);
+    if (format != "table" && format != "json") {
+        refuse("--format is neither table nor json", "choose one of the two");
+    }
+    fetched const answer = fetch(from, path);
+    if (!answer.reached) {
+        throw model::error(
+            model::error_kind::unavailable,
+            fmt::format("no host answers at {}:{}", from.address, from.port),
+            "give the host's admin address with --admin");
+    }
+    fmt::print("{}", format == "json" ? answer.body : to_table(answer.body));
+    return answer.status == 200 ? 0 : 1;
+}
+
+int run_explain(command_line const& line)
+{
+    if (line.arguments.size() != 1) {
+        refuse("explain takes one id", "run caperjunction explain ID");
+    }
+    return print_answer("/explain?id=" + line.arguments[0], explain_table);
+}
+
+int run_status(command_line const& /*line*/)
+{
+    return print_answer("/status", status_table);
+}
+
+int run_serve(command_line const& /*line*/)
+{
+    return serve(load_settings());
+}
+
+int run_version(command_line const& /*line*/)
+{
+    fmt::print("caperjunction {}\n", version);
+    return 0;
+}
+
+struct command
+{
+    char const* name;
+    int (*run)(command_line const&);
+};
+
+constexpr std::array<command, 5> commands{{
+    {"serve", run_serve},
+    {"check", run_check},
+    {"explain", run_explain},
+    {"status", run_status},
+    {"version", run_version},
+}};
+
+} // namespace
+
+int run_command(command_line const& line)
+{
+    for (command const& item : commands) {
+        if (line.command == item.name) {
+            return item.run(line);
+        }
+    }
+    refuse(line.command.empty() ? "no command was given"
+                                : "there is no command " + line.command,
+           "use serve, check, explain, status or version; see --help");
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/flags.hpp
@@ -0,0 +1,24 @@
+#ifndef CAPERJUNCTION_PROGRAM_FLAGS_HPP
+#define CAPERJUNCTION_PROGRAM_FLAGS_HPP
+
+#include "program/endpoint_flag.hpp"
+#include "program/settings.hpp"
+
+#include <absl/flags/declare.h>
+
+#include <string>
+
+ABSL_DECLARE_FLAG(caperjunction::program::endpoint_flag, admin);
+ABSL_DECLARE_FLAG(std::string, format);
+
+namespace caperjunction::program {
+
+/// The settings as flags and environment give them.
+///
+/// \pre The command line has been read.
+/// \throws model::error (bad_settings) with the remedy.
+settings load_settings();
+
+} // namespace caperjunction::program
+
+#endif
--- /dev/null
+++ b/src/program/load_ledger.cpp
@@ -0,0 +1,64 @@
+#include "program/load_ledger.hpp"
+
+namespace caperjunction::program {
+
+void load_ledger::record(decide::event const& event)
+{
+    if (auto const* arrived = std::get_if<decide::request_arrived>(&event)) {
+        decide::request const& request = arrived->request;
+        m_requests[request.id] = {request.customer, request.service_class, ""};
+    } else if (auto const* ended = std::get_if<decide::attempt_ended>(&event)) {
+        auto const found = m_requests.find(ended->id);
+        if (found != m_requests.end()) {
+            found->second.upstream.clear();
+        }
+    }
+}
+
+void load_ledger::record(decide::decision const& decision)
+{
+    if (auto const* placed = std::get_if<decide::dispatch>(&decision)) {
+        auto const found = m_requests.find(placed->id);
+        if (found != m_requests.end()) {
+            found->second.upstream = placed->upstream;
+        }
+    } else if (auto const* no = std::get_if<decide::refuse>(&decision)) {
+        ++m_refused[no->reason];
+    }
+}
+
+void load_ledger::forget(model::request_id id)
+{
+    m_requests.erase(id);
+}
+
+request_facts const& load_ledger::facts(model::request_id id) const
+{
+    static request_facts const s_none;
+    auto const found = m_requests.find(id);
+    return found == m_requests.end() ? s_none : found->second;
+}
+
+std::map<std::string, std::uint32_t> load_ledger::running_by_upstream() const
+{
+    std::map<std::string, std::uint32_t> counts;
+    for (auto const& [id, facts] : m_requests) {
+        if (!facts.upstream.empty()) {
+            ++counts[facts.upstream];
+        }
+    }
+    return counts;
+}
+
+std::map<std::string, std::uint32_t> load_ledger::waiting_by_class() const
+{
+    std::map<std::string, std::uint32_t> counts;
+    for (auto const& [id, facts] : m_requests) {
+        if (facts.upstream.empty()) {
+            ++counts[facts.service_class];
+        }
+    }
+    return counts;
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/load_ledger.hpp
@@ -0,0 +1,60 @@
+#ifndef CAPERJUNCTION_PROGRAM_LOAD_LEDGER_HPP
+#define CAPERJUNCTION_PROGRAM_LOAD_LEDGER_HPP
+
+#include "decide/decision.hpp"
+#include "decide/event.hpp"
+#include "model/request_id.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace caperjunction::program {
+
+/// What the log and the status page say of a request.
+struct request_facts
+{
+    std::string customer;
+    std::string service_class;
+    /// Where it runs; empty while it waits.
+    std::string upstream;
+};
+
+/// Counts what is running, waiting and refused on this host, from events and
+/// decisions alone, for the status page and the metrics.
+///
+/// Thread safety: none; owned by one task.
+class load_ledger
+{
+public:
+    void record(decide::event const& event);
+    void record(decide::decision const& decision);
+
+    /// The exchange is over; nothing is kept of it.
+    void forget(model::request_id id);
+
+    /// Empty facts if the request is not known.
+    request_facts const& facts(model::request_id id) const;
+
+    std::size_t known() const
+    {
+        return m_requests.size();
+    }
+
+    std::map<std::string, std::uint32_t> running_by_upstream() const;
+    std::map<std::string, std::uint32_t> waiting_by_class() const;
+
+    std::map<std::string, std::uint64_t> const& refused_by_reason() const
+    {
+        return m_refused;
+    }
+
+private:
+    std::unordered_map<model::request_id, request_facts> m_requests;
+    std::map<std::string, std::uint64_t> m_refused;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- /dev/null
+++ b/src/program/metrics.hpp
@@ -0,0 +1,49 @@
+#ifndef CAPERJUNCTION_PROGRAM_METRICS_HPP
+#define CAPERJUNCTION_PROGRAM_METRICS_HPP
+
+#include "decide/decision.hpp"
+#include "net/relay.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace caperjunction::program {
+
+/// The process's metrics. Every label takes its values from the lists or
+/// from a fixed set, so that no caller can make a series of its own.
+///
+/// Thread safety: all methods may be called by any thread.
+class metrics
+{
+public:
+    metrics();
+
+    void count_decision(decide::decision const& decision);
+    void count_ended(net::exchange_ended const& ended);
+    void count_list(bool accepted);
+    void set_revision(std::uint64_t revision);
+
+    /// In the text format that Prometheus reads.
+    std::string text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Counter>& m_tokens;
+    prometheus::Family<prometheus::Histogram>& m_first_byte;
+    prometheus::Family<prometheus::Counter>& m_placements;
+    prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_lists;
+    prometheus::Gauge& m_revision;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- /dev/null
+++ b/src/program/policy.hpp
@@ -0,0 +1,69 @@
+#ifndef CAPERJUNCTION_PROGRAM_POLICY_HPP
+#define CAPERJUNCTION_PROGRAM_POLICY_HPP
+
+#include "decide/event.hpp"
+#include "decide/router.hpp"
+#include "model/time.hpp"
+#include "net/relay.hpp"
+#include "program/load_ledger.hpp"
+#include "program/trail.hpp"
+#include "runtime/clock.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace caperjunction::program {
+
+/// Runs the decision logic, logs each decision and keeps its trail.
+///
+/// Thread safety: none; owned by one task.
+class policy
+{
+public:
+    using decision_hook = std::function<void(decide::decision const&)>;
+
+    policy(decide::router_settings const& settings,
+           runtime::clock clock,
+           decision_hook carry_out);
+
+    void handle(decide::event const& event);
+
+    /// The exchange is over; it is logged and forgotten but for its trail.
+    void finish(net::exchange_ended const& ended);
+
+    /// Revision of the lists, for the log.
+    void note_revision(std::uint64_t revision)
+    {
+        m_revision = revision;
+    }
+
+    std::vector<std::uint8_t> digest() const
+    {
+        return m_router.digest(m_clock.now());
+    }
+
+    program::trail const& trail() const
+    {
+        return m_trail;
+    }
+
+    load_ledger const& ledger() const
+    {
+        return m_ledger;
+    }
+
+private:
+    void note(decide::decision const& decision);
+
+    decide::router m_router;
+    runtime::clock m_clock;
+    decision_hook m_carry_out;
+    program::trail m_trail;
+    load_ledger m_ledger;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- /dev/null
+++ b/src/program/serve.cpp
@@ -0,0 +1,138 @@
+#include "program/serve.hpp"
+
+#include "net/relay.hpp"
+#include "program/control.hpp"
+#include "runtime/log_line.hpp"
+#include "runtime/task.hpp"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <random>
+
+namespace caperjunction::program {
+namespace {
+
+/// Wires the relay's task to the control task; the main thread runs the
+/// latter.
+class host_process
+{
+public:
+    explicit host_process(settings const& settings)
+        : m_settings(with_prefix(settings))
+        , m_relay(m_relay_task.loop(),
+                  m_settings.relay,
+                  [this](decide::event& event) {
+                      return tell(event);
+                  })
+        , m_control(m_control_task.loop(),
+                    m_settings,
+                    m_metrics,
+                    [this](net::relay_message message) {
+                        m_relay_task.post_or_wait(std::move(message));
+                    })
+    {
+        m_relay_task.on_message([this](net::relay_message& message) {
+            m_relay.handle(message);
+        });
+        m_control_task.on_message([this](control_message& message) {
+            if (std::holds_alternative<relay_idle>(message)) {
+                m_control_task.loop().stop();
+            } else {
+                m_control.handle(message);
+            }
+        });
+        m_relay.ended.connect([this](net::exchange_ended const& ended) {
+            post(ended);
+        });
+        m_relay.idle.connect([this] {
+            post(relay_idle{});
+        });
+    }
+
+    int run()
+    {
+        runtime::log_line("listening")
+            .field("host", m_settings.host_name)
+            .field("callers_port", m_relay.port())
+            .field("admin_port", m_control.admin_port());
+        std::signal(SIGPIPE, SIG_IGN);
+        event* const term = watch_signal(SIGTERM);
+        event* const interrupt = watch_signal(SIGINT);
+        m_relay_task.start();
+        m_control_task.loop().run();
+        m_relay_task.stop();
+        event_free(term);
+        event_free(interrupt);
+        runtime::log_line("stopped").field("cut_off", m_relay.running());
+        return m_relay.running() == 0 ? 0 : 1;
+    }
+
+private:
+    // Two hosts, or two processes of one host, must not give out equal ids.
+    static settings with_prefix(settings given)
+    {
+        given.relay.id_prefix = std::random_device{}();
+        return given;
+    }
+
+    bool tell(decide::event& event)
+    {
+        control_message message = std::move(event);
+        if (m_control_task.post(message)) {
+            return true;
+        }
+        event = std::move(std::get<decide::event>(message));
+        return false;
+    }
+
+    // The relay must never wait for the control task, which may be waiting
+    // for the relay's mailbox; a report that finds no room is put off.
+    void post(control_message message)
+    {
+        if (!m_control_task.post(message)) {
+            m_relay_task.loop().defer([this, message] {
+                post(message);
+            });
+        }
+    }
+
+    event* watch_signal(int number)
+    {
+        event* const watch = evsignal_new(
+            m_control_task.loop().base(),
+            number,
+            [](int /*number*/, short /*what*/, void* self) {
+                static_cast<host_process*>(self)->plan_stop();
+            },
+            this);
+        event_add(watch, nullptr);
+        return watch;
+    }
+
+    void plan_stop()
+    {
+        m_control.plan_stop();
+        auto const limit = m_settings.drain_delay + m_settings.drain_limit;
+        m_control_task.loop().after(limit, [this] {
+            m_control_task.loop().stop();
+        });
+    }
+
+    settings m_settings;
+    metrics m_metrics;
+    runtime::task<net::relay_message> m_relay_task;
+    runtime::task<control_message> m_control_task;
+    net::relay m_relay;
+    control m_control;
+};
+
+} // namespace
+
+int serve(settings const& settings)
+{
+    host_process process(settings);
+    return process.run();
+}
+
+} // namespace caperjunction::program
