Refuse what is late under lasting overload, and say when to come back

Cause: under saturation queues in order of arrival held only requests that were late already, so that capacity went into answers that came too late.

Change: a gate for each tier and model tells a short burst from lasting overload; while it is shut, requests that can't meet their target are refused at once. The time to come back grows with the time that the overload has lasted. Lower tiers don't pile up while a higher one is refused anywhere; a tier earns its share also while its queue is empty.

--- a/src/decide/core.cpp
+++ b/src/decide/core.cpp
@@ -106,6 +106,9 @@
                        "waited_longest",
                        "send it again after the time in Retry-After");
     }
+    for (index group = 0; group < m_engines.groups().size(); ++group) {
+        shed_late(group);
+    }
     revisit_engines();
     revisit_peers();
     drain_suspects();
--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -71,6 +71,10 @@
     bool refuse_over_limit(entry& waiting);
     bool refuse_early(entry& waiting);
     bool hand_to_peer(entry& waiting, std::string const& reason);
+    overload_gate& gate(entry const& waiting);
+    void refuse_late(entry& waiting);
+    bool higher_refused(entry const& waiting);
+    model::milliseconds time_to_come_back(entry const& waiting);
     void make_room(entry const& arriving);
     void enqueue(entry& waiting);
     void dequeue(entry& waiting);
@@ -85,6 +89,8 @@
     // Placement.
     void drain(index group);
     void drain_suspects();
+    void shed_late(index group);
+    bool hopeless(entry const& waiting) const;
     bool start(entry& waiting);
     bool start_service(entry& waiting);
     bool must_yield(entry const& waiting) const;
@@ -115,7 +121,7 @@
     index team_index(std::string const& customer,
                      std::string const& team,
                      std::string const& plan);
-    void add_queues(digest& load) const;
+    void add_queues(digest& load, model::time_point now) const;
     void add_suspects(digest& load) const;
 
     entry* find(model::request_id id);
--- a/src/decide/core_admit.cpp
+++ b/src/decide/core_admit.cpp
@@ -11,7 +11,10 @@
 // A refusal's Retry-After: not so short that resends add to the burst that
 // caused it, not so long that a desk gives up the sale.
 constexpr model::milliseconds least_retry_after{250};
-constexpr model::milliseconds most_retry_after{60'000};
+constexpr model::milliseconds most_retry_after{120'000};
+// A tier counts as being refused while more than a stray one is.
+constexpr model::milliseconds refusal_horizon{2000};
+constexpr double refusing_rate = 0.1;
 constexpr char const* come_back = "send it again after the time in Retry-After";
 
 model::milliseconds clamp_retry(model::milliseconds wait)
@@ -139,9 +142,13 @@
     // Made for saturation: a queue that is longer than the longest wait only
     // makes callers wait for a refusal. Said at once, it costs them nothing,
     // and the time to come back is the best that is known.
+    // Under lasting overload the same holds of a wait beyond the target.
     model::milliseconds const wait = expected_wait(waiting);
     class_rules const& rules = m_policy.rules(waiting.class_place);
-    if (wait < rules.max_wait) {
+    bool const shut = gate(waiting).shut(m_now);
+    model::milliseconds const longest =
+        shut ? rules.first_token : rules.max_wait / 2;
+    if (wait < longest) {
         return false;
     }
     if (hand_to_peer(waiting, "queue_too_long")) {
@@ -149,7 +156,7 @@
     }
     refuse_request(waiting,
                    model::error_kind::refused,
-                   wait - rules.max_wait,
+                   time_to_come_back(waiting),
                    "queue_too_long",
                    come_back);
     return true;
@@ -180,6 +187,63 @@
     return false;
 }
 
+overload_gate& core::gate(entry const& waiting)
+{
+    auto& gates = m_engines.groups()[waiting.group].gates;
+    if (waiting.tier >= gates.size()) {
+        gates.resize(waiting.tier + 1);
+    }
+    return gates[waiting.tier];
+}
+
+bool core::hopeless(entry const& waiting) const
+{
+    // What has been handed to an engine before is owed its end.
+    if (waiting.attempt > 0) {
+        return false;
+    }
+    model_group const& group = m_engines.groups()[waiting.group];
+    model::seconds const prefill{waiting.prompt_tokens
+                                 / group.prefill.tokens_per_second()};
+    return m_now + prefill >= waiting.deadline;
+}
+
+bool core::higher_refused(entry const& waiting)
+{
+    model_group const& group = m_engines.groups()[waiting.group];
+    for (index tier = 0; tier < waiting.tier; ++tier) {
+        bool const here =
+            tier < group.refusals.size()
+            && group.refusals[tier].per_second(m_now) > refusing_rate;
+        bool const elsewhere =
+            tier < group.peer_refused.size() && group.peer_refused[tier] > 0;
+        if (here || elsewhere) {
+            return true;
+        }
+    }
+    return false;
+}
+
+model::milliseconds core::time_to_come_back(entry const& waiting)
+{
+    // Overload that has lasted for some time lasts about as long again, as
+    // far as anyone can tell. An earlier resend would only take the place of
+    // a fresh request that can still be in time, or be refused once more.
+    return std::max(expected_wait(waiting), gate(waiting).shut_for(m_now));
+}
+
+void core::refuse_late(entry& waiting)
+{
+    // Given up on, so it is told at once; waiting on would only keep its
+    // caller from coming back when there is room.
+    dequeue(waiting);
+    refuse_request(waiting,
+                   model::error_kind::refused,
+                   time_to_come_back(waiting),
+                   "target_missed_under_overload",
+                   come_back);
+}
+
 void core::make_room(entry const& arriving)
 {
     // Made for a flood: memory is bounded, and what has to go is the lowest
@@ -197,11 +261,10 @@
                 continue;
             }
             entry& evicted = *group.queue.queue(tier).newest();
-            model::milliseconds const wait = expected_wait(evicted);
             dequeue(evicted);
             refuse_request(evicted,
                            model::error_kind::refused,
-                           wait,
+                           time_to_come_back(evicted),
                            "evicted",
                            come_back);
             return;
@@ -212,6 +275,7 @@
 void core::enqueue(entry& waiting)
 {
     waiting.phase = phase::queued;
+    waiting.queued_at = m_now;
     m_expiries.emplace(waiting.expires, waiting.id);
     if (waiting.suspect) {
         m_waiting_suspects.push_back(waiting.id);
@@ -245,6 +309,14 @@
                           std::string reason,
                           std::string remedy)
 {
+    if (kind == model::error_kind::refused && !waiting.is_service) {
+        auto& refusals = m_engines.groups()[waiting.group].refusals;
+        while (refusals.size() <= waiting.tier) {
+            refusals.emplace_back(refusal_horizon);
+        }
+        refusals[waiting.tier].add(1.0, m_now);
+        gate(waiting).refused(m_now);
+    }
     auto const outcome = waiting.may_have_run ? model::outcome::unknown
                                               : model::outcome::not_run;
     m_out->emplace_back(refuse{waiting.id,
--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -101,8 +101,11 @@
         index const group = m_engines.find_model_hash(one.model_hash);
         if (group != no_index && one.tier < m_policy.tiers()) {
             auto& queued = m_engines.groups()[group].peer_queued;
+            auto& refused = m_engines.groups()[group].peer_refused;
             queued.resize(std::max<std::size_t>(queued.size(), one.tier + 1));
+            refused.resize(queued.size());
             add(queued[one.tier], one.queued, sign);
+            add(refused[one.tier], one.refused, sign);
         }
     }
     for (suspect_load const& one : source.load.suspects) {
@@ -173,7 +176,7 @@
 {
     digest load;
     load.region_hash = name_hash(m_settings.region);
-    add_queues(load);
+    add_queues(load, now);
     for (index place = 0; place < m_engines.size(); ++place) {
         engine_state const& engine = m_engines.at(place);
         if (engine.local() > 0 && load.engines.size() < max_digest_engines) {
@@ -197,18 +200,22 @@
     return encode(load);
 }
 
-void core::add_queues(digest& load) const
+void core::add_queues(digest& load, model::time_point now) const
 {
     for (index place = 0; place < m_engines.groups().size(); ++place) {
         model_group const& group = m_engines.groups()[place];
         for (index tier = 0; tier < group.queue.tiers(); ++tier) {
-            if (group.queue.size(tier) > 0
+            double const refused = tier < group.refusals.size()
+                                       ? group.refusals[tier].per_second(now)
+                                       : 0.0;
+            auto const refused_count = static_cast<std::size_t>(refused * 10.0);
+            if ((group.queue.size(tier) > 0 || refused_count > 0)
                 && load.queues.size() < max_digest_queues) {
                 load.queues.push_back(
                     {name_hash(m_engines.model(place)),
                      saturate<std::uint8_t>(tier),
                      saturate<std::uint16_t>(group.queue.size(tier)),
-                     0});
+                     saturate<std::uint16_t>(refused_count)});
             }
         }
     }
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -11,6 +11,9 @@
 // found by the next.
 constexpr std::size_t most_starts = 32;
 constexpr std::size_t suspects_a_tick = 16;
+constexpr std::size_t most_shed = 64;
+// Less than the time in which a digest has come round.
+constexpr model::milliseconds lower_wait{300};
 
 } // namespace
 
@@ -21,6 +24,10 @@
     model_group& group = m_engines.groups()[group_place];
     for (std::size_t started = 0; started < most_starts; ++started) {
         entry* const head = group.queue.next();
+        if (head != nullptr && hopeless(*head) && gate(*head).shut(m_now)) {
+            refuse_late(*head);
+            continue;
+        }
         if (head == nullptr || must_yield(*head) || !start(*head)) {
             return;
         }
@@ -55,6 +62,37 @@
     }
 }
 
+void core::shed_late(index group_place)
+{
+    model_group& group = m_engines.groups()[group_place];
+    for (index tier = 0; tier < group.queue.tiers(); ++tier) {
+        for (std::size_t looked = 0; looked < most_shed; ++looked) {
+            auto const& arrivals = group.queue.queue(tier).arrivals();
+            if (arrivals.empty()) {
+                if (tier < group.gates.size()) {
+                    group.gates[tier].observe(false, m_now);
+                }
+                break;
+            }
+            entry& oldest = *arrivals.front();
+            bool const late = hopeless(oldest);
+            gate(oldest).observe(late, m_now);
+            // While a higher tier is refused anywhere, lower work doesn't pile
+            // up in the places that it could have had: it starts within its
+            // share at once, or is told to come back.
+            bool const in_the_way = oldest.attempt == 0
+                                    && !group.queue.owed(oldest)
+                                    && m_now - oldest.queued_at > lower_wait
+                                    && higher_refused(oldest);
+            bool const given_up = late && gate(oldest).shut(m_now);
+            if (!given_up && !in_the_way) {
+                break;
+            }
+            refuse_late(oldest);
+        }
+    }
+}
+
 bool core::must_yield(entry const& waiting) const
 {
     // The engines are shared: room that this host sees may be what a higher
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -31,6 +31,7 @@
     model::time_point deadline{};
     /// When it is refused if it still waits.
     model::time_point expires{};
+    model::time_point queued_at{};
     model::time_point dispatched{};
     model::time_point first_token{};
     model::time_point last_token{};
--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -11,7 +11,7 @@
 constexpr double prompt_weight = 0.1;
 // Earnings kept, in requests: enough to serve each tier its turn, too little
 // for a block that a higher tier would notice as a missed target.
-constexpr double kept_requests = 2.0;
+constexpr double kept_requests = 3.0;
 
 } // namespace
 
@@ -32,10 +32,8 @@
 void fair_queue::push(entry& waiting)
 {
     tier_state& tier = m_tiers[waiting.tier];
-    if (tier.queue.empty()) {
-        tier.earned = std::min(tier.earned, 0.0);
-    }
     tier.queue.push(waiting);
+    tier.usual_cost.add(token_cost(waiting));
     ++m_size;
 }
 
@@ -91,11 +89,8 @@
 void fair_queue::earn(double tokens)
 {
     for (tier_state& tier : m_tiers) {
-        entry* const head = tier.queue.head();
-        if (head != nullptr) {
-            double const most = kept_requests * token_cost(*head);
-            tier.earned = std::min(tier.earned + tokens * tier.share, most);
-        }
+        double const most = kept_requests * tier.usual_cost.value_or(0.0);
+        tier.earned = std::min(tier.earned + tokens * tier.share, most);
     }
 }
 
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_DECIDE_FAIR_QUEUE_HPP
 
 #include "decide/entry.hpp"
+#include "decide/moving_average.hpp"
 #include "decide/tier_queue.hpp"
 
 #include <cstddef>
@@ -14,9 +15,9 @@
 ///
 /// Made for full saturation: strict priority would let a higher tier's burst
 /// starve the smallest society for as long as it lasts. Each tier earns its
-/// share of every token served while it waits, and goes first once it has
-/// earned its next request. Earnings stop at a few requests, so that a long
-/// wait is not paid out in one block in front of the higher tiers.
+/// share of every token served, and goes first once it has earned its next
+/// request. Earnings stop at a few requests, so that a quiet spell is not
+/// paid out in one block in front of the higher tiers.
 ///
 /// Thread safety: none; owned by one task.
 class fair_queue
@@ -72,6 +73,7 @@
         double share = 0.0;
         /// Tokens that its share has earned and that it has not yet got.
         double earned = 0.0;
+        moving_average usual_cost;
     };
 
     void earn(double tokens);
--- a/src/decide/model_group.hpp
+++ b/src/decide/model_group.hpp
@@ -3,6 +3,7 @@
 
 #include "decide/fair_queue.hpp"
 #include "decide/open_list.hpp"
+#include "decide/overload_gate.hpp"
 #include "decide/prefill_rate.hpp"
 #include "decide/wait_estimator.hpp"
 
@@ -48,8 +49,13 @@
     std::vector<index> engines;
     wait_estimator waits;
     prefill_rate prefill;
+    /// By tier.
+    std::vector<overload_gate> gates;
     /// What other hosts hold in queue and refuse, by tier.
     std::vector<std::uint32_t> peer_queued;
+    std::vector<std::uint32_t> peer_refused;
+    /// This host's refusals under overload, by tier.
+    std::vector<decaying_rate> refusals;
 };
 
 } // namespace caperjunction::decide
--- /dev/null
+++ b/src/decide/overload_gate.hpp
@@ -0,0 +1,77 @@
+#ifndef CAPERJUNCTION_DECIDE_OVERLOAD_GATE_HPP
+#define CAPERJUNCTION_DECIDE_OVERLOAD_GATE_HPP
+
+#include "model/time.hpp"
+
+namespace caperjunction::decide {
+
+/// Tells a short burst from lasting overload of one tier, by how long its
+/// oldest request has been past its latency target.
+///
+/// Made for saturation: a queue in order of arrival then holds only requests
+/// that are late already, so that all capacity goes into answers that come
+/// too late. While the gate is shut, what is late is refused at once and told
+/// when to come back, and the rest keeps its target. In a short burst nothing
+/// is refused: a slightly late answer is better than none.
+///
+/// Thread safety: none; owned by one task.
+class overload_gate
+{
+public:
+    /// Notes whether the tier's oldest request is late.
+    void observe(bool late, model::time_point now)
+    {
+        if (late) {
+            m_pressed = now;
+        }
+        if (late != m_late) {
+            m_late = late;
+            m_since = now;
+        }
+    }
+
+    /// Notes that a request was refused for overload.
+    void refused(model::time_point now)
+    {
+        m_pressed = now;
+    }
+
+    /// Whether late requests are to be refused.
+    bool shut(model::time_point now)
+    {
+        if (!m_shut && m_late && now - m_since >= patience) {
+            m_shut = true;
+            m_shut_since = now;
+        } else if (m_shut && now - m_pressed >= relief) {
+            m_shut = false;
+        }
+        return m_shut;
+    }
+
+    /// How long it has been shut; zero while it is open.
+    model::milliseconds shut_for(model::time_point now) const
+    {
+        if (!m_shut) {
+            return model::milliseconds{0};
+        }
+        return std::chrono::duration_cast<model::milliseconds>(now
+                                                               - m_shut_since);
+    }
+
+private:
+    // A burst that one batch's turnover absorbs is over by then.
+    static constexpr model::milliseconds patience{400};
+    // Demand above capacity comes and goes; opening at once would let the
+    // queue fill up and run late anew each time.
+    static constexpr model::milliseconds relief{3000};
+
+    bool m_late = false;
+    bool m_shut = false;
+    model::time_point m_since{};
+    model::time_point m_pressed{};
+    model::time_point m_shut_since{};
+};
+
+} // namespace caperjunction::decide
+
+#endif
