Divide the last room of engines between hosts, and heed KV memory

Cause: under saturation each of seven hosts sent long prompts to any engine, so that several met on one and held up the highest tier's first tokens; full KV memory made engines compute work anew; a request handed over could expire unanswered at its first host.

Change: beyond 0.7 of its bound an engine takes lower tiers only from the hosts that it falls to, in the order of names; lower tiers stop at 0.85 of KV memory; retry times are twice the overload's age; requests handed over keep their age, and the first host keeps them until the second must have answered.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -117,6 +117,7 @@
     // Peers.
     void add_peer_load(peer const& source, int sign);
     void forget_peer(peer& gone);
+    void count_peer(peer const& source, int sign);
     void revisit_peers();
     index team_index(std::string const& customer,
                      std::string const& team,
@@ -148,8 +149,7 @@
     std::unordered_map<std::uint32_t, index> m_team_hashes;
     name_table m_peer_names;
     std::vector<peer> m_peers;
-    std::uint32_t m_live_peers = 0;
-    std::uint32_t m_live_peers_in_region = 0;
+    host_position m_position;
     std::size_t m_next_engine = 0;
     std::size_t m_next_peer = 0;
     model::time_point m_slow_work_done{};
--- a/src/decide/core_admit.cpp
+++ b/src/decide/core_admit.cpp
@@ -11,7 +11,7 @@
 // A refusal's Retry-After: not so short that resends add to the burst that
 // caused it, not so long that a desk gives up the sale.
 constexpr model::milliseconds least_retry_after{250};
-constexpr model::milliseconds most_retry_after{120'000};
+constexpr model::milliseconds most_retry_after{300'000};
 // A tier counts as being refused while more than a stray one is.
 constexpr model::milliseconds refusal_horizon{2000};
 constexpr double refusing_rate = 0.1;
@@ -84,8 +84,12 @@
     m_class_seen[made.class_place] = m_now;
     class_rules const& rules = m_policy.rules(made.class_place);
     made.tier = rules.tier;
-    made.deadline = m_now + rules.first_token;
-    made.expires = m_now + rules.max_wait;
+    // One that another host hands over has waited there already.
+    bool const waited = source.handed_over && source.arrived < m_now
+                        && m_now - source.arrived < rules.max_wait;
+    model::time_point const since = waited ? source.arrived : m_now;
+    made.deadline = since + rules.first_token;
+    made.expires = since + rules.max_wait;
     made.team = team_index(source.customer, source.team, source.plan);
     made.prompt_tokens = source.prompt_tokens;
     std::uint32_t const asked = source.max_output_tokens;
@@ -179,6 +183,10 @@
                 && load.queued > 0) {
                 m_out->emplace_back(hand_over{waiting.id, other.name, reason});
                 waiting.phase = phase::handed_over;
+                // The other host's refusal must find it: by then its longest
+                // wait is over there as well.
+                waiting.expires =
+                    m_now + 2 * m_policy.rules(waiting.class_place).max_wait;
                 m_expiries.emplace(waiting.expires, waiting.id);
                 return true;
             }
@@ -226,10 +234,11 @@
 
 model::milliseconds core::time_to_come_back(entry const& waiting)
 {
-    // Overload that has lasted for some time lasts about as long again, as
-    // far as anyone can tell. An earlier resend would only take the place of
-    // a fresh request that can still be in time, or be refused once more.
-    return std::max(expected_wait(waiting), gate(waiting).shut_for(m_now));
+    // Nobody knows when overload ends. If spells of all lengths are alike, one
+    // that has lasted for a time is over within twice that time in two cases
+    // out of three. An earlier resend would most likely be refused once more,
+    // or take the place of a fresh request that can still be in time.
+    return std::max(expected_wait(waiting), 2 * gate(waiting).shut_for(m_now));
 }
 
 void core::refuse_late(entry& waiting)
--- a/src/decide/core_engine.cpp
+++ b/src/decide/core_engine.cpp
@@ -196,8 +196,7 @@
         m_next_engine = (m_next_engine + 1) % m_engines.size();
         auto const place = static_cast<index>(m_next_engine);
         probe(place);
-        m_engines.renew_allowance(
-            place, m_live_peers + 1, m_live_peers_in_region + 1, m_now);
+        m_engines.renew_allowance(place, m_position, m_now);
         drain_engine(place);
     }
 }
--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -47,10 +47,7 @@
     source.load = std::move(load);
     source.heard = m_now;
     source.live = true;
-    ++m_live_peers;
-    if (source.load.region_hash == name_hash(m_settings.region)) {
-        ++m_live_peers_in_region;
-    }
+    count_peer(source, 1);
     add_peer_load(source, 1);
     for (suspect_load const& one : source.load.suspects) {
         m_quarantine.learn(one.fingerprint,
@@ -139,9 +136,16 @@
     }
     add_peer_load(gone, -1);
     gone.live = false;
-    --m_live_peers;
-    if (gone.load.region_hash == name_hash(m_settings.region)) {
-        --m_live_peers_in_region;
+    count_peer(gone, -1);
+}
+
+void core::count_peer(peer const& source, int sign)
+{
+    auto const change = static_cast<std::uint32_t>(sign);
+    m_position.hosts += change;
+    if (source.load.region_hash == name_hash(m_settings.region)) {
+        m_position.in_region += change;
+        m_position.rank += source.name < m_settings.host ? change : 0U;
     }
 }
 
--- a/src/decide/engine_state.cpp
+++ b/src/decide/engine_state.cpp
@@ -110,6 +110,7 @@
     m_has_report = true;
     m_report_taken = report.taken;
     m_reported = static_cast<double>(report.running) + report.waiting;
+    m_kv_used = report.kv_used;
     m_local_at_report = local_at(report.taken);
 }
 
--- a/src/decide/engine_state.hpp
+++ b/src/decide/engine_state.hpp
@@ -86,6 +86,11 @@
     model::milliseconds penalty{0};
     /// Requests of other hosts on it, by their digests.
     std::uint32_t peer_requests = 0;
+    /// Place among the engines of its model in this region, and their number.
+    std::uint32_t rank = 0;
+    std::uint32_t fellows = 1;
+    /// The part of it that falls to this host, 0..1.
+    double owned = 1.0;
     /// Requests of lower tiers that this host may still send it before its
     /// share of the free room is renewed.
     double allowance = 1.0;
@@ -108,6 +113,12 @@
         return static_cast<std::uint32_t>(flights.size());
     }
 
+    /// Share of KV memory in use by the latest report; 0 if there is none.
+    double kv_used() const
+    {
+        return m_kv_used;
+    }
+
     double pending_prefill() const
     {
         return m_pending_prefill;
@@ -134,6 +145,7 @@
     std::size_t m_history_end = 0;
     model::time_point m_report_taken{};
     double m_reported = 0.0;
+    double m_kv_used = 0.0;
     std::uint32_t m_local_at_report = 0;
     bool m_has_report = false;
 };
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace caperjunction::decide {
 
@@ -12,12 +13,22 @@
 // The last of the bound is kept for the highest tier, which may also go a
 // little over it: its burst must not wait for a lower tier's long answers,
 // and the engine runs it first by its priority.
-constexpr double lower_tiers_share = 0.9;
+constexpr double owned_share = 0.9;
+// Beyond this an engine takes lower tiers from the hosts that it falls to
+// alone. Made for saturation: a host knows only the prompts that it has sent
+// itself. Were all hosts to fill the last room, several long prompts would
+// meet on one engine, and hold up the highest tier's first tokens there.
+constexpr double shared_share = 0.7;
 constexpr double highest_tier_share = 1.12;
 // Prefill waiting on an engine delays every first token there. Below the
 // tightest first-token targets, so that what waits stays here, in order.
-constexpr double prefill_seconds = 0.25;
+constexpr double prefill_seconds = 0.12;
 constexpr double highest_tier_prefill_seconds = 0.4;
+// Full KV memory makes an engine put running work back and compute it anew.
+// Answers still grow after they were let in, and reports lag; so lower tiers
+// stop well before it is full.
+constexpr double lower_tiers_memory = 0.85;
+constexpr double highest_tier_memory = 0.97;
 // Digests of all hosts have come round in this time.
 constexpr model::milliseconds allowance_period{250};
 
@@ -46,6 +57,7 @@
         state.describe(source, own_region);
         serve_models(place, source.models, shares, now);
     }
+    rank_engines();
     for (index place = 0; place < present.size(); ++place) {
         if (!present[place] && !m_engines[place].groups.empty()) {
             m_engines[place].health = engine_health::leaving;
@@ -95,34 +107,40 @@
 }
 
 void engine_table::renew_allowance(index place,
-                                   std::uint32_t hosts,
-                                   std::uint32_t hosts_in_region,
+                                   host_position const& position,
                                    model::time_point now)
 {
     engine_state& state = m_engines[place];
     if (now - state.allowance_renewed >= allowance_period) {
         // All hosts see the same free room at the same time. If each filled
-        // it, an engine would get it as many times over as there are hosts;
-        // so each takes its share, and the remainder goes round by hash.
-        double const limit = state.bound() * lower_tiers_share;
-        double const free =
-            std::max(0.0, std::floor(limit - state.outstanding(now)));
+        // it, an engine would get it as many times over as there are hosts.
+        // So each takes its share: of the last room on the engines that fall
+        // to it, of the rest on all.
+        state.owned = state.own_region
+                          ? position.share_of(state.rank, state.fellows)
+                          : 0.0;
         double const sharers =
-            std::max(1U, state.own_region ? hosts_in_region : hosts);
+            state.own_region ? position.in_region : position.hosts;
+        double const part = state.owned > 0.0 ? state.owned : 1.0 / sharers;
+        double const free =
+            std::max(0.0, lower_tiers_limit(state) - state.outstanding(now));
         auto const period = static_cast<std::uint64_t>(now.time_since_epoch()
                                                        / allowance_period);
-        double const rest = std::fmod(free, sharers);
         std::uint64_t const lot =
             mix(name_hash(m_host), mix(name_hash(state.name), period));
-        double const draw =
-            static_cast<double>(lot % 10'000) / 10'000.0 * sharers;
-        state.allowance =
-            std::floor(free / sharers) + (draw < rest ? 1.0 : 0.0);
+        double const draw = static_cast<double>(lot % 10'000) / 10'000.0;
+        state.allowance = std::floor(free * part + draw);
         state.allowance_renewed = now;
     }
     refresh(place, now);
 }
 
+double engine_table::lower_tiers_limit(engine_state const& state)
+{
+    double const share = state.owned > 0.0 ? owned_share : shared_share;
+    return state.bound() * share;
+}
+
 room engine_table::room_of(engine_state const& state,
                            model::time_point now) const
 {
@@ -139,17 +157,44 @@
             ? 0.0
             : state.pending_prefill()
                   / m_groups[state.groups.front()].prefill.tokens_per_second();
-    if (outstanding < bound * lower_tiers_share && pending < prefill_seconds
-        && state.allowance >= 1.0) {
+    if (outstanding < lower_tiers_limit(state) && pending < prefill_seconds
+        && state.allowance >= 1.0 && state.kv_used() < lower_tiers_memory) {
         return room::any_tier;
     }
     if (outstanding < bound * highest_tier_share
-        && pending < highest_tier_prefill_seconds) {
+        && pending < highest_tier_prefill_seconds
+        && state.kv_used() < highest_tier_memory) {
         return room::highest_tier;
     }
     return room::none;
 }
 
+void engine_table::rank_engines()
+{
+    // In order of their names, so that all hosts cut the same row.
+    std::vector<index> row(m_engines.size());
+    std::iota(row.begin(), row.end(), 0);
+    std::sort(row.begin(), row.end(), [this](index left, index right) {
+        return m_engines[left].name < m_engines[right].name;
+    });
+    std::vector<std::uint32_t> counts(m_groups.size());
+    for (int pass = 0; pass < 2; ++pass) {
+        for (index const place : row) {
+            engine_state& state = m_engines[place];
+            if (!state.own_region || state.groups.empty()
+                || state.health == engine_health::leaving) {
+                continue;
+            }
+            std::uint32_t& count = counts[state.groups.front()];
+            if (pass == 0) {
+                state.rank = count++;
+            } else {
+                state.fellows = count;
+            }
+        }
+    }
+}
+
 index engine_table::find_hash(std::uint32_t hash) const
 {
     auto const found = m_hashes.find(hash);
--- a/src/decide/engine_table.hpp
+++ b/src/decide/engine_table.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_DECIDE_ENGINE_TABLE_HPP
 
 #include "decide/engine_state.hpp"
+#include "decide/host_position.hpp"
 #include "decide/model_group.hpp"
 #include "decide/name_table.hpp"
 #include "model/upstreams.hpp"
@@ -38,8 +39,7 @@
 
     /// Renews this host's share of the engine's free room, then refreshes.
     void renew_allowance(index engine,
-                         std::uint32_t hosts,
-                         std::uint32_t hosts_in_region,
+                         host_position const& position,
                          model::time_point now);
 
     /// Room as `refresh` would find it.
@@ -96,6 +96,8 @@
 private:
     index engine(std::string const& name);
     void leave_groups(index place);
+    void rank_engines();
+    static double lower_tiers_limit(engine_state const& state);
 
     std::string m_host;
     std::string m_region;
