Add the peer link: framed messages over proven connections

Cause: hosts need to talk, and a connection between them may go silent, lead to a stranger, or to a host that reads no more. Change: net::peer_link on libevent: each host sends over connections of its own making; both ends prove the shared secret (HMAC-SHA256 over both nonces and both names) before anything else is read; only listed hosts; pings, and silence condemns the connection and not the far end until a fresh one fails; bounded queues; frames verified and bounded, short ones only before proof.

--- /dev/null
+++ b/src/net/peer_dialer.cpp
@@ -0,0 +1,213 @@
+#include "net/peer_dialer.hpp"
+
+#include <event2/bufferevent.h>
+
+#include <utility>
+#include <variant>
+
+namespace caperjunction::net {
+
+peer_dialer::peer_dialer(std::string peer,
+                         model::endpoint address,
+                         runtime::event_loop& loop,
+                         peer_link_settings const& settings,
+                         peer_link_counters& counters,
+                         callbacks const& calls)
+    : m_peer(std::move(peer))
+    , m_address(std::move(address))
+    , m_loop(loop)
+    , m_settings(settings)
+    , m_counters(counters)
+    , m_calls(calls)
+{
+}
+
+void peer_dialer::keep(bool wanted)
+{
+    m_wanted = wanted;
+    if (wanted && m_stage == stage::idle) {
+        connect();
+    }
+}
+
+void peer_dialer::move_to(model::endpoint const& address)
+{
+    if (address == m_address) {
+        return;
+    }
+    m_address = address;
+    if (m_stage != stage::idle) {
+        drop_connection();
+        connect();
+    }
+}
+
+std::size_t peer_dialer::queued_bytes() const
+{
+    return m_pending_bytes
+           + (m_connection != nullptr ? m_connection->queued_bytes() : 0);
+}
+
+// A peer that is slow or gone must cost a bounded amount of memory. The
+// sender learns at once that the message was not taken.
+bool peer_dialer::send(std::string const& bytes)
+{
+    if (queued_bytes() + bytes.size() > m_settings.max_queued_bytes) {
+        ++m_counters.full_queues;
+        return false;
+    }
+    m_used = m_loop.now();
+    if (m_stage == stage::ready) {
+        m_connection->send(bytes);
+        return true;
+    }
+    m_pending.push_back(bytes);
+    m_pending_bytes += bytes.size();
+    if (m_stage == stage::idle) {
+        connect();
+    }
+    return true;
+}
+
+void peer_dialer::connect()
+{
+    m_stage = stage::connecting;
+    m_deadline = m_loop.now() + m_settings.connect_timeout;
+    m_connection = std::make_shared<peer_connection>(
+        bufferevent_socket_new(m_loop.base(), -1, BEV_OPT_CLOSE_ON_FREE),
+        m_counters);
+    peer_connection::callbacks calls;
+    calls.connected = [this] {
+        m_stage = stage::proving;
+    };
+    calls.frame = [this](peer_frame const& frame) {
+        take(frame);
+    };
+    calls.ended = [this](model::error const* error) {
+        lose(error);
+    };
+    m_connection->open(std::move(calls));
+    if (!m_connection->connect(m_address)) {
+        model::error const error(model::error_kind::bad_list,
+                                 "'" + m_address.address
+                                     + "' is no address to connect to",
+                                 "publish a numeric address and a port");
+        lose(&error);
+    }
+}
+
+void peer_dialer::take(peer_frame const& frame)
+{
+    m_heard = m_loop.now();
+    if (auto const* challenge = std::get_if<peer_challenge>(&frame)) {
+        take_challenge(*challenge);
+    } else if (auto const* welcome = std::get_if<peer_welcome>(&frame)) {
+        take_welcome(*welcome);
+    }
+}
+
+void peer_dialer::take_challenge(peer_challenge const& challenge)
+{
+    if (m_stage != stage::proving || !m_exchange.challenge_nonce.empty()) {
+        return;
+    }
+    m_exchange.challenge_nonce = challenge.nonce;
+    m_exchange.hello_nonce = make_nonce();
+    m_exchange.caller = m_settings.host;
+    m_exchange.called = m_peer;
+    peer_hello hello;
+    hello.host = m_settings.host;
+    hello.nonce = m_exchange.hello_nonce;
+    hello.proof = make_proof(m_settings.secret, proof_side::caller, m_exchange);
+    m_connection->send(encode(hello));
+}
+
+// Without this check, anyone who took over a peer's address could collect
+// what is handed over to it.
+void peer_dialer::take_welcome(peer_welcome const& welcome)
+{
+    bool const asked =
+        m_stage == stage::proving && !m_exchange.hello_nonce.empty();
+    auto const expected =
+        make_proof(m_settings.secret, proof_side::called, m_exchange);
+    if (!asked || !equal_proofs(welcome.proof, expected)) {
+        ++m_counters.refused_handshakes;
+        model::error const error(model::error_kind::unauthenticated,
+                                 "the host at the address of " + m_peer
+                                     + " does not know the secret",
+                                 "give all hosts the same peer secret");
+        lose(&error);
+        return;
+    }
+    m_stage = stage::ready;
+    m_told_connected = true;
+    m_used = m_loop.now();
+    m_next_ping = m_loop.now() + m_settings.ping_period;
+    for (std::string const& bytes : std::exchange(m_pending, {})) {
+        m_connection->send(bytes);
+    }
+    m_pending_bytes = 0;
+    m_calls.connected(m_peer);
+}
+
+void peer_dialer::drop_connection()
+{
+    if (m_connection != nullptr) {
+        m_connection->close();
+        m_connection.reset();
+    }
+    m_exchange = {};
+}
+
+void peer_dialer::lose(model::error const* error)
+{
+    bool const was_ready = m_stage == stage::ready;
+    drop_connection();
+    if (error != nullptr) {
+        m_calls.failed(m_peer, *error);
+    }
+    if (was_ready) {
+        connect();
+        return;
+    }
+    // What waited for this connection is old by the time the next one may
+    // succeed; its senders have timeouts of their own.
+    m_pending.clear();
+    m_pending_bytes = 0;
+    m_stage = stage::waiting;
+    m_deadline = m_loop.now() + m_settings.reconnect_delay;
+    if (std::exchange(m_told_connected, false)) {
+        m_calls.disconnected(m_peer);
+    }
+}
+
+void peer_dialer::tick()
+{
+    auto const now = m_loop.now();
+    if (m_stage == stage::waiting && now >= m_deadline) {
+        m_stage = stage::idle;
+        if (m_wanted || !m_pending.empty()) {
+            connect();
+        }
+    } else if ((m_stage == stage::connecting || m_stage == stage::proving)
+               && now >= m_deadline) {
+        model::error const error(model::error_kind::timed_out,
+                                 "no connection to " + m_peer + " in time",
+                                 "see that its peer port can be reached");
+        lose(&error);
+    } else if (m_stage == stage::ready) {
+        if (now - m_heard >= m_settings.silence_limit) {
+            ++m_counters.silent_connections;
+            lose(nullptr);
+        } else if (!m_wanted && now - m_used >= m_settings.idle_limit) {
+            drop_connection();
+            m_stage = stage::idle;
+            m_told_connected = false;
+        } else if (now >= m_next_ping) {
+            m_next_ping = now + m_settings.ping_period;
+            m_connection->send(encode(peer_ping{++m_pings}));
+        }
+    }
+}
+
+} // namespace caperjunction::net
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -2,6 +2,8 @@
 #define CAPERJUNCTION_NET_PEER_LINK_HPP
 
 #include "fleet/peer_message.hpp"
+#include "model/error.hpp"
+#include "model/host.hpp"
 #include "net/peer_link_settings.hpp"
 #include "runtime/event_loop.hpp"
 
@@ -56,9 +58,13 @@
     peer_link_counters const& counters() const;
 
     sigc::signal<void(std::string const&, fleet::peer_message const&)> received;
+    /// A connection is ready. What was sent over an earlier one may be lost.
     sigc::signal<void(std::string const&)> connected;
     /// A fresh connection failed too, or the host is not listed any more.
     sigc::signal<void(std::string const&)> disconnected;
+    /// For the log: a connection ended by a fault, or was refused. The name
+    /// is what the far end says and may be empty.
+    sigc::signal<void(std::string const&, model::error const&)> failed;
 
 private:
     struct state;
--- /dev/null
+++ b/tests/net/peer_link_test.cpp
@@ -0,0 +1,364 @@
+#include "net/peer_link.hpp"
+
+#include "model/error.hpp"
+#include "net/peer_codec.hpp"
+#include "net/peer_connection.hpp"
+#include "net/peer_proof.hpp"
+#include "runtime/event_loop.hpp"
+#include "runtime/manual_clock.hpp"
+
+#include <doctest/doctest.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace caperjunction;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char const* secret = "a secret of enough bytes";
+
+/// One end of the link and what came out of it.
+struct peer
+{
+    peer(runtime::event_loop& loop,
+         std::string const& name,
+         std::string const& key = secret)
+    {
+        net::peer_link_settings settings;
+        settings.host = name;
+        settings.listen.address = "127.0.0.1";
+        settings.secret = key;
+        link = std::make_unique<net::peer_link>(loop, settings);
+        host.name = name;
+        host.peers = {"127.0.0.1", link->port()};
+        link->received.connect([this](std::string const& from,
+                                      fleet::peer_message const& message) {
+            received.emplace_back(from, message);
+        });
+        link->connected.connect([this](std::string const& to) {
+            connected.push_back(to);
+        });
+        link->disconnected.connect([this](std::string const& to) {
+            disconnected.push_back(to);
+        });
+        link->failed.connect(
+            [this](std::string const&, model::error const& error) {
+                failed.push_back(error.kind());
+            });
+    }
+
+    model::host host;
+    std::unique_ptr<net::peer_link> link;
+    std::vector<std::pair<std::string, fleet::peer_message>> received;
+    std::vector<std::string> connected;
+    std::vector<std::string> disconnected;
+    std::vector<model::error_kind> failed;
+};
+
+/// A loop whose clock the test advances; the kernel's sockets are real.
+struct fixture
+{
+    /// Lets real socket events happen until `done`; false if they don't.
+    bool until(std::function<bool()> const& done)
+    {
+        constexpr int most_polls = 20'000;
+        for (int poll = 0; poll < most_polls && !done(); ++poll) {
+            loop.poll();
+        }
+        return done();
+    }
+
+    void pass(model::milliseconds time)
+    {
+        for (auto passed = 0ms; passed < time; passed += 100ms) {
+            clock.advance(100ms);
+            for (int poll = 0; poll < 20; ++poll) {
+                loop.poll();
+            }
+        }
+    }
+
+    runtime::manual_clock clock;
+    runtime::event_loop loop{clock.view()};
+};
+
+void introduce(std::vector<peer*> const& peers)
+{
+    std::vector<model::host> hosts;
+    hosts.reserve(peers.size());
+    for (peer const* each : peers) {
+        hosts.push_back(each->host);
+    }
+    for (peer const* each : peers) {
+        each->link->set_hosts(hosts);
+    }
+}
+
+fleet::load_digest numbered(std::uint64_t number)
+{
+    return {"a", number, 0, {1, 2, 3}};
+}
+
+} // namespace
+
+TEST_CASE("messages arrive whole and in order, both ways")
+{
+    fixture net;
+    peer left(net.loop, "a");
+    peer right(net.loop, "b");
+    introduce({&left, &right});
+    for (std::uint64_t number = 1; number <= 100; ++number) {
+        CHECK(left.link->send("b", numbered(number)));
+    }
+    CHECK(right.link->send("a", fleet::probe{7}));
+    REQUIRE(net.until([&] {
+        return right.received.size() == 100 && left.received.size() == 1;
+    }));
+    for (std::size_t place = 0; place < 100; ++place) {
+        CHECK(right.received[place].first == "a");
+        CHECK(std::get<fleet::load_digest>(right.received[place].second)
+              == numbered(place + 1));
+    }
+}
+
+TEST_CASE("a body of several megabytes passes in one frame")
+{
+    fixture net;
+    peer left(net.loop, "a");
+    peer right(net.loop, "b");
+    introduce({&left, &right});
+    fleet::handover_request request;
+    request.body = std::string(8'000'000, 'x');
+    CHECK(left.link->send("b", request));
+    REQUIRE(net.until([&] {
+        return right.received.size() == 1;
+    }));
+    auto const& read =
+        std::get<fleet::handover_request>(right.received[0].second);
+    CHECK(read == request);
+}
+
+TEST_CASE("a host with another secret is refused at both ends")
+{
+    // A process of another fleet, or a stranger, reaches the peer port. It
+    // must not be able to hand requests over or to collect them.
+    fixture net;
+    peer left(net.loop, "a");
+    peer right(net.loop, "b", "another secret of many bytes");
+    introduce({&left, &right});
+    left.link->send("b", fleet::probe{1});
+    REQUIRE(net.until([&] {
+        return right.link->counters().refused_handshakes == 1;
+    }));
+    net.pass(3s);
+    CHECK(right.received.empty());
+    CHECK(left.connected.empty());
+    CHECK(right.failed.at(0) == model::error_kind::unauthenticated);
+}
+
+TEST_CASE("a host that the platform doesn't list is refused")
+{
+    // A host that was taken out of service still knows the secret. Its view
+    // is old, and nothing of it may reach the fleet.
+    fixture net;
+    peer left(net.loop, "a");
+    peer right(net.loop, "b");
+    left.link->set_hosts({left.host, right.host});
+    right.link->set_hosts({right.host});
+    left.link->send("b", fleet::probe{1});
+    REQUIRE(net.until([&] {
+        return right.link->counters().refused_handshakes == 1;
+    }));
+    CHECK(right.received.empty());
+    CHECK_FALSE(right.link->send("a", fleet::probe{1}));
+}
+
+TEST_CASE("a host that is unlisted loses its connections")
+{
+    fixture net;
+    peer left(net.loop, "a");
+    peer right(net.loop, "b");
+    introduce({&left, &right});
+    left.link->send("b", fleet::probe{1});
+    REQUIRE(net.until([&] {
+        return right.received.size() == 1;
+    }));
+    right.link->set_hosts({right.host});
+    REQUIRE(net.until([&] {
+        return !left.link->is_connected("b");
+    }));
+    left.link->set_hosts({left.host});
+    CHECK_FALSE(left.link->send("b", fleet::probe{1}));
+}
+
+TEST_CASE("a connection that goes silent is replaced by a fresh one")
+{
+    // A box between two hosts forgets a connection. It stays open and
+    // carries nothing, while new ones work. Messages on it would be lost
+    // for good, and nobody told.
+    fixture net;
+    peer left(net.loop, "a");
+    // The far end's loop stands still: its connections are open and silent.
+    fixture far;
+    auto right = std::make_unique<peer>(far.loop, "b");
+    left.link->set_hosts({left.host, right->host});
+    right->link->set_hosts({left.host, right->host});
+    left.link->keep_links({"b"});
+    auto const both = [&] {
+        far.loop.poll();
+        return left.connected.size() == 1;
+    };
+    REQUIRE(net.until(both));
+    for (int step = 0; step < 29; ++step) {
+        net.pass(100ms);
+    }
+    CHECK(left.link->counters().silent_connections == 0);
+    net.pass(500ms);
+    CHECK(left.link->counters().silent_connections == 1);
+    // The far end works again before the fresh connection's time is over.
+    REQUIRE(net.until([&] {
+        far.loop.poll();
+        return left.connected.size() == 2;
+    }));
+    CHECK(left.disconnected.empty());
+    left.link->send("b", fleet::probe{5});
+    REQUIRE(net.until([&] {
+        far.loop.poll();
+        return !right->received.empty();
+    }));
+}
+
+TEST_CASE("a far end that takes no fresh connection is disconnected")
+{
+    // The far end itself is stopped, not only a connection to it. After the
+    // silent connection a fresh one fails too; only then is it given up.
+    fixture net;
+    fixture far;
+    peer left(net.loop, "a");
+    peer right(far.loop, "b");
+    left.link->set_hosts({left.host, right.host});
+    right.link->set_hosts({left.host, right.host});
+    left.link->keep_links({"b"});
+    REQUIRE(net.until([&] {
+        far.loop.poll();
+        return left.connected.size() == 1;
+    }));
+    net.pass(4s);
+    CHECK(left.disconnected.empty());
+    net.pass(3s);
+    CHECK(left.disconnected == std::vector<std::string>{"b"});
+}
+
+TEST_CASE("a host that comes back at another port is found")
+{
+    // A host is replaced under its name, at another address.
+    fixture net;
+    peer left(net.loop, "a");
+    auto right = std::make_unique<peer>(net.loop, "b");
+    introduce({&left, right.get()});
+    left.link->keep_links({"b"});
+    REQUIRE(net.until([&] {
+        return left.connected.size() == 1;
+    }));
+    right = std::make_unique<peer>(net.loop, "b");
+    introduce({&left, right.get()});
+    net.pass(2s);
+    CHECK(left.link->is_connected("b"));
+    left.link->send("b", fleet::probe{6});
+    REQUIRE(net.until([&] {
+        return right->received.size() == 1;
+    }));
+}
+
+TEST_CASE("a peer that does not read costs a bounded amount of memory")
+{
+    // A peer is stopped in the middle of a burst. Without a bound, what is
+    // meant for it fills the memory of every other host.
+    fixture net;
+    fixture far;
+    peer left(net.loop, "a");
+    peer right(far.loop, "b");
+    left.link->set_hosts({left.host, right.host});
+    right.link->set_hosts({left.host, right.host});
+    left.link->keep_links({"b"});
+    REQUIRE(net.until([&] {
+        far.loop.poll();
+        return left.connected.size() == 1;
+    }));
+    fleet::handover_chunk chunk;
+    chunk.bytes = std::string(1'000'000, 'x');
+    std::size_t taken = 0;
+    while (taken < 100 && left.link->send("b", chunk)) {
+        ++taken;
+        net.loop.poll();
+    }
+    CHECK(taken < 100);
+    CHECK(left.link->counters().full_queues == 1);
+    CHECK(left.link->queued_bytes("b") <= std::size_t{16} * 1024 * 1024);
+}
+
+TEST_CASE("bytes that are no frames end the connection and are counted")
+{
+    // A port scanner, or a client that has the wrong port, connects. It must
+    // neither be served nor end the process.
+    fixture net;
+    peer right(net.loop, "b");
+    net::peer_link_counters counters;
+    for (std::string const& bytes :
+         {std::string("GET / HTTP/1.1\r\n\r\n"),
+          std::string("\x04\x00\x00\x00\xff\xff\xff\xff", 8),
+          net::encode(fleet::peer_message(fleet::probe{1}))}) {
+        auto const stranger = std::make_shared<net::peer_connection>(
+            bufferevent_socket_new(net.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE),
+            counters);
+        bool ended = false;
+        net::peer_connection::callbacks calls;
+        calls.frame = [](net::peer_frame const&) {};
+        calls.ended = [&](model::error const*) {
+            ended = true;
+        };
+        stranger->open(calls);
+        REQUIRE(stranger->connect(right.host.peers));
+        stranger->send(bytes);
+        CHECK(net.until([&] {
+            return ended;
+        }));
+    }
+    CHECK(right.link->counters().bad_frames == 2);
+    CHECK(right.link->counters().refused_handshakes == 1);
+    CHECK(right.received.empty());
+    CHECK(right.failed.size() == 3);
+}
+
+TEST_CASE("a recorded hello is worth nothing a second time")
+{
+    // Someone who could listen sends a host's hello once more. The challenge
+    // is another one by then.
+    net::peer_exchange first{{1}, {2}, "a", "b"};
+    auto const proof = net::make_proof(secret, net::proof_side::caller, first);
+    auto other = first;
+    other.challenge_nonce = {3};
+    CHECK_FALSE(net::equal_proofs(
+        proof, net::make_proof(secret, net::proof_side::caller, other)));
+    CHECK_FALSE(net::equal_proofs(
+        proof, net::make_proof(secret, net::proof_side::called, first)));
+    CHECK(net::make_nonce() != net::make_nonce());
+}
+
+TEST_CASE("a short secret and a bad address end the start")
+{
+    fixture net;
+    CHECK_THROWS_AS(peer(net.loop, "a", "short"), model::error);
+    net::peer_link_settings settings;
+    settings.host = "a";
+    settings.secret = secret;
+    settings.listen.address = "no-address";
+    CHECK_THROWS_AS(net::peer_link(net.loop, settings), model::error);
+}
