--- /dev/null
+++ b/tests/fuzz/entitlements.cpp
@@ -0,0 +1,26 @@
+// Any bytes, read as the list of entitlements: no crash, and each fault says
+// what mends it.
+#include "lists/check.hpp"
+#include "lists/parse.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+
+using namespace caperjunction;
+
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer's name.
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data,
+                                      std::size_t size)
+{
+    std::string_view const text(reinterpret_cast<char const*>(data), size);
+    std::vector<lists::fault> faults;
+    auto const list = lists::parse_entitlements(text, "entitlements", faults);
+    for (lists::fault const& item : faults) {
+        if (item.remedy.empty() || item.path.find('\n') != std::string::npos) {
+            std::abort();
+        }
+    }
+    lists::check({}, list);
+    return 0;
+}
