Run non-repeatable calls at most once, by votes that move one by one

Cause: a caller sends a booking again while the first copy runs, or after its host died; a second run charges twice. Change: witness, claimant and answer store as state machines; the list of hosts, not who answers, says who the witnesses are; each bucket has five votes that are handed over one to one, so that any two majorities share a vote however far two lists differ; grants age; claims_explorer follows the real state machines through lost, late and doubled messages, crashes, restarts, pauses, stops and lists that lag.

--- /dev/null
+++ b/bench/claims_explorer/fault_budget.cpp
@@ -0,0 +1,32 @@
+#include "bench/claims_explorer/fault_budget.hpp"
+
+namespace caperjunction::claims_explorer {
+
+std::vector<fault_profile> fault_profiles(bool full)
+{
+    std::vector<fault_profile> small{
+        {"messages", {.drops = 1, .holds = 1, .resends = 0}},
+        {"lists", {.lists = 1, .resends = 0}},
+        {"crashes", {.crashes = 1, .restarts = 1, .resends = 0}},
+        {"pauses", {.leaps = 1, .pauses = 1, .resends = 0}},
+        {"stops", {.leaves = 1, .resends = 0}},
+    };
+    if (!full) {
+        return small;
+    }
+    return {
+        {"messages", {.drops = 1, .holds = 1, .duplicates = 1, .resends = 1}},
+        {"lists", {.holds = 1, .lists = 2, .resends = 0}},
+        {"crashes", {.crashes = 2, .restarts = 2, .resends = 1}},
+        {"pauses", {.holds = 1, .leaps = 2, .pauses = 1, .resends = 0}},
+        {"stops", {.holds = 1, .duplicates = 1, .leaves = 2, .resends = 0}},
+        {"lists and crashes",
+         {.crashes = 1, .restarts = 1, .lists = 1, .resends = 0}},
+        {"lists and pauses",
+         {.leaps = 1, .pauses = 1, .lists = 1, .resends = 0}},
+        {"stops and crashes",
+         {.crashes = 1, .restarts = 1, .leaves = 1, .resends = 1}},
+    };
+}
+
+} // namespace caperjunction::claims_explorer
--- /dev/null
+++ b/bench/claims_explorer/main.cpp
@@ -0,0 +1,97 @@
+#include "bench/claims_explorer/report.hpp"
+#include "bench/claims_explorer/search.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <thread>
+
+ABSL_FLAG(std::string, format, "table", "json or table");
+ABSL_FLAG(std::uint32_t,
+          hosts,
+          7,
+          "hosts, two of them entry hosts; 5 witnesses and 2 more that take "
+          "places in later lists");
+ABSL_FLAG(std::uint32_t, depth, 120, "steps of one history");
+ABSL_FLAG(std::uint64_t, seed, 1, "order in which histories are followed");
+ABSL_FLAG(std::int32_t, quorum_delta, 0, "added to the quorum of the design");
+ABSL_FLAG(std::uint64_t, max_states, 1'500'000, "states per profile");
+ABSL_FLAG(std::uint32_t, threads, 0, "0: one per processor");
+ABSL_FLAG(bool, full, true, "all profiles; false: the few of a short run");
+ABSL_FLAG(std::string, profile, "", "only this one");
+ABSL_FLAG(bool, stop_at_first, false, "end at the first violation");
+ABSL_FLAG(std::string,
+          off,
+          "none",
+          "mechanism to switch off: new_hosts_vote, no_grant_lease, "
+          "no_view_lease");
+
+namespace {
+
+using namespace caperjunction::claims_explorer;
+
+ablation ablation_of(std::string const& name)
+{
+    if (name == "new_hosts_vote") {
+        return ablation::new_hosts_vote;
+    }
+    if (name == "no_grant_lease") {
+        return ablation::no_grant_lease;
+    }
+    return name == "no_view_lease" ? ablation::no_view_lease : ablation::none;
+}
+
+search_limits limits_of_flags()
+{
+    search_limits limits;
+    limits.depth = absl::GetFlag(FLAGS_depth);
+    limits.max_states = absl::GetFlag(FLAGS_max_states);
+    limits.seed = absl::GetFlag(FLAGS_seed);
+    limits.threads = absl::GetFlag(FLAGS_threads);
+    limits.stop_at_first = absl::GetFlag(FLAGS_stop_at_first);
+    if (limits.threads == 0) {
+        limits.threads = std::max(1U, std::thread::hardware_concurrency());
+    }
+    return limits;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(
+        "Follows all histories of a non-repeatable call that a number of "
+        "faults allows.");
+    absl::ParseCommandLine(argc, argv);
+    constexpr std::uint32_t s_least_hosts = 5;
+    auto const hosts = absl::GetFlag(FLAGS_hosts);
+    auto const format = absl::GetFlag(FLAGS_format);
+    if (hosts < s_least_hosts || (format != "json" && format != "table")) {
+        std::cerr << "remedy: --hosts=5 or more, --format=json or table\n";
+        return 2;
+    }
+    scenario const fixed(hosts,
+                         absl::GetFlag(FLAGS_quorum_delta),
+                         ablation_of(absl::GetFlag(FLAGS_off)));
+    auto const only = absl::GetFlag(FLAGS_profile);
+    std::vector<profile_result> results;
+    for (auto const& profile : fault_profiles(absl::GetFlag(FLAGS_full))) {
+        if (only.empty() || only == profile.name) {
+            results.push_back(
+                {profile.name,
+                 search(fixed, profile.budget, limits_of_flags())});
+        }
+    }
+    std::cout << (format == "json" ? report_json(results)
+                                   : report_table(results));
+    bool const clean =
+        std::all_of(results.begin(), results.end(), [](auto const& one) {
+            return one.result.history.empty();
+        });
+    return clean ? 0 : 1;
+}
--- /dev/null
+++ b/bench/claims_explorer/world.cpp
@@ -0,0 +1,266 @@
+#include "bench/claims_explorer/world.hpp"
+
+#include "bench/claims_explorer/envelope_hash.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace caperjunction::claims_explorer {
+
+namespace {
+
+constexpr fleet::claim_key the_key{1, 1};
+constexpr std::uint64_t the_fingerprint = 1;
+
+} // namespace
+
+world::world(scenario const& fixed, fault_budget const& budget)
+    : m_fixed(&fixed)
+    , m_budget(budget)
+    , m_now(std::chrono::hours(1))
+    , m_published{m_now}
+{
+    for (std::size_t host = 0; host < fixed.names.size(); ++host) {
+        ++m_generations;
+        m_members.push_back(
+            {std::make_shared<node>(fixed, host, m_generations, true), 0});
+    }
+    for (std::size_t host = 0; host < fixed.names.size(); ++host) {
+        adopt(host, 0);
+        confirm(host);
+        seal(host);
+    }
+}
+
+void world::apply(step const& what)
+{
+    switch (what.kind) {
+    case step_kind::deliver:
+        deliver(what.index, false);
+        break;
+    case step_kind::deliver_twice:
+        --m_budget.duplicates;
+        deliver(what.index, true);
+        break;
+    case step_kind::hold:
+        --m_budget.holds;
+        m_flights[what.index].held = true;
+        break;
+    case step_kind::drop:
+        --m_budget.drops;
+        m_flights.erase(m_flights.begin()
+                        + static_cast<std::ptrdiff_t>(what.index));
+        break;
+    case step_kind::start:
+        start(what.index);
+        break;
+    case step_kind::dispatch_runs:
+        dispatch(what.index, true);
+        break;
+    case step_kind::dispatch_refused:
+        dispatch(what.index, false);
+        break;
+    case step_kind::end:
+        end(what.index, model::outcome::ran);
+        break;
+    case step_kind::publish:
+        --m_budget.lists;
+        m_published.push_back(m_now);
+        break;
+    case step_kind::adopt:
+        adopt(what.index, m_members[what.index].state->list + 1);
+        break;
+    case step_kind::adopt_newest:
+        adopt(what.index, m_published.size() - 1);
+        break;
+    case step_kind::leave:
+        --m_budget.leaves;
+        edit(what.index).leaving = true;
+        tell(what.index, fleet::witness_event(fleet::claim_stop_planned{}));
+        break;
+    case step_kind::crash:
+        --m_budget.crashes;
+        edit(what.index).alive = false;
+        break;
+    case step_kind::restart:
+        --m_budget.restarts;
+        restart(what.index);
+        break;
+    case step_kind::leap:
+        --m_budget.leaps;
+        m_budget.pauses -= what.host == step::no_host ? 0 : 1;
+        leap(m_fixed->leaps[what.index], what.host);
+        break;
+    case step_kind::wake:
+        edit(what.index).woke = true;
+        tick(what.index);
+        break;
+    case step_kind::confirm:
+        confirm(what.index);
+        break;
+    }
+    for (std::size_t host = 0; host < m_members.size(); ++host) {
+        seal(host);
+    }
+}
+
+std::uint64_t world::hash() const
+{
+    std::vector<std::uint64_t> parts;
+    for (auto const& one : m_members) {
+        parts.push_back(one.hash);
+    }
+    std::vector<std::uint64_t> letters;
+    for (auto const& one : m_flights) {
+        letters.push_back(one.letter->hash + (one.held ? 1 : 0));
+    }
+    std::sort(letters.begin(), letters.end());
+    parts.insert(parts.end(), letters.begin(), letters.end());
+    auto const add_age = [&](model::time_point then) {
+        parts.push_back(static_cast<std::uint64_t>((m_now - then).count()));
+    };
+    parts.push_back(m_published.size());
+    std::for_each(m_published.begin(), m_published.end(), add_age);
+    std::for_each(m_runs.begin(), m_runs.end(), add_age);
+    auto const* budget = reinterpret_cast<std::uint8_t const*>(&m_budget);
+    parts.push_back(XXH3_64bits(budget, sizeof m_budget));
+    return XXH3_64bits(parts.data(), parts.size() * sizeof parts[0]);
+}
+
+node& world::edit(std::size_t host)
+{
+    auto& one = m_members[host];
+    if (one.hash != 0) {
+        one.state = std::make_shared<node>(*one.state);
+        one.hash = 0;
+    }
+    return *one.state;
+}
+
+void world::seal(std::size_t host)
+{
+    auto& one = m_members[host];
+    if (one.hash == 0) {
+        one.hash = one.state->hash(m_now) | 1U;
+    }
+}
+
+void world::send(std::size_t from,
+                 std::vector<fleet::claim_send> const& letters)
+{
+    for (auto const& one : letters) {
+        envelope letter{from, m_fixed->index_of(one.to), one.message, 0};
+        if (letter.to == m_fixed->names.size()) {
+            continue;
+        }
+        letter.hash = hash_of(letter);
+        m_flights.push_back(
+            {std::make_shared<envelope const>(std::move(letter)), false});
+    }
+}
+
+void world::deliver(std::size_t index, bool keep)
+{
+    auto const letter = m_flights[index].letter;
+    if (keep) {
+        m_flights[index].held = true;
+    } else {
+        m_flights.erase(m_flights.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    if (m_members[letter->to].state->alive) {
+        tell_both(letter->to, {m_fixed->names[letter->from], letter->message});
+    }
+}
+
+void world::tell(std::size_t host, fleet::witness_event const& event)
+{
+    std::vector<fleet::claim_send> out;
+    edit(host).witness.handle(event, m_now, out);
+    send(host, out);
+}
+
+void world::tell(std::size_t host, fleet::claimant_event const& event)
+{
+    std::vector<fleet::claim_decision> out;
+    edit(host).claimant.handle(event, m_now, out);
+    for (auto const& decision : out) {
+        take(host, decision);
+    }
+}
+
+void world::tell_both(std::size_t host, fleet::claim_received const& event)
+{
+    tell(host, fleet::witness_event(event));
+    tell(host, fleet::claimant_event(event));
+}
+
+void world::take(std::size_t host, fleet::claim_decision const& decision)
+{
+    node& one = edit(host);
+    if (auto const* letter = std::get_if<fleet::claim_send>(&decision)) {
+        send(host, {*letter});
+    } else if (auto const* go = std::get_if<fleet::claim_proceed>(&decision)) {
+        one.stage = call_stage::queued;
+        one.ticket = go->ticket;
+    } else if (auto const* no = std::get_if<fleet::claim_not_run>(&decision)) {
+        m_found.false_not_run += ran_lately() ? 1 : 0;
+        one.told_not_run = one.told_not_run || no->ticket == one.ticket;
+        one.stage = call_stage::idle;
+    } else if (std::holds_alternative<fleet::claim_unknown>(decision)
+               || std::holds_alternative<fleet::claim_fetch_answer>(decision)) {
+        bool const first = one.stage == call_stage::waiting;
+        one.stage = first ? call_stage::idle : one.stage;
+    }
+}
+
+void world::start(std::size_t host)
+{
+    node& one = edit(host);
+    bool const again = one.stage != call_stage::idle;
+    m_budget.resends -= one.starts > 0 ? 1 : 0;
+    ++one.starts;
+    ++m_tickets;
+    if (!again) {
+        one.stage = call_stage::waiting;
+        one.ticket = m_tickets;
+        one.told_not_run = false;
+    }
+    tell(host,
+         fleet::claimant_event(
+             fleet::claim_started{the_key, the_fingerprint, m_tickets}));
+}
+
+// What the wiring does: asks once more, and only then sends to an upstream.
+void world::dispatch(std::size_t host, bool runs)
+{
+    node& one = edit(host);
+    bool const allowed = one.claimant.begin_dispatch(the_key, m_now);
+    if (!allowed) {
+        end(host, model::outcome::not_run);
+        return;
+    }
+    m_found.false_not_run += one.told_not_run ? 1 : 0;
+    if (!runs) {
+        end(host, model::outcome::not_run);
+        return;
+    }
+    m_found.runs_twice += ran_lately() ? 1 : 0;
+    m_runs.push_back(m_now);
+    one.stage = call_stage::dispatched;
+}
+
+void world::end(std::size_t host, model::outcome outcome)
+{
+    edit(host).stage = call_stage::idle;
+    tell(host, fleet::claimant_event(fleet::claim_ended{the_key, outcome}));
+}
+
+bool world::ran_lately() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [&](auto const& run) {
+        return m_now - run < m_fixed->promise();
+    });
+}
+
+} // namespace caperjunction::claims_explorer
--- a/src/fleet/claim_call.hpp
+++ b/src/fleet/claim_call.hpp
@@ -19,7 +19,6 @@
     /// A quorum is there; not dispatched yet.
     granted,
     dispatched,
-    done,
 };
 
 /// What an entry host remembers of one non-repeatable call.
@@ -36,6 +35,13 @@
     std::map<std::string, claim_reply> replies;
 };
 
+/// What is left of a call that ended after its dispatch.
+struct claim_finished
+{
+    std::uint64_t number = 0;
+    std::uint64_t fingerprint = 0;
+};
+
 } // namespace caperjunction::fleet
 
 #endif
--- a/src/fleet/claim_message.hpp
+++ b/src/fleet/claim_message.hpp
@@ -79,6 +79,9 @@
     /// With `granted`: whether the grant is a vote. A witness whose memory
     /// doesn't reach back far enough stores the claim but has no vote.
     bool vote = false;
+    /// With `vote`: names the vote. It may move on to another witness while
+    /// the attempt asks around, and must not count twice.
+    std::uint64_t vote_origin = 0;
     /// With `vote`: how many witnesses may have a vote for this key.
     std::uint32_t voters = 0;
     claim_refusal refusal = claim_refusal::none;
@@ -145,6 +148,7 @@
 {
     std::uint32_t bucket = 0;
     std::uint32_t voters = 0;
+    std::uint64_t origin = 0;
 };
 
 /// Hands votes over, with all claims of their buckets. Counts only for the
--- a/src/fleet/claim_settings.hpp
+++ b/src/fleet/claim_settings.hpp
@@ -42,11 +42,17 @@
     /// Records of a transfer, so that a message stays below a megabyte.
     std::size_t transfer_claims = 4'000;
 
-    /// After that time in a witness set a host's memory is complete: all
-    /// other hosts have noticed the list that put it there (view_lease),
-    /// what they did by older lists is over too (once more, for lists that
-    /// changed meanwhile), and claims from before have lapsed.
-    model::milliseconds maturity() const
+    /// After that time in a witness set a host's memory is complete, and it
+    /// votes without having been handed a vote.
+    ///
+    /// \pre at least `least_maturity()`.
+    model::milliseconds maturity{8'460'000};
+
+    /// By then all other hosts have noticed the list that put a host into
+    /// the set (view_lease), what they did by older lists is over too (once
+    /// more, for lists that changed meanwhile), and claims from before have
+    /// lapsed.
+    model::milliseconds least_maturity() const
     {
         return 2 * (view_lease + transfer_lease) + horizon;
     }
--- a/src/fleet/claim_view.hpp
+++ b/src/fleet/claim_view.hpp
@@ -25,11 +25,11 @@
     /// Work grows with hosts times buckets: about 5 ms for 400 hosts.
     ///
     /// \pre hosts' names differ.
-    claim_view(model::hosts const& hosts, claim_settings const& settings);
+    claim_view(model::hosts hosts, claim_settings const& settings);
 
     std::uint64_t revision() const
     {
-        return m_revision;
+        return m_hosts.revision;
     }
 
     std::size_t buckets() const
@@ -46,6 +46,9 @@
     /// \pre bucket is below `buckets()`.
     bool is_witness(std::string_view host, std::size_t bucket) const;
 
+    /// The same list without one host that is about to leave.
+    claim_view without(std::string_view host) const;
+
     /// Who follows `host` in a bucket that it leaves: the witnesses that
     /// `next` has beyond this view are matched to those it lacks, in order of
     /// name. Empty if nobody does.
@@ -54,7 +57,8 @@
                           claim_view const& next) const;
 
 private:
-    std::uint64_t m_revision;
+    model::hosts m_hosts;
+    claim_settings m_settings;
     std::vector<std::vector<std::string>> m_witnesses;
 };
 
--- a/src/fleet/claimant.hpp
+++ b/src/fleet/claimant.hpp
@@ -9,9 +9,13 @@
 #include "fleet/wake_guard.hpp"
 #include "model/time.hpp"
 
+#include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace caperjunction::fleet {
@@ -49,7 +53,7 @@
     /// Whether the key is being claimed, queued or run by this host.
     bool active(claim_key key) const;
 
-    /// Calls that are remembered, active or done.
+    /// Calls that are being claimed, queued or run.
     std::size_t calls() const
     {
         return m_calls.size();
@@ -80,26 +84,38 @@
 
     void
     on_reply(std::string const& from, claim_reply const& reply, decisions& out);
-    void on_query(claim_query const& query, decisions& out);
-    void answer_resend(claim_started const& event,
-                       claim_call const& call,
-                       decisions& out) const;
-    void ask(claim_key key, claim_call& call, decisions& out) const;
+    void on_stray_grant(std::string const& from,
+                        claim_reply const& reply,
+                        decisions& out) const;
+    void on_query(claim_query const& query, decisions& out) const;
+    bool answer_resend(claim_started const& event, decisions& out) const;
+    void ask(claim_key key,
+             claim_call& call,
+             model::time_point now,
+             decisions& out) const;
     void weigh(claim_key key, decisions& out);
     void give_up(claim_key key, decisions& out);
-    void release(claim_key key,
-                 claim_attempt const& attempt,
-                 std::vector<std::string> const& witnesses,
-                 decisions& out) const;
+    void end_undispatched(claim_key key,
+                          model::time_point now,
+                          std::string reason,
+                          decisions& out);
+    void settle(claim_key key,
+                claim_attempt const& attempt,
+                std::vector<std::string> const& witnesses,
+                decisions& out) const;
     claim_attempt attempt_of(claim_call const& call) const;
 
     std::string m_host;
     std::uint64_t m_generation;
     claim_settings m_settings;
     wake_guard m_guard;
+    model::time_point m_woke{};
     std::shared_ptr<claim_view const> m_view;
     std::uint64_t m_attempts = 0;
     std::map<claim_key, claim_call> m_calls;
+    /// Ended after their dispatch; remembered for one horizon.
+    std::map<claim_key, claim_finished> m_finished;
+    std::deque<std::pair<model::time_point, claim_key>> m_finished_until;
 };
 
 } // namespace caperjunction::fleet
--- /dev/null
+++ b/src/fleet/claimant_calls.cpp
@@ -0,0 +1,155 @@
+#include "fleet/claim_retry.hpp"
+#include "fleet/claim_tally.hpp"
+#include "fleet/claimant.hpp"
+
+#include <utility>
+
+namespace caperjunction::fleet {
+
+void claimant::on_reply(std::string const& from,
+                        claim_reply const& reply,
+                        decisions& out)
+{
+    auto const found = m_calls.find(reply.key);
+    if (found == m_calls.end() || attempt_of(found->second) != reply.attempt) {
+        on_stray_grant(from, reply, out);
+        return;
+    }
+    claim_call& call = found->second;
+    if (call.phase == claim_phase::asking) {
+        call.replies[from] = reply;
+        weigh(reply.key, out);
+    }
+}
+
+// A request that was late on its way was granted after its attempt was over;
+// left alone, the key would be blocked for a whole horizon.
+void claimant::on_stray_grant(std::string const& from,
+                              claim_reply const& reply,
+                              decisions& out) const
+{
+    if (reply.status == claim_status::granted) {
+        settle(reply.key, reply.attempt, {from}, out);
+    }
+}
+
+void claimant::on_query(claim_query const& query, decisions& out) const
+{
+    auto const call = m_calls.find(query.key);
+    bool const active =
+        call != m_calls.end() && attempt_of(call->second) == query.attempt;
+    if (!active && m_view != nullptr) {
+        auto const bucket = claim_bucket(query.key, m_settings.buckets);
+        settle(query.key, query.attempt, m_view->witnesses(bucket), out);
+    }
+}
+
+// Tells witnesses how an attempt ended, if it was this process's own. Of an
+// earlier process of this host nothing is known: its calls may have run.
+//
+// \pre the attempt is not active.
+void claimant::settle(claim_key key,
+                      claim_attempt const& attempt,
+                      std::vector<std::string> const& witnesses,
+                      decisions& out) const
+{
+    if (attempt.host != m_host || attempt.generation != m_generation) {
+        return;
+    }
+    auto const finished = m_finished.find(key);
+    bool const done = finished != m_finished.end()
+                      && finished->second.number == attempt.number;
+    for (auto const& name : witnesses) {
+        claim_message const message =
+            done ? claim_message(claim_done{key, attempt})
+                 : claim_message(claim_release{key, attempt});
+        out.push_back(claim_send{name, message});
+    }
+}
+
+void claimant::ask(claim_key key,
+                   claim_call& call,
+                   model::time_point now,
+                   decisions& out) const
+{
+    call.asked = now;
+    claim_request request;
+    request.key = key;
+    request.attempt = attempt_of(call);
+    request.fingerprint = call.fingerprint;
+    request.list_revision = m_view->revision();
+    for (auto const& name : call.witnesses) {
+        auto const reply = call.replies.find(name);
+        bool const open = reply == call.replies.end()
+                          || reply->second.status == claim_status::refused;
+        if (open) {
+            out.push_back(claim_send{name, request});
+        }
+    }
+}
+
+void claimant::weigh(claim_key key, decisions& out)
+{
+    claim_call& call = m_calls.at(key);
+    claim_tally const tally = count_votes(call, m_settings);
+    if (tally.votes >= tally.quorum) {
+        call.phase = claim_phase::granted;
+        out.push_back(
+            claim_proceed{call.ticket, call.started + m_settings.grant_lease});
+    } else if (tally.votes + tally.open < tally.quorum) {
+        give_up(key, out);
+    }
+}
+
+// Without a quorum nothing is known of other hosts' attempts: the call may
+// have run where this host can't see it. So the answer is never `not-run`.
+void claimant::give_up(claim_key key, decisions& out)
+{
+    claim_call const call = std::move(m_calls.at(key));
+    m_calls.erase(key);
+    settle(key, attempt_of(call), call.witnesses, out);
+    claim_reply const* holder = find_holder(call);
+    if (holder == nullptr) {
+        out.push_back(claim_unknown{
+            call.ticket, retry_no_quorum, "too few witnesses answered"});
+    } else if (holder->holder_fingerprint != call.fingerprint) {
+        out.push_back(claim_mismatch{call.ticket});
+    } else if (holder->holder_state == claim_state::done) {
+        out.push_back(claim_fetch_answer{
+            call.ticket, holder->holder.host, key, holder->holder});
+    } else {
+        out.push_back(
+            claim_send{holder->holder.host, claim_query{key, holder->holder}});
+        out.push_back(claim_unknown{
+            call.ticket, retry_running, "another copy holds the claim"});
+    }
+}
+
+// This attempt had the claim and was never dispatched, and as long as the
+// witnesses remember it nobody else can have been: that is certain.
+void claimant::end_undispatched(claim_key key,
+                                model::time_point now,
+                                std::string reason,
+                                decisions& out)
+{
+    claim_call const call = std::move(m_calls.at(key));
+    m_calls.erase(key);
+    bool const certain =
+        m_guard.may_act()
+        && now - call.started < m_settings.horizon - m_settings.grant_lease;
+    if (certain) {
+        out.push_back(
+            claim_not_run{call.ticket, retry_no_quorum, std::move(reason)});
+    } else {
+        out.push_back(
+            claim_unknown{call.ticket, retry_no_quorum, std::move(reason)});
+    }
+    settle(key, attempt_of(call), call.witnesses, out);
+}
+
+claim_attempt claimant::attempt_of(claim_call const& call) const
+{
+    return {m_host, m_generation, call.number};
+}
+
+} // namespace caperjunction::fleet
--- /dev/null
+++ b/src/fleet/witness.cpp
@@ -0,0 +1,262 @@
+#include "fleet/witness.hpp"
+
+#include "fleet/claim_fingerprint.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace caperjunction::fleet {
+
+witness::witness(witness_settings settings)
+    : m_settings(std::move(settings))
+    , m_guard(m_settings.claims.pause_limit)
+    , m_buckets(m_settings.claims.buckets)
+{
+}
+
+void witness::handle(witness_event const& event,
+                     model::time_point now,
+                     std::vector<claim_send>& out)
+{
+    // A process that slept believes a list that may be long gone, and would
+    // give votes that others have replaced. It shows as two runs of one key.
+    if (m_guard.note_wake(now)) {
+        m_woke = now;
+    }
+    m_memory.expire(now);
+    lapse(now);
+    std::visit(
+        [&](auto const& what) {
+            on_event(what, now, out);
+        },
+        event);
+}
+
+void witness::on_event(claim_view_listed const& event,
+                       model::time_point now,
+                       messages& out)
+{
+    adopt(event.view, now, out);
+}
+
+void witness::on_event(claim_view_confirmed const& event,
+                       model::time_point now,
+                       messages& /*out*/)
+{
+    m_confirmed = std::max(m_confirmed, std::min(event.as_of, now));
+    if (event.as_of >= m_woke) {
+        m_guard.refreshed();
+    }
+}
+
+void witness::on_event(claim_received const& event,
+                       model::time_point now,
+                       messages& out)
+{
+    if (auto const* request = std::get_if<claim_request>(&event.message)) {
+        on_message(event.from, *request, now, out);
+    } else if (auto const* over = std::get_if<claim_release>(&event.message)) {
+        m_memory.erase(over->key, over->attempt);
+    } else if (auto const* done = std::get_if<claim_done>(&event.message)) {
+        m_memory.finish(done->key, done->attempt);
+    } else if (auto const* offer = std::get_if<claim_offer>(&event.message)) {
+        on_message(event.from, *offer, now, out);
+    } else if (auto const* taker = std::get_if<claim_accept>(&event.message)) {
+        on_message(event.from, *taker, now, out);
+    } else if (auto const* votes =
+                   std::get_if<claim_transfer>(&event.message)) {
+        on_message(event.from, *votes, now, out);
+    } else if (auto const* ack =
+                   std::get_if<claim_transfer_ack>(&event.message)) {
+        if (ack->offer_generation == m_settings.generation) {
+            m_hand_overs.erase(ack->number);
+        }
+    }
+}
+
+void witness::on_event(claim_stop_planned const& /*event*/,
+                       model::time_point now,
+                       messages& out)
+{
+    if (m_leaving) {
+        return;
+    }
+    // First no vote more, then the hand-over: a claim granted after the copy
+    // was made would be missing from it.
+    m_leaving = true;
+    if (m_view == nullptr) {
+        return;
+    }
+    claim_view const next = m_view->without(m_settings.host);
+    std::map<std::string, std::vector<std::size_t>> to;
+    for (std::size_t bucket = 0; bucket < m_buckets.size(); ++bucket) {
+        mature(bucket, now);
+        if (m_buckets[bucket].vote) {
+            auto const name = m_view->successor(m_settings.host, bucket, next);
+            to[name].push_back(bucket);
+        }
+    }
+    hand_over(to, now, out);
+}
+
+void witness::on_event(claim_tick const& /*event*/,
+                       model::time_point now,
+                       messages& out)
+{
+    drive_hand_overs(now, out);
+    auto const lease = m_settings.claims.transfer_lease;
+    for (auto intake = m_intakes.begin(); intake != m_intakes.end();) {
+        std::erase_if(intake->second.open, [&](auto const& entry) {
+            return now - entry.second.accepted > lease;
+        });
+        bool const old = now - intake->second.used > m_settings.claims.maturity;
+        intake = old ? m_intakes.erase(intake) : std::next(intake);
+    }
+}
+
+void witness::on_message(std::string const& from,
+                         claim_request const& request,
+                         model::time_point now,
+                         messages& out)
+{
+    if (from != request.attempt.host) {
+        return;
+    }
+    claim_reply reply = consider(request, now);
+    reply.key = request.key;
+    reply.attempt = request.attempt;
+    reply.list_revision = m_view == nullptr ? 0 : m_view->revision();
+    out.push_back({from, reply});
+}
+
+claim_refusal witness::refusal(claim_request const& request,
+                               model::time_point now) const
+{
+    if (m_leaving) {
+        return claim_refusal::leaving;
+    }
+    if (m_view == nullptr || view_lapsed(now) || !m_guard.may_act()) {
+        return claim_refusal::view_outdated;
+    }
+    auto const bucket = claim_bucket(request.key, m_buckets.size());
+    bool const older = request.list_revision < m_view->revision();
+    if (older && !m_buckets[bucket].member) {
+        return claim_refusal::not_a_witness;
+    }
+    return claim_refusal::none;
+}
+
+claim_reply witness::consider(claim_request const& request,
+                              model::time_point now)
+{
+    claim_reply reply;
+    reply.refusal = refusal(request, now);
+    if (reply.refusal != claim_refusal::none) {
+        return reply;
+    }
+    auto const* held = m_memory.find(request.key);
+    // A newer try of the same process: that process gave the older one up
+    // before, undispatched, and its release is late or lost.
+    bool const superseded =
+        held != nullptr && held->state == claim_state::running
+        && held->attempt.host == request.attempt.host
+        && held->attempt.generation == request.attempt.generation
+        && held->attempt.number < request.attempt.number;
+    bool const other = held != nullptr && held->attempt != request.attempt;
+    if (other && !superseded) {
+        reply.status = claim_status::held;
+        reply.holder = held->attempt;
+        reply.holder_state = held->state;
+        reply.holder_fingerprint = held->fingerprint;
+        return reply;
+    }
+    // Full memory refuses; to forget a claim early would allow a second run.
+    if (held == nullptr && m_memory.size() >= m_settings.claims.max_claims) {
+        reply.refusal = claim_refusal::full;
+        return reply;
+    }
+    if (held == nullptr || superseded) {
+        m_memory.put(request.key,
+                     {request.attempt,
+                      request.fingerprint,
+                      claim_state::running,
+                      now + m_settings.claims.horizon});
+    }
+    auto const bucket = claim_bucket(request.key, m_buckets.size());
+    mature(bucket, now);
+    reply.status = claim_status::granted;
+    reply.vote = m_buckets[bucket].vote;
+    reply.vote_origin = reply.vote ? m_buckets[bucket].origin : 0;
+    reply.voters = m_buckets[bucket].voters;
+    return reply;
+}
+
+std::uint64_t witness::origin() const
+{
+    auto const& host = m_settings.host;
+    return XXH3_64bits_withSeed(
+        host.data(), host.size(), m_settings.generation);
+}
+
+bool witness::view_lapsed(model::time_point now) const
+{
+    return now - m_confirmed > m_settings.claims.view_lease;
+}
+
+// A host that hears no list for that long may be off it. Others give its
+// votes out anew after `maturity`, so it must have none left by then.
+void witness::lapse(model::time_point now)
+{
+    if (m_view == nullptr || !view_lapsed(now)) {
+        return;
+    }
+    m_hand_overs.clear();
+    for (auto& bucket : m_buckets) {
+        bucket.vote = false;
+        bucket.entered = now;
+    }
+}
+
+void witness::mature(std::size_t bucket, model::time_point now)
+{
+    auto& state = m_buckets[bucket];
+    bool const old = now - state.entered >= m_settings.claims.maturity;
+    if (state.member && !state.vote && old && m_guard.may_act()) {
+        state.vote = true;
+        state.origin = origin();
+    }
+}
+
+void witness::fingerprint(model::time_point now, std::string& out) const
+{
+    append(out, m_settings.generation);
+    append(out, m_view == nullptr ? 0 : m_view->revision());
+    append_age(out, m_confirmed, now);
+    append(out, (m_guard.may_act() ? 2U : 0U) + (m_leaving ? 1U : 0U));
+    for (auto const& bucket : m_buckets) {
+        append(out, (bucket.member ? 2U : 0U) + (bucket.vote ? 1U : 0U));
+        append(out, bucket.vote ? bucket.origin : 0U);
+        append_age(out, bucket.vote ? now : bucket.entered, now);
+    }
+    m_memory.fingerprint(now, out);
+    append(out, m_offers);
+    for (auto const& [number, hand_over] : m_hand_overs) {
+        append(out, number);
+        append(out, std::string_view(hand_over.to));
+        append(out, hand_over.transfer.to_generation);
+        append(out, hand_over.transfer.claims.size());
+        append_age(out, hand_over.started, now);
+    }
+    for (auto const& [from, intake] : m_intakes) {
+        append(out, std::string_view(from.first));
+        append(out, from.second);
+        append(out, intake.highest);
+        for (auto const& [number, offer] : intake.open) {
+            append(out, number * 2 + (offer.taken ? 1 : 0));
+            append_age(out, offer.accepted, now);
+        }
+    }
+}
+
+} // namespace caperjunction::fleet
--- a/src/fleet/witness.hpp
+++ b/src/fleet/witness.hpp
@@ -71,6 +71,8 @@
         bool member = false;
         bool vote = false;
         std::uint32_t voters = 0;
+        /// Stays with the vote wherever it goes.
+        std::uint64_t origin = 0;
         /// Since when it has been a member without a break.
         model::time_point entered{};
     };
@@ -108,10 +110,14 @@
                     model::time_point now,
                     messages& out);
 
+    std::uint64_t origin() const;
+    bool view_lapsed(model::time_point now) const;
     void lapse(model::time_point now);
     void mature(std::size_t bucket, model::time_point now);
+    void take_in(claim_transfer const& transfer, model::time_point now);
     claim_refusal refusal(claim_request const& request,
-                          std::size_t bucket) const;
+                          model::time_point now) const;
+    claim_reply consider(claim_request const& request, model::time_point now);
     void adopt(std::shared_ptr<claim_view const> view,
                model::time_point now,
                messages& out);
@@ -124,11 +130,13 @@
     wake_guard m_guard;
     std::shared_ptr<claim_view const> m_view;
     model::time_point m_confirmed{};
+    model::time_point m_woke{};
     bool m_leaving = false;
     std::vector<bucket_state> m_buckets;
     witness_memory m_memory;
     std::uint64_t m_offers = 0;
     std::map<std::uint64_t, witness_hand_over> m_hand_overs;
+    /// By host and generation of the process that offers.
     std::map<std::pair<std::string, std::uint64_t>, witness_intake> m_intakes;
 };
 
--- a/src/fleet/witness_hand_over.hpp
+++ b/src/fleet/witness_hand_over.hpp
@@ -5,6 +5,7 @@
 #include "model/time.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace caperjunction::fleet {
@@ -23,11 +24,18 @@
 /// Votes on their way in from one process of one host.
 struct witness_intake
 {
-    /// Offers up to that number have been taken in, or came too late.
-    std::uint64_t taken = 0;
-    /// The offer that was accepted last, and when it first was.
-    std::uint64_t accepted = 0;
-    model::time_point accepted_at{};
+    struct offer
+    {
+        model::time_point accepted{};
+        bool taken = false;
+    };
+
+    /// Offers up to that number are known; a late copy opens none of them
+    /// again, since the vote may have moved on by then.
+    std::uint64_t highest = 0;
+    /// Those that may still be on their way.
+    std::map<std::uint64_t, offer> open;
+    model::time_point used{};
 };
 
 } // namespace caperjunction::fleet
--- a/src/fleet/witness_memory.hpp
+++ b/src/fleet/witness_memory.hpp
@@ -47,11 +47,11 @@
     /// Forgets what has lapsed by `now`.
     void expire(model::time_point now);
 
-    /// All claims of one bucket, for a transfer.
-    void collect(std::size_t bucket,
-                 std::size_t buckets,
-                 model::time_point now,
-                 std::vector<claim_record>& out) const;
+    /// All claims of the wanted buckets by bucket, for transfers.
+    ///
+    /// \pre wanted has a place for each bucket.
+    std::map<std::size_t, std::vector<claim_record>>
+    collect(std::vector<bool> const& wanted, model::time_point now) const;
 
     /// See `witness::fingerprint`.
     void fingerprint(model::time_point now, std::string& out) const;
--- /dev/null
+++ b/tests/fleet/explorer_test.cpp
@@ -0,0 +1,55 @@
+#include "bench/claims_explorer/fault_budget.hpp"
+#include "bench/claims_explorer/scenario.hpp"
+#include "bench/claims_explorer/search.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caperjunction::claims_explorer;
+
+namespace {
+
+constexpr std::size_t all_hosts = 7;
+constexpr std::size_t few_states = 40'000;
+
+search_limits short_search()
+{
+    search_limits limits;
+    limits.max_states = few_states;
+    limits.threads = 2;
+    return limits;
+}
+
+} // namespace
+
+TEST_CASE("no short history of faults runs a call twice")
+{
+    // Messages are lost, held back and doubled, hosts crash, sleep, stop and
+    // go by different lists, while a caller sends one booking to two hosts.
+    // A client would be charged twice, or be told "not run" for a call that
+    // ran, or never get an answer again.
+    scenario const fixed(all_hosts, 0, ablation::none);
+    for (auto const& profile : fault_profiles(false)) {
+        CAPTURE(profile.name);
+        auto const result = search(fixed, profile.budget, short_search());
+        CHECK(result.runs_twice == 0);
+        CHECK(result.false_not_run == 0);
+        CHECK(result.stuck == 0);
+        CHECK(result.settled > 0);
+        CHECK(result.states > few_states / 2);
+    }
+}
+
+TEST_CASE("one vote less than a majority runs a call twice")
+{
+    // Two entry hosts each find two of five witnesses, not the same ones, and
+    // both run the booking. A search that doesn't find this would not find a
+    // fault of ours either.
+    scenario const fixed(all_hosts, -1, ablation::none);
+    fault_budget const no_faults{.resends = 0};
+    auto limits = short_search();
+    limits.max_states = 400'000;
+    limits.stop_at_first = true;
+    auto const result = search(fixed, no_faults, limits);
+    CHECK(result.runs_twice > 0);
+    CHECK_FALSE(result.history.empty());
+}
