Compare claim keys by hand, and split a long function

Cause: the linter reads the 0 behind a defaulted <=> as a pointer, and a function of the explorer had grown past its bound. Change: operator== and operator< in place of <=>; fleet steps of the explorer in a function of their own.

--- a/bench/claims_explorer/world.cpp
+++ b/bench/claims_explorer/world.cpp
@@ -64,6 +64,19 @@
     case step_kind::end:
         end(what.index, model::outcome::ran);
         break;
+    default:
+        apply_to_fleet(what);
+        break;
+    }
+    for (std::size_t host = 0; host < m_members.size(); ++host) {
+        seal(host);
+    }
+}
+
+// Steps that are no message's and no call's.
+void world::apply_to_fleet(step const& what)
+{
+    switch (what.kind) {
     case step_kind::publish:
         --m_budget.lists;
         m_published.push_back(m_now);
@@ -96,13 +109,10 @@
         edit(what.index).woke = true;
         tick(what.index);
         break;
-    case step_kind::confirm:
+    default:
         confirm(what.index);
         break;
     }
-    for (std::size_t host = 0; host < m_members.size(); ++host) {
-        seal(host);
-    }
 }
 
 std::uint64_t world::hash() const
--- a/bench/claims_explorer/world.hpp
+++ b/bench/claims_explorer/world.hpp
@@ -88,6 +88,7 @@
     void add_list_steps(std::vector<step>& out) const;
     void add_fault_steps(std::vector<step>& out) const;
 
+    void apply_to_fleet(step const& what);
     node& edit(std::size_t host);
     void seal(std::size_t host);
     void send(std::size_t from, std::vector<fleet::claim_send> const& letters);
--- a/src/fleet/claim_key.hpp
+++ b/src/fleet/claim_key.hpp
@@ -1,7 +1,6 @@
 #ifndef CAPERJUNCTION_FLEET_CLAIM_KEY_HPP
 #define CAPERJUNCTION_FLEET_CLAIM_KEY_HPP
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -15,7 +14,12 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(claim_key const&, claim_key const&) = default;
+    friend bool operator==(claim_key const&, claim_key const&) = default;
+
+    friend bool operator<(claim_key const& a, claim_key const& b)
+    {
+        return a.high != b.high ? a.high < b.high : a.low < b.low;
+    }
 };
 
 /// Hashes customer and key; two pairs never run into each other's text.
--- a/src/fleet/claim_message.hpp
+++ b/src/fleet/claim_message.hpp
@@ -4,7 +4,6 @@
 #include "fleet/claim_key.hpp"
 #include "model/time.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -21,8 +20,8 @@
     /// Counts the tries of one process, from 1.
     std::uint64_t number = 0;
 
-    friend auto operator<=>(claim_attempt const&,
-                            claim_attempt const&) = default;
+    friend bool operator==(claim_attempt const&,
+                           claim_attempt const&) = default;
 };
 
 /// How far the holder of a claim is known to have come.
