Let the highest tier pass an owed one that has no room

Cause: a lower tier that was owed its share went first, and while no engine had room for it, nothing else on the host started: the highest tier waited behind it with room of its own left.

Change: the first requests of all tiers are tried in turn; the highest tier may also cross regions into an engine's last room.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -88,6 +88,7 @@
 
     // Placement.
     void drain(index group);
+    bool start_next(index group);
     void drain_suspects();
     void shed_late(index group);
     bool hopeless(entry const& waiting) const;
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -21,17 +21,28 @@
 {
     // Late binding: what has no room stays here, where it can still be put
     // behind a higher tier; it starts when an engine's bound allows.
-    model_group& group = m_engines.groups()[group_place];
     for (std::size_t started = 0; started < most_starts; ++started) {
-        entry* const head = group.queue.next();
-        if (head != nullptr && hopeless(*head) && gate(*head).shut(m_now)) {
+        if (!start_next(group_place)) {
+            return;
+        }
+    }
+}
+
+bool core::start_next(index group_place)
+{
+    for (entry* const head : m_engines.groups()[group_place].queue.turns()) {
+        if (head == nullptr) {
+            break;
+        }
+        if (hopeless(*head) && gate(*head).shut(m_now)) {
             refuse_late(*head);
-            continue;
+            return true;
         }
-        if (head == nullptr || must_yield(*head) || !start(*head)) {
-            return;
+        if (!must_yield(*head) && start(*head)) {
+            return true;
         }
     }
+    return false;
 }
 
 void core::drain_suspects()
--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -43,8 +43,10 @@
     --m_size;
 }
 
-entry* fair_queue::next()
+std::array<entry*, fair_queue::max_turns> fair_queue::turns()
 {
+    std::array<entry*, max_turns> order{};
+    std::size_t placed = 0;
     entry* highest = nullptr;
     for (tier_state& tier : m_tiers) {
         entry* const head = tier.queue.head();
@@ -54,10 +56,20 @@
         if (highest == nullptr) {
             highest = head;
         } else if (tier.earned >= token_cost(*head)) {
-            return head;
+            order[placed++] = head;
         }
     }
-    return highest;
+    // Behind those that are owed come all by rank: room that an owed one may
+    // not use can still be good for the highest tier.
+    for (tier_state& tier : m_tiers) {
+        entry* const head = tier.queue.head();
+        bool const owed =
+            std::find(order.begin(), order.end(), head) != order.end();
+        if (head != nullptr && !owed) {
+            order[placed++] = head;
+        }
+    }
+    return order;
 }
 
 bool fair_queue::owed(entry const& waiting) const
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -4,7 +4,9 @@
 #include "decide/entry.hpp"
 #include "decide/moving_average.hpp"
 #include "decide/tier_queue.hpp"
+#include "model/limits.hpp"
 
+#include <array>
 #include <cstddef>
 #include <vector>
 
@@ -31,8 +33,11 @@
 
     void remove(entry& waiting);
 
-    /// The request that goes next; null if there is none.
-    entry* next();
+    static constexpr std::size_t max_turns = model::limits::max_tiers;
+
+    /// The first request of each tier in the order in which they are to be
+    /// tried; null behind the last.
+    std::array<entry*, max_turns> turns();
 
     /// Whether `waiting`'s tier goes ahead of higher ones by its share.
     bool owed(entry const& waiting) const;
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -16,6 +16,7 @@
 // An engine takes work from the other region only while it is well below its
 // bound: otherwise both sides send their overflow across, and pay for it.
 constexpr double across_below = 0.8;
+constexpr double highest_tier_across_below = 0.97;
 // Between engines of equal first token the emptier one decodes faster.
 constexpr double load_penalty_ms = 30.0;
 // Paid bytes have to buy a noticeable gain.
@@ -163,26 +164,36 @@
 
 void placer::weigh_across(choice& own)
 {
-    model_group const& group = own.engines.groups()[own.waiting.group];
-    std::vector<index> const& open = group.others.any_tier.engines();
+    region_room const& others = own.engines.groups()[own.waiting.group].others;
     double const bytes = link_budget::estimate(own.waiting.prompt_tokens,
                                                own.waiting.expected_output);
-    // Nobody in this region serves the model: the budget still holds, but
-    // waiting for room here would be in vain.
-    if (open.empty() || !m_link.allows(bytes, own.now)) {
+    if (!m_link.allows(bytes, own.now)) {
         return;
     }
+    sample_across(own, others.any_tier, across_below);
+    // What the highest tier would lose here by waiting is worth its bytes.
+    if (own.waiting.tier == 0 && own.best.engine == no_index) {
+        sample_across(own, others.any_tier, highest_tier_across_below);
+    }
+    if (own.waiting.tier == 0 && own.best.engine == no_index) {
+        sample_across(own, others.highest_tier, highest_tier_across_below);
+    }
+    if (own.best.engine != no_index) {
+        own.best.link_bytes = bytes;
+    }
+}
+
+void placer::sample_across(choice& own, open_list const& from, double below)
+{
+    std::vector<index> const& open = from.engines();
     std::size_t const count = std::min(open.size(), max_samples);
     for (std::size_t tried = 0; tried < count; ++tried) {
         index const place = open[m_random() % open.size()];
         engine_state const& engine = own.engines.at(place);
-        if (engine.outstanding(own.now) < across_below * engine.bound()) {
+        if (engine.outstanding(own.now) < below * engine.bound()) {
             weigh(own, place);
         }
     }
-    if (own.best.engine != no_index) {
-        own.best.link_bytes = bytes;
-    }
 }
 
 } // namespace caperjunction::decide
--- a/src/decide/placer.hpp
+++ b/src/decide/placer.hpp
@@ -44,6 +44,7 @@
     void sample(choice& own, open_list const& from);
     void weigh(choice& own, index engine);
     void weigh_across(choice& own);
+    void sample_across(choice& own, open_list const& from, double below);
 
     std::mt19937_64 m_random;
     link_budget m_link;
