Find the end of an event in one pass

Cause: the scanner searched for both kinds of line break from each event's start; the one that never comes was searched for to the end of the read, once for every event in it.

Change: one pass over the line ends that tests both.

--- a/src/net/sse_scanner.cpp
+++ b/src/net/sse_scanner.cpp
@@ -3,22 +3,23 @@
 namespace caperjunction::net {
 namespace {
 
-constexpr std::string_view line_break = "\n\n";
-constexpr std::string_view wide_line_break = "\n\r\n";
-
 /// The place just after the event that starts at `start`; npos if its end
-/// has not come yet.
+/// has not come yet. One pass: a search for each kind of line break would run
+/// to the end of a long read once for every event in it.
 std::size_t end_of_event(std::string_view text, std::size_t start)
 {
-    std::size_t const narrow = text.find(line_break, start);
-    std::size_t const wide = text.find(wide_line_break, start);
-    if (narrow == std::string_view::npos && wide == std::string_view::npos) {
-        return std::string_view::npos;
-    }
-    if (narrow < wide) {
-        return narrow + line_break.size();
+    std::size_t line = text.find('\n', start);
+    while (line != std::string_view::npos) {
+        std::size_t const next = line + 1;
+        if (text.compare(next, 1, "\n") == 0) {
+            return next + 1;
+        }
+        if (text.compare(next, 2, "\r\n") == 0) {
+            return next + 2;
+        }
+        line = text.find('\n', next);
     }
-    return wide + wide_line_break.size();
+    return std::string_view::npos;
 }
 
 /// Whether `field` stands in the event with a text that isn't empty. Quotes
