Print the whole policy table, and what regions and small teams got

JSON gains smaller_teams_attainment and regions; a region that stops serving while the link is cut is a violation.

--- a/bench/policy_bench/class_result.hpp
+++ b/bench/policy_bench/class_result.hpp
@@ -24,6 +24,9 @@
     /// Those who hung up by their own will while all was in time; they are
     /// neither in nor out of target.
     std::uint32_t not_counted = 0;
+    /// Counted ones of all teams but the largest, and those within targets.
+    std::uint32_t smaller_teams = 0;
+    std::uint32_t smaller_teams_within = 0;
     double promised = 0.0;
     /// Longest time from a send to its first token or refusal.
     double max_wait_s = 0.0;
@@ -35,6 +38,15 @@
         std::uint32_t const counted = offered - not_counted;
         return counted == 0 ? 1.0 : static_cast<double>(within) / counted;
     }
+
+    /// Attainment of all teams but the largest: nobody's branch is forgotten
+    /// because another one floods.
+    double smaller_teams_attainment() const
+    {
+        return smaller_teams == 0
+                   ? 1.0
+                   : static_cast<double>(smaller_teams_within) / smaller_teams;
+    }
 };
 
 } // namespace caperjunction::bench
--- a/bench/policy_bench/main.cpp
+++ b/bench/policy_bench/main.cpp
@@ -1,6 +1,7 @@
 // Runs the decision logic and the baselines in virtual time.
 #include "bench/policy_bench/report.hpp"
 #include "bench/policy_bench/run_plan.hpp"
+#include "bench/policy_bench/summary.hpp"
 #include "model/error.hpp"
 
 #include <absl/flags/flag.h>
@@ -16,7 +17,7 @@
 ABSL_FLAG(std::string, policy, "caperjunction", "names, or all");
 ABSL_FLAG(std::string, seed, "1", "one seed, or several with commas");
 ABSL_FLAG(std::string, seeds, "", "the same; goes before --seed");
-ABSL_FLAG(std::string, format, "table", "table or json");
+ABSL_FLAG(std::string, format, "table", "table, json or markdown");
 ABSL_FLAG(bool, list, false, "print all names and end");
 
 namespace {
@@ -30,10 +31,10 @@
         return;
     }
     std::string const format = absl::GetFlag(FLAGS_format);
-    if (format != "table" && format != "json") {
+    if (format != "table" && format != "json" && format != "markdown") {
         throw model::error(model::error_kind::bad_settings,
                            "there is no format '" + format + "'",
-                           "name table or json");
+                           "name table, json or markdown");
     }
     std::string const seeds = absl::GetFlag(FLAGS_seeds);
     auto const results = bench::run(
@@ -41,9 +42,13 @@
                           absl::GetFlag(FLAGS_scenario),
                           absl::GetFlag(FLAGS_policy),
                           seeds.empty() ? absl::GetFlag(FLAGS_seed) : seeds));
-    fmt::print("{}",
-               format == "json" ? bench::to_json(results)
-                                : bench::to_table(results));
+    if (format == "json") {
+        fmt::print("{}", bench::to_json(results));
+    } else if (format == "markdown") {
+        fmt::print("{}", bench::to_markdown(results));
+    } else {
+        fmt::print("{}", bench::to_table(results));
+    }
 }
 
 } // namespace
--- /dev/null
+++ b/bench/policy_bench/region_result.hpp
@@ -0,0 +1,19 @@
+#ifndef CAPERJUNCTION_BENCH_REGION_RESULT_HPP
+#define CAPERJUNCTION_BENCH_REGION_RESULT_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace caperjunction::bench {
+
+/// What callers of one region got who came in the scenario's window.
+struct region_result
+{
+    std::string name;
+    std::uint32_t offered = 0;
+    std::uint32_t served = 0;
+};
+
+} // namespace caperjunction::bench
+
+#endif
--- a/bench/policy_bench/report.cpp
+++ b/bench/policy_bench/report.cpp
@@ -19,17 +19,19 @@
 
 json to_object(class_result const& one)
 {
-    return {{"name", one.name},
-            {"tier", one.tier},
-            {"offered", one.offered},
-            {"served", one.served},
-            {"refused", one.refused},
-            {"attainment", rounded(one.attainment())},
-            {"promised", one.promised},
-            {"max_wait_s", rounded(one.max_wait_s)},
-            {"failed", one.failed},
-            {"hung_up", one.hung_up},
-            {"fits_share", one.fits_share}};
+    return {
+        {"name", one.name},
+        {"tier", one.tier},
+        {"offered", one.offered},
+        {"served", one.served},
+        {"refused", one.refused},
+        {"attainment", rounded(one.attainment())},
+        {"promised", one.promised},
+        {"max_wait_s", rounded(one.max_wait_s)},
+        {"failed", one.failed},
+        {"hung_up", one.hung_up},
+        {"fits_share", one.fits_share},
+        {"smaller_teams_attainment", rounded(one.smaller_teams_attainment())}};
 }
 
 json to_object(run_result const& one)
@@ -45,6 +47,12 @@
                          {"demanded", rounded(tier.demanded)},
                          {"delivered", rounded(tier.delivered)}});
     }
+    json regions = json::array();
+    for (region_result const& region : one.regions) {
+        regions.push_back({{"name", region.name},
+                           {"offered", region.offered},
+                           {"served", region.served}});
+    }
     json violations = json::array();
     for (violation const& entry : one.violations) {
         violations.push_back({{"kind", entry.kind},
@@ -61,6 +69,7 @@
             {"cross_region_bytes", one.cross_region_bytes},
             {"violations", violations},
             {"tiers", tiers},
+            {"regions", regions},
             {"engines_lost", one.engines_lost}};
 }
 
@@ -96,7 +105,7 @@
         for (class_result const& entry : one.classes) {
             text += fmt::format("  {:<20} {:<8} offered {:>6} served {:>6} "
                                 "refused {:>5} attained {:.4f} of {:.2f} "
-                                "max_wait {:.2f} s{}\n",
+                                "smaller teams {:.4f} max_wait {:.2f} s{}\n",
                                 entry.name,
                                 entry.tier,
                                 entry.offered,
@@ -104,6 +113,7 @@
                                 entry.refused,
                                 entry.attainment(),
                                 entry.promised,
+                                entry.smaller_teams_attainment(),
                                 entry.max_wait_s,
                                 entry.fits_share ? "" : " beyond its share");
         }
--- a/bench/policy_bench/run_result.hpp
+++ b/bench/policy_bench/run_result.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_BENCH_RUN_RESULT_HPP
 
 #include "bench/policy_bench/class_result.hpp"
+#include "bench/policy_bench/region_result.hpp"
 #include "bench/policy_bench/tier_result.hpp"
 #include "bench/policy_bench/violation.hpp"
 
@@ -25,6 +26,7 @@
     std::uint64_t seed = 0;
     std::vector<class_result> classes;
     std::vector<tier_result> tiers;
+    std::vector<region_result> regions;
     /// Work delivered within target over the smaller of the work demanded
     /// and the capacity while requests came. Where capacity is the smaller,
     /// only what was delivered in that time counts.
--- a/bench/policy_bench/score.cpp
+++ b/bench/policy_bench/score.cpp
@@ -95,6 +95,10 @@
     into.hung_up += end == send_end::hung_up ? 1 : 0;
     into.within += within(who) ? 1 : 0;
     into.not_counted += left_in_time(who) ? 1 : 0;
+    if (who.plan->team != 0 && !left_in_time(who)) {
+        ++into.smaller_teams;
+        into.smaller_teams_within += within(who) ? 1 : 0;
+    }
 }
 
 score::work_sums score::sum_work() const
@@ -159,6 +163,29 @@
     return all;
 }
 
+std::vector<region_result> score::regions() const
+{
+    std::vector<region_result> all;
+    for (std::string const& name : m_where.regions) {
+        all.push_back({name, 0, 0});
+    }
+    model::time_point const begin{};
+    for (caller const& who : m_from.all()) {
+        if (who.plan->killer || left_in_time(who)
+            || who.plan->when < begin + m_what.from
+            || who.plan->when >= begin + m_what.until) {
+            continue;
+        }
+        send const& last = m_hosts.sends()[who.send];
+        model::host const& host = m_where.hosts[last.entry_host];
+        std::size_t const place =
+            m_where.place_of(host.region, host.data_centre).region;
+        ++all[place].offered;
+        all[place].served += last.end == send_end::ran ? 1 : 0;
+    }
+    return all;
+}
+
 void score::fill(run_result& result) const
 {
     for (std::size_t load = 0; load < m_where.loads.size(); ++load) {
@@ -181,6 +208,7 @@
                                      : sums.in_time / sums.demanded;
     result.wasted_ratio = wasted();
     result.tiers = tiers();
+    result.regions = regions();
 }
 
 } // namespace caperjunction::bench
--- a/bench/policy_bench/score.hpp
+++ b/bench/policy_bench/score.hpp
@@ -40,6 +40,7 @@
     work_sums sum_work() const;
     double wasted() const;
     std::vector<tier_result> tiers() const;
+    std::vector<region_result> regions() const;
     double capacity() const;
     model::time_point window_end() const;
 
--- a/bench/policy_bench/simulation.cpp
+++ b/bench/policy_bench/simulation.cpp
@@ -70,6 +70,21 @@
     }
 }
 
+// A region that serves less than this of what it is asked while the link is
+// cut counts as stopped; it has engines enough for its own callers.
+constexpr double least_served = 0.5;
+
+void check_regions(run_result const& result, violation_list& violations)
+{
+    for (region_result const& one : result.regions) {
+        if (one.served < least_served * one.offered) {
+            violations.note(
+                "region_stopped",
+                fmt::format("{}: {} of {}", one.name, one.served, one.offered));
+        }
+    }
+}
+
 } // namespace
 
 run_result simulate(deployment const& where,
@@ -116,6 +131,9 @@
         violations.note("engines_lost_to_one_request",
                         fmt::format("{} engines", result.engines_lost));
     }
+    if (what.cut) {
+        check_regions(result, violations);
+    }
     result.violations = violations.all();
     return result;
 }
