--- a/bench/policy_bench/callers.cpp
+++ b/bench/policy_bench/callers.cpp
@@ -122,10 +122,6 @@
     if (which.end == send_end::hung_up) {
         return;
     }
-    if (!comes_back(who, which)) {
-        close(which.caller);
-        return;
-    }
     auto const told =
         std::max(std::chrono::seconds{1},
                  std::chrono::ceil<std::chrono::seconds>(retry_after));
@@ -136,6 +132,12 @@
                         / static_cast<double>(grain);
     auto const delay = std::chrono::duration_cast<std::chrono::nanoseconds>(
         told * (1.0 + late));
+    bool const too_late =
+        m_queue.now() + delay > model::time_point{} + m_what.length;
+    if (too_late || !comes_back(who, which)) {
+        close(which.caller);
+        return;
+    }
     m_queue.after(delay, [this, index = which.caller] {
         send_now(index);
     });
--- a/bench/policy_bench/callers.hpp
+++ b/bench/policy_bench/callers.hpp
@@ -19,7 +19,8 @@
 /// A caller stays in its region; the balancer picks a host there at random
 /// for every send. One that was refused, or whose repeatable request failed,
 /// sends again after the `Retry-After` (in whole seconds, as HTTP has it, and
-/// up to a fifth later), at most `scenario::resends` times. One that sees no
+/// up to a fifth later), at most `scenario::resends` times, and not
+/// after new requests have ended. One that sees no
 /// token for twice its class's `max_wait` gives up.
 ///
 /// Thread safety: none.
