--- /dev/null
+++ b/tests/house/layout_test.cpp
@@ -0,0 +1,111 @@
+#include "house/source_tree.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cctype>
+#include <map>
+
+using namespace caperjunction;
+
+namespace {
+
+/// Which folders of src each of them may include; docs/DESIGN.md says why.
+std::map<std::string, std::set<std::string>> const allowed_includes{
+    {"model", {"model"}},
+    {"lists", {"model", "lists"}},
+    {"decide", {"model", "lists", "decide"}},
+    {"fleet", {"model", "lists", "fleet"}},
+    {"runtime", {"model", "runtime"}},
+    {"net", {"model", "lists", "decide", "fleet", "runtime", "net"}},
+    {"program",
+     {"model", "lists", "decide", "fleet", "runtime", "net", "program"}}};
+
+/// The folder of a path such as src/lists/parse.cpp.
+std::string folder_of(std::string const& path)
+{
+    auto const begin = path.find('/') + 1;
+    auto const end = path.find('/', begin);
+    return end == std::string::npos ? "" : path.substr(begin, end - begin);
+}
+
+std::string guard_of(std::string const& path)
+{
+    constexpr std::size_t prefix = 4;
+    std::string guard =
+        path.compare(0, prefix, "src/") == 0 ? path.substr(prefix) : path;
+    std::transform(guard.begin(), guard.end(), guard.begin(), [](char c) {
+        bool const is_word = std::isalnum(static_cast<unsigned char>(c)) != 0;
+        return is_word ? static_cast<char>(std::toupper(c)) : '_';
+    });
+    return "CAPERJUNCTION_" + guard;
+}
+
+} // namespace
+
+TEST_CASE("folders include only what stands below them")
+{
+    std::size_t seen = 0;
+    for (house::source_file const& file : house::read_sources("src")) {
+        std::string const folder = folder_of(file.path);
+        if (folder.empty()) {
+            continue;
+        }
+        CAPTURE(file.path);
+        REQUIRE(allowed_includes.count(folder) == 1);
+        for (std::string const& included :
+             house::find_all(file.text, "#include \"([a-z_]+)/[^\"]+\"")) {
+            CAPTURE(included);
+            CHECK(allowed_includes.at(folder).count(included) == 1);
+            ++seen;
+        }
+    }
+    CHECK(seen > 0);
+}
+
+TEST_CASE("decisions and the fleet touch no socket, clock, thread or log")
+{
+    for (char const* const folder : {"src/decide", "src/fleet"}) {
+        for (house::source_file const& file : house::read_sources(folder)) {
+            CAPTURE(file.path);
+            CHECK(house::find_all(file.text,
+                                  "#include <(event2/[^>]*|thread|mutex|"
+                                  "iostream|sys/[^>]*)>")
+                      .empty());
+            CHECK(house::find_all(file.text, "(_clock::now\\(|log_line)")
+                      .empty());
+        }
+    }
+}
+
+TEST_CASE("each header is guarded by the name of its file")
+{
+    for (char const* const root : {"src", "stand_ins"}) {
+        for (house::source_file const& file : house::read_sources(root)) {
+            if (file.path.find(".hpp") == std::string::npos) {
+                continue;
+            }
+            CAPTURE(file.path);
+            std::string const guard = guard_of(file.path);
+            CHECK(file.text.find("#ifndef " + guard + '\n')
+                  != std::string::npos);
+        }
+    }
+}
+
+// A header is copied and keeps its guard. Whoever includes both gets only the
+// first, and the compiler complains about the second's names elsewhere.
+TEST_CASE("no two headers share a guard")
+{
+    std::set<std::string> taken;
+    for (char const* const root : {"src", "stand_ins", "bench", "tests"}) {
+        for (house::source_file const& file : house::read_sources(root)) {
+            for (std::string const& guard :
+                 house::find_all(file.text, "#ifndef (CAPERJUNCTION_\\w+)")) {
+                CAPTURE(file.path);
+                CHECK(taken.insert(guard).second);
+            }
+        }
+    }
+    CHECK(!taken.empty());
+}
