Hold guaranteed shares over a window and leave room above the lowest tier

Cause: the share that a tier earned was charged by lengths learnt from the answers that end first, and corrected by them: a class of long answers had nearly twice its share in the first minute of saturation, while the tier above was refused; its long answers also held the room that tier needed.

Change: a tier's share is charged once, at dispatch; what it got beyond its share counts against it for 20 s; lengths are learnt from passing as well as from ending; teams are charged as tokens come; the lowest tier leaves a tenth of each engine and a quarter of its memory unless it is owed.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -99,6 +99,8 @@
 
     // Attempts.
     void release(entry& running);
+    void charge_overrun(entry& running);
+    void expect_output(entry& running, std::uint32_t tokens);
     void end_whole(entry& running, attempt_ended const& happened);
     void end_broken(entry& running, index upstream);
     void end_not_run(entry& running, index upstream);
--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint32_t most_attempts = 5;
 // Broken attempts remembered until it shows whether the engine was lost.
 constexpr std::size_t most_broken = 512;
+// An answer beyond its expected length is expected to be longer yet by this
+// part, so that it isn't charged anew with each token.
+constexpr std::uint32_t overrun_part = 4;
 
 } // namespace
 
@@ -24,6 +27,7 @@
     }
     running->relayed += happened.tokens;
     running->attempt_tokens += happened.tokens;
+    charge_overrun(*running);
     if (running->is_service) {
         return;
     }
@@ -136,6 +140,31 @@
     m_engines.refresh(running.upstream, m_now);
 }
 
+void core::charge_overrun(entry& running)
+{
+    // Charged as the tokens come: otherwise a team whose answers turn out
+    // long would get them at a short one's price until each has ended.
+    if (!running.is_service && running.relayed > running.expected_output) {
+        if (!running.overran) {
+            running.overran = true;
+            m_lengths.observe(
+                running.class_place,
+                true,
+                m_policy.rules(running.class_place).max_output_tokens);
+        }
+        expect_output(running,
+                      running.relayed + running.relayed / overrun_part);
+    }
+}
+
+void core::expect_output(entry& running, std::uint32_t tokens)
+{
+    double const before = token_cost(running);
+    running.expected_output = tokens;
+    m_engines.groups()[running.group].queue.correct(
+        running.tier, running.team, token_cost(running) - before);
+}
+
 void core::end_whole(entry& running, attempt_ended const& happened)
 {
     if (!running.is_service) {
@@ -153,13 +182,13 @@
             double const found = happened.cached_tokens > 0 ? 1.0 : 0.5;
             engine.cache_trust += (found - engine.cache_trust) * 0.05;
         }
-        m_lengths.observe(running.class_place, running.relayed);
-        double const before = token_cost(running);
-        running.expected_output = running.relayed;
-        double const used = token_cost(running);
-        m_engines.groups()[running.group].queue.correct(
-            running.tier, running.team, used - before);
-        running.expected_output = running.relayed;
+        if (!running.overran) {
+            m_lengths.observe(
+                running.class_place,
+                false,
+                m_policy.rules(running.class_place).max_output_tokens);
+        }
+        expect_output(running, running.relayed);
     }
     if (running.suspect) {
         m_quarantine.cleared(running.fingerprint);
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -123,7 +123,9 @@
 
 bool core::start(entry& waiting)
 {
-    placement chosen = m_placer.place(waiting, m_engines, m_prefixes, m_now);
+    waiting.owed = m_engines.groups()[waiting.group].queue.owed(waiting);
+    placement chosen =
+        m_placer.place(waiting, m_engines, m_prefixes, m_policy.tiers(), m_now);
     if (chosen.engine == no_index) {
         return false;
     }
@@ -131,7 +133,7 @@
     dequeue(waiting);
     model_group& group = m_engines.groups()[waiting.group];
     if (!waiting.suspect) {
-        group.queue.serve(waiting, token_cost(waiting));
+        group.queue.serve(waiting, token_cost(waiting), m_now);
     }
     group.waits.started();
     engine_state& engine = m_engines.at(chosen.engine);
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -29,6 +29,8 @@
 // stop well before it is full.
 constexpr double lower_tiers_memory = 0.85;
 constexpr double highest_tier_memory = 0.97;
+constexpr double lowest_tier_memory = 0.75;
+constexpr double lowest_leaves = 0.1;
 // Digests of all hosts have come round in this time.
 constexpr model::milliseconds allowance_period{250};
 
@@ -169,6 +171,14 @@
     return room::none;
 }
 
+bool engine_table::room_for_lowest(engine_state const& state,
+                                   model::time_point now)
+{
+    return state.outstanding(now)
+               < lower_tiers_limit(state) - state.bound() * lowest_leaves
+           && state.kv_used() < lowest_tier_memory;
+}
+
 void engine_table::rank_engines()
 {
     // In order of their names, so that all hosts cut the same row.
--- a/src/decide/engine_table.hpp
+++ b/src/decide/engine_table.hpp
@@ -45,6 +45,10 @@
     /// Room as `refresh` would find it.
     room room_of(engine_state const& engine, model::time_point now) const;
 
+    /// Whether an engine with room for any tier has some for the lowest.
+    static bool room_for_lowest(engine_state const& engine,
+                                model::time_point now);
+
     index find(std::string const& name) const
     {
         return m_names.find(name);
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -67,8 +67,12 @@
     bool suspect = false;
     /// In flight on an engine that is lost; its end is still to come.
     bool blamed = false;
+    /// Goes ahead of higher tiers by its tier's guaranteed share.
+    bool owed = false;
     /// Counted against its team's limits.
     bool limited = false;
+    /// Its answer is longer than was expected when it came.
+    bool overran = false;
 };
 
 } // namespace caperjunction::decide
--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "decide/fair_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace caperjunction::decide {
 
@@ -11,7 +12,10 @@
 constexpr double prompt_weight = 0.1;
 // Earnings kept, in requests: enough to serve each tier its turn, too little
 // for a block that a higher tier would notice as a missed target.
-constexpr double kept_requests = 3.0;
+constexpr double kept_requests = 1.5;
+constexpr double window_seconds = 20.0;
+// Some of what is earned ends in answers that nobody waits for any more.
+constexpr double share_margin = 1.1;
 
 } // namespace
 
@@ -77,20 +81,14 @@
     return m_tiers[waiting.tier].earned >= token_cost(waiting);
 }
 
-void fair_queue::serve(entry& served, double tokens)
+void fair_queue::serve(entry& served, double tokens, model::time_point now)
 {
-    earn(tokens);
+    earn(tokens, now);
     tier_state& tier = m_tiers[served.tier];
-    double const most = kept_requests * tokens;
-    tier.earned = std::max(tier.earned - tokens, -most);
+    tier.earned -= tokens;
     tier.queue.charge(served.team, tokens);
 }
 
-void fair_queue::yield_turn(double tokens)
-{
-    earn(tokens);
-}
-
 void fair_queue::correct(index tier, index team, double tokens)
 {
     if (tier < m_tiers.size()) {
@@ -98,11 +96,21 @@
     }
 }
 
-void fair_queue::earn(double tokens)
+void fair_queue::earn(double tokens, model::time_point now)
 {
+    // What a tier got beyond its share while there was room counts against it
+    // for a while, so that the share holds over a window and not only from
+    // the moment when a higher tier begins to wait.
+    double const age = model::seconds(now - m_updated).count();
+    double const kept = std::exp(-std::max(0.0, age) / window_seconds);
+    m_updated = now;
     for (tier_state& tier : m_tiers) {
         double const most = kept_requests * tier.usual_cost.value_or(0.0);
-        tier.earned = std::min(tier.earned + tokens * tier.share, most);
+        if (tier.earned < 0.0) {
+            tier.earned *= kept;
+        }
+        double const due = tokens * tier.share * share_margin;
+        tier.earned = std::min(tier.earned + due, most);
     }
 }
 
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -43,12 +43,11 @@
     bool owed(entry const& waiting) const;
 
     /// Counts `tokens` of `served` (already removed) against team and tier.
-    void serve(entry& served, double tokens);
+    void serve(entry& served, double tokens, model::time_point now);
 
-    /// Counts tokens that another host's higher tier got instead of ours.
-    void yield_turn(double tokens);
-
-    /// Corrects what was charged in advance, once the output is known.
+    /// Corrects what a team was charged, once the output is known. The tier's
+    /// share stays as it was charged: short answers end first, and what they
+    /// give back would let a tier of long ones have twice its share at first.
     void correct(index tier, index team, double tokens);
 
     std::size_t size() const
@@ -81,10 +80,11 @@
         moving_average usual_cost;
     };
 
-    void earn(double tokens);
+    void earn(double tokens, model::time_point now);
 
     std::vector<tier_state> m_tiers{1};
     std::size_t m_size = 0;
+    model::time_point m_updated{};
 };
 
 /// Tokens a request counts for: the prompt is computed in parallel and so
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -30,6 +30,7 @@
     engine_table const& engines;
     model::time_point now;
     prefix_index::holders holders;
+    std::size_t tiers = 1;
     placement best;
     double best_score = std::numeric_limits<double>::max();
 
@@ -67,9 +68,10 @@
 placement placer::place(entry const& waiting,
                         engine_table const& engines,
                         prefix_index const& prefixes,
+                        std::size_t tiers,
                         model::time_point now)
 {
-    choice own{waiting, engines, now, {}, {}};
+    choice own{waiting, engines, now, {}, tiers, {}};
     if (!waiting.prefix_blocks.empty()) {
         own.holders = prefixes.find(waiting.prefix_blocks, now);
     }
@@ -130,6 +132,13 @@
         || (room == room::highest_tier && waiting.tier != 0)) {
         return;
     }
+    // The lowest tier leaves room to those between: its answers are the
+    // longest as a rule, and what it holds comes free too late for them.
+    bool const lowest =
+        waiting.tier > 0 && waiting.tier + 1 == own.tiers && !waiting.owed;
+    if (lowest && !engine_table::room_for_lowest(engine, own.now)) {
+        return;
+    }
     // A request in flight at a crash may be its cause. Kept apart, a second
     // crash tells which one it was, and costs the others nothing.
     if (waiting.suspect && engine.suspects + engine.peer_suspects > 0) {
--- a/src/decide/placer.hpp
+++ b/src/decide/placer.hpp
@@ -29,10 +29,11 @@
            double link_bytes_per_second,
            model::milliseconds link_delay);
 
-    /// \pre `waiting` has a model.
+    /// \pre `waiting` has a model; its tier is below `tiers`, their number.
     placement place(entry const& waiting,
                     engine_table const& engines,
                     prefix_index const& prefixes,
+                    std::size_t tiers,
                     model::time_point now);
 
     /// Books the link bytes of a placement that is used.
