--- /dev/null
+++ b/bench/fleet_bench/timing_scenarios.cpp
@@ -0,0 +1,156 @@
+#include "bench/fleet_bench/bench_lists.hpp"
+#include "bench/fleet_bench/fleet_scenarios.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace caperjunction::bench {
+namespace {
+
+constexpr model::milliseconds step{10};
+constexpr model::milliseconds patience{60'000};
+constexpr std::chrono::seconds between_trials{8};
+
+/// Virtual time until `done`, in steps; `patience` if it is not.
+model::seconds time_until(virtual_fleet& fleet,
+                          std::function<bool()> const& done)
+{
+    auto const begin = fleet.now();
+    while (!done() && fleet.now() - begin < patience) {
+        fleet.run_for(step);
+    }
+    return fleet.now() - begin;
+}
+
+void add_spread(std::vector<figure>& figures,
+                figure const& like,
+                std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    figure median = like;
+    median.name += " median";
+    median.value = values[values.size() / 2];
+    figures.push_back(median);
+    figure most = like;
+    most.name += " max";
+    most.value = values.back();
+    figures.push_back(most);
+}
+
+bool sees_as_lost(virtual_host const& observer, std::string const& name)
+{
+    auto const view = observer.agent->view();
+    return view->find(name)->state == fleet::host_state::lost;
+}
+
+std::string random_host(virtual_fleet const& fleet, std::mt19937_64& random)
+{
+    std::uniform_int_distribution<std::size_t> place(0,
+                                                     fleet.hosts().size() - 1);
+    auto chosen = fleet.hosts().begin();
+    std::advance(chosen, place(random));
+    return chosen->first;
+}
+
+/// Hosts that wait at the service, but for those of the first region.
+std::set<std::string> watchers_outside_first(virtual_fleet& fleet)
+{
+    std::string const& first = fleet.hosts().begin()->second.host.region;
+    std::set<std::string> names;
+    for (auto const& waiting : fleet.service().watches()) {
+        if (fleet.host(waiting.host).host.region != first) {
+            names.insert(waiting.host);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+void measure_detection(std::size_t hosts,
+                       model::milliseconds heartbeat,
+                       bench_options const& options,
+                       std::vector<figure>& figures)
+{
+    virtual_fleet_settings settings;
+    settings.agent.membership.heartbeat_period = heartbeat;
+    settings.agent.membership.silence_limit = 4 * heartbeat;
+    auto const fleet = make_fleet(hosts, settings, options);
+    std::mt19937_64 random(options.seed);
+    std::vector<double> first;
+    std::vector<double> all;
+    for (std::size_t trial = 0; trial < options.trials; ++trial) {
+        std::string const name = random_host(*fleet, random);
+        auto const sees = [&](auto const& entry) {
+            return entry.first == name || sees_as_lost(entry.second, name);
+        };
+        auto const one_sees = [&](auto const& entry) {
+            return entry.first != name && sees_as_lost(entry.second, name);
+        };
+        fleet->crash(name);
+        auto const& observers = fleet->hosts();
+        auto const until_first = time_until(*fleet, [&] {
+            return std::any_of(observers.begin(), observers.end(), one_sees);
+        });
+        auto const rest = time_until(*fleet, [&] {
+            return std::all_of(observers.begin(), observers.end(), sees);
+        });
+        first.push_back(until_first.count());
+        all.push_back((until_first + rest).count());
+        fleet->start(name);
+        fleet->run_for(between_trials);
+    }
+    auto const setting = fmt::format("heartbeat {} ms", heartbeat.count());
+    add_spread(
+        figures, {"detection", hosts, setting, "first knows", 0, "s"}, first);
+    add_spread(figures, {"detection", hosts, setting, "all know", 0, "s"}, all);
+}
+
+// The hardest moment: the watchers of all regions but one have just been
+// frozen, and nobody knows it yet.
+void measure_in_force(std::size_t hosts,
+                      bool watchers_frozen,
+                      bench_options const& options,
+                      std::vector<figure>& figures)
+{
+    auto const fleet = make_fleet(hosts, {}, options);
+    bench_lists lists(options.teams, options.seed);
+    std::vector<double> times;
+    for (std::size_t trial = 0; trial < options.trials; ++trial) {
+        lists.change_one_key();
+        auto const frozen = watchers_frozen ? watchers_outside_first(*fleet)
+                                            : std::set<std::string>{};
+        for (std::string const& name : frozen) {
+            fleet->pause(name);
+        }
+        fleet->publish(fleet::published_value::plans, lists.plans());
+        std::uint64_t const revision = fleet->revision();
+        auto const applied = [&](auto const& entry) {
+            auto const in_force = entry.second.agent->in_force();
+            return frozen.count(entry.first) != 0
+                   || in_force[fleet::published_value::plans] == revision;
+        };
+        auto const& all = fleet->hosts();
+        auto const time = time_until(*fleet, [&] {
+            return std::all_of(all.begin(), all.end(), applied);
+        });
+        times.push_back(time.count());
+        for (std::string const& name : frozen) {
+            fleet->resume(name);
+        }
+        fleet->run_for(between_trials / 4);
+    }
+    auto const setting =
+        fmt::format("{} teams{}",
+                    options.teams,
+                    watchers_frozen ? ", most watchers just frozen" : "");
+    add_spread(
+        figures, {"in force", hosts, setting, "on all hosts", 0, "s"}, times);
+}
+
+} // namespace caperjunction::bench
--- a/src/fleet/digest_settings.hpp
+++ b/src/fleet/digest_settings.hpp
@@ -12,9 +12,9 @@
 {
     /// Shortest time between two digests of one host.
     model::milliseconds period{500};
-    /// Bytes a second that a host may spend on sending digests: half of the
+    /// Bytes a second that a host may spend on sending digests: two of the
     /// 5 KB/s that all control traffic has. Longer digests go out less often.
-    double bytes_per_second = 2'500.0;
+    double bytes_per_second = 2'000.0;
     /// Peers that get each digest; all of them if they are no more.
     std::size_t fan_out = 6;
 };
--- a/src/net/peer_read.cpp
+++ b/src/net/peer_read.cpp
@@ -22,6 +22,16 @@
         number, fleet::published_value::upstreams, "published value");
 }
 
+template <typename Table>
+fleet::config_announce announced(Table const& table)
+{
+    fleet::config_announce told;
+    told.latest = revisions(table.latest());
+    told.in_force =
+        table.in_force() == nullptr ? told.latest : revisions(table.in_force());
+    return told;
+}
+
 std::vector<fleet::host_rumour>
 rumours(flatbuffers::Vector<flatbuffers::Offset<wire::Rumour>> const* tables)
 {
@@ -61,8 +71,7 @@
     value.leaving = table.leaving();
     value.expects_reply = table.expects_reply();
     value.rumours_hash = table.rumours_hash();
-    value.configuration = {revisions(table.latest()),
-                           revisions(table.in_force())};
+    value.configuration = announced(table);
     return value;
 }
 
@@ -72,8 +81,7 @@
     value.number = table.number();
     value.generation = table.generation();
     value.leaving = table.leaving();
-    value.configuration = {revisions(table.latest()),
-                           revisions(table.in_force())};
+    value.configuration = announced(table);
     value.rumours = rumours(table.rumours());
     return value;
 }
@@ -189,9 +197,7 @@
     case wire::Body::ProbeReply:
         return take(*frame.body_as_ProbeReply());
     case wire::Body::Announce:
-        return fleet::config_announce{
-            revisions(frame.body_as_Announce()->latest()),
-            revisions(frame.body_as_Announce()->in_force())};
+        return announced(*frame.body_as_Announce());
     case wire::Body::Fetch: {
         auto const& table = *frame.body_as_Fetch();
         return fleet::config_fetch{
--- a/src/net/peer_write.cpp
+++ b/src/net/peer_write.cpp
@@ -14,6 +14,27 @@
             values[published_value::upstreams]};
 }
 
+/// A host mostly has in force what it has; then only one of the two is sent,
+/// which takes a quarter off every heartbeat.
+struct wire_announce
+{
+    explicit wire_announce(fleet::config_announce const& told)
+        : latest(revisions(told.latest))
+        , in_force(revisions(told.in_force))
+        , equal(told.latest == told.in_force)
+    {
+    }
+
+    wire::Revisions const* in_force_or_null() const
+    {
+        return equal ? nullptr : &in_force;
+    }
+
+    wire::Revisions latest;
+    wire::Revisions in_force;
+    bool equal;
+};
+
 template <typename Table>
 written_body finish(wire::Body type, flatbuffers::Offset<Table> table)
 {
@@ -109,16 +130,15 @@
 
 written_body peer_writer::operator()(fleet::heartbeat const& message)
 {
-    auto const latest = revisions(message.configuration.latest);
-    auto const in_force = revisions(message.configuration.in_force);
+    wire_announce const told(message.configuration);
     return finish(wire::Body::Heartbeat,
                   wire::CreateHeartbeat(m_builder,
                                         message.generation,
                                         message.leaving,
                                         message.expects_reply,
                                         message.rumours_hash,
-                                        &latest,
-                                        &in_force));
+                                        &told.latest,
+                                        told.in_force_or_null()));
 }
 
 written_body peer_writer::operator()(fleet::host_rumours const& message)
@@ -135,25 +155,24 @@
 
 written_body peer_writer::operator()(fleet::probe_reply const& message)
 {
-    auto const latest = revisions(message.configuration.latest);
-    auto const in_force = revisions(message.configuration.in_force);
+    wire_announce const told(message.configuration);
     auto const tables = rumours(message.rumours);
     return finish(wire::Body::ProbeReply,
                   wire::CreateProbeReply(m_builder,
                                          message.number,
                                          message.generation,
                                          message.leaving,
-                                         &latest,
-                                         &in_force,
+                                         &told.latest,
+                                         told.in_force_or_null(),
                                          tables));
 }
 
 written_body peer_writer::operator()(fleet::config_announce const& message)
 {
-    auto const latest = revisions(message.latest);
-    auto const in_force = revisions(message.in_force);
-    return finish(wire::Body::Announce,
-                  wire::CreateAnnounce(m_builder, &latest, &in_force));
+    wire_announce const told(message);
+    return finish(
+        wire::Body::Announce,
+        wire::CreateAnnounce(m_builder, &told.latest, told.in_force_or_null()));
 }
 
 written_body peer_writer::operator()(fleet::config_fetch const& message)
--- a/tests/net/peer_codec_test.cpp
+++ b/tests/net/peer_codec_test.cpp
@@ -110,6 +110,19 @@
     CHECK(read.splices[0] == fleet::splice{18, 21, 22, "text"});
 }
 
+TEST_CASE("revisions that are all in force are sent once")
+{
+    fleet::heartbeat beat;
+    beat.generation = 1;
+    beat.configuration = {{{1, 2, 3, 4}}, {{1, 2, 3, 4}}};
+    auto const bytes = net::encode(fleet::peer_message(beat));
+    auto const read = read_back(bytes);
+    CHECK(std::get<fleet::heartbeat>(std::get<fleet::peer_message>(read))
+          == beat);
+    beat.configuration.in_force.of[0] = 0;
+    CHECK(bytes.size() < net::encode(fleet::peer_message(beat)).size());
+}
+
 TEST_CASE("a damaged frame is a typed error and nothing else")
 {
     // A peer of another version, or anything that reaches the port, sends
