--- a/bench/policy_bench/fleet_answers.cpp
+++ b/bench/policy_bench/fleet_answers.cpp
@@ -102,6 +102,7 @@
     }
     if (m_queue.now() <= m_window_end) {
         to.relayed_in_window += tokens;
+        to.relayed_settled += m_queue.now() >= m_settled ? tokens : 0;
     }
 }
 
--- a/bench/policy_bench/scenario.hpp
+++ b/bench/policy_bench/scenario.hpp
@@ -42,6 +42,13 @@
     bool cut = false;
     /// How often a caller that was refused sends again, as it was told to.
     std::uint32_t resends = 2;
+
+    /// From here on the tiers' shares are measured: the first answers take a
+    /// while, and a long answer's share comes late only because it is long.
+    std::chrono::seconds settled() const
+    {
+        return length / 5;
+    }
 };
 
 /// \throws model::error if there is no scenario of that name.
--- a/bench/policy_bench/score.cpp
+++ b/bench/policy_bench/score.cpp
@@ -69,6 +69,15 @@
                         which.relayed_in_window);
 }
 
+double score::settled_work(send const& which) const
+{
+    bool const begun =
+        which.has_answer() && which.first_token <= window_end()
+        && which.first_token >= model::time_point{} + m_what.settled();
+    return m_where.work(begun ? which.plan->prompt_tokens : 0,
+                        which.relayed_settled);
+}
+
 class_result score::describe(std::size_t load) const
 {
     class_result made;
@@ -144,6 +153,10 @@
 
 std::vector<tier_result> score::tiers() const
 {
+    double const settled_share =
+        1.0
+        - std::chrono::duration<double>(m_what.settled())
+              / std::chrono::duration<double>(m_what.length);
     std::vector<tier_result> all;
     for (lists::tier const& tier : m_where.catalogue->plans().tiers) {
         tier_result made;
@@ -155,8 +168,8 @@
                 continue;
             }
             made.demanded += work_of(who) / capacity();
-            made.delivered +=
-                work_in_window(m_hosts.sends()[who.send]) / capacity();
+            made.delivered += settled_work(m_hosts.sends()[who.send])
+                              / (capacity() * settled_share);
         }
         all.push_back(made);
     }
--- a/bench/policy_bench/score.hpp
+++ b/bench/policy_bench/score.hpp
@@ -37,6 +37,7 @@
     bool left_in_time(caller const& who) const;
     double work_of(caller const& who) const;
     double work_in_window(send const& which) const;
+    double settled_work(send const& which) const;
     work_sums sum_work() const;
     double wasted() const;
     std::vector<tier_result> tiers() const;
--- a/bench/policy_bench/send.hpp
+++ b/bench/policy_bench/send.hpp
@@ -47,9 +47,11 @@
     std::uint32_t attempts = 0;
     /// Upstreams that accepted it and did not refuse it afterwards.
     std::uint32_t accepted = 0;
-    /// Tokens that its caller has, and those it had when arrivals ended.
+    /// Tokens that its caller has; those it had when arrivals ended; and of
+    /// these, those that came after the fleet had settled.
     std::uint32_t relayed = 0;
     std::uint32_t relayed_in_window = 0;
+    std::uint32_t relayed_settled = 0;
     /// Of its first and last token, or of a service's answer.
     model::time_point first_token{};
     model::time_point last_token{};
--- a/bench/policy_bench/simulation.cpp
+++ b/bench/policy_bench/simulation.cpp
@@ -111,6 +111,7 @@
         [&from](send const& which, model::milliseconds retry) {
             from.answered(which, retry);
         },
+        model::time_point{} + what.settled(),
         model::time_point{} + what.length);
     reports.start();
     from.start();
--- a/bench/policy_bench/tier_result.hpp
+++ b/bench/policy_bench/tier_result.hpp
@@ -11,7 +11,8 @@
     std::string name;
     double guaranteed = 0.0;
     double demanded = 0.0;
-    /// Work delivered while requests came, in time or not.
+    /// Work delivered, in time or not, from `scenario::settled` to the end of
+    /// new requests.
     double delivered = 0.0;
 };
 
