--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -147,6 +147,7 @@
     }
     if (m_faults.stall_after_tokens
         && computed >= *m_faults.stall_after_tokens) {
+        ++m_counters.stalled;
         answer.stall();
         return false;
     }
@@ -198,6 +199,7 @@
 void engine::silence()
 {
     for (auto const& answer : m_running) {
+        ++m_counters.stalled;
         answer->stall();
     }
 }
--- a/stand_ins/engine_counters.hpp
+++ b/stand_ins/engine_counters.hpp
@@ -17,6 +17,8 @@
     std::uint64_t crashes = 0;
     /// Requests that came with an offset above zero.
     std::uint64_t resumed = 0;
+    /// Answers that went silent by a fault.
+    std::uint64_t stalled = 0;
     std::uint64_t tokens = 0;
     /// Tokens of answers that were cancelled or cut off by a crash.
     std::uint64_t wasted_tokens = 0;
--- a/stand_ins/engine_http.cpp
+++ b/stand_ins/engine_http.cpp
@@ -148,6 +148,7 @@
                                   {"refused", m_counters.refused},
                                   {"crashes", m_counters.crashes},
                                   {"resumed", m_counters.resumed},
+                                  {"stalled", m_counters.stalled},
                                   {"tokens", m_counters.tokens},
                                   {"wasted_tokens", m_counters.wasted_tokens},
                                   {"orders_taken", m_counters.orders_taken},
--- a/stand_ins/generation.cpp
+++ b/stand_ins/generation.cpp
@@ -67,6 +67,8 @@
 void generation::stall()
 {
     m_timer.stop();
+    m_call->send(m_pending);
+    m_pending.clear();
 }
 
 void generation::abort()
