Order engines from one host each, and test both parts under faults

Cause: two hosts that both order an engine make it load models to and fro. Change: orderer, whose fencing numbers are the list's revision and then the process; a quiet time and a lease for engines that ignore them; the store's rate shared out among hosts. A vote whose holder is no member of its own list's witness set remembers whose seat it has, so that a rolling replacement keeps all five.

--- /dev/null
+++ b/src/fleet/orderer.cpp
@@ -0,0 +1,241 @@
+#include "fleet/orderer.hpp"
+
+#include "fleet/claim_fingerprint.hpp"
+#include "fleet/rendezvous.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::fleet {
+
+orderer::orderer(order_settings settings)
+    : m_settings(std::move(settings))
+    , m_guard(m_settings.pause_limit)
+{
+}
+
+void orderer::handle(order_event const& event,
+                     model::time_point now,
+                     std::vector<order_decision>& out)
+{
+    // A host that slept may have lost its engines to others meanwhile.
+    if (m_guard.note_wake(now)) {
+        m_woke = now;
+    }
+    std::visit(
+        [&](auto const& what) {
+            on_event(what, now, out);
+        },
+        event);
+}
+
+void orderer::on_event(order_hosts_listed const& event,
+                       model::time_point now,
+                       decisions& /*out*/)
+{
+    if (event.revision <= m_revision) {
+        return;
+    }
+    m_revision = event.revision;
+    m_hosts = event.hosts;
+    if (!m_next_load) {
+        m_next_load = now + load_interval();
+    }
+    for (auto& [name, state] : m_engines) {
+        assign(state, now);
+    }
+}
+
+void orderer::on_event(order_hosts_confirmed const& event,
+                       model::time_point now,
+                       decisions& /*out*/)
+{
+    m_confirmed = std::max(m_confirmed, std::min(event.as_of, now));
+    if (event.as_of >= m_woke) {
+        m_guard.refreshed();
+    }
+}
+
+void orderer::on_event(order_engines_listed const& event,
+                       model::time_point now,
+                       decisions& /*out*/)
+{
+    std::map<std::string, engine_state, std::less<>> engines;
+    for (auto const& engine : event.engines) {
+        auto const known = m_engines.find(engine.name);
+        auto& state = engines[engine.name];
+        if (known != m_engines.end()) {
+            state = known->second;
+        }
+        state.engine = engine;
+        assign(state, now);
+    }
+    m_engines = std::move(engines);
+}
+
+void orderer::on_event(order_wished const& event,
+                       model::time_point now,
+                       decisions& out)
+{
+    auto const found = m_engines.find(event.wish.engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    if (!found->second.mine) {
+        auto const owner = owner_of(event.wish.engine);
+        if (!event.forwarded && !owner.empty()) {
+            out.push_back(order_wish_forward{owner, event.wish});
+        }
+        return;
+    }
+    found->second.wish = event.wish;
+    found->second.wished = now;
+    on_event(order_tick{}, now, out);
+}
+
+void orderer::on_event(order_ended const& event,
+                       model::time_point now,
+                       decisions& /*out*/)
+{
+    auto const found = m_engines.find(event.engine);
+    if (found == m_engines.end() || !found->second.in_flight) {
+        return;
+    }
+    engine_state& state = found->second;
+    state.in_flight = false;
+    bool const over =
+        event.end == order_end::done || event.end == order_end::outdated;
+    if (over) {
+        state.wish.reset();
+    }
+    // A failed order may have been taken all the same; it counts.
+    if (event.end == order_end::not_sent) {
+        m_next_load = now;
+    } else {
+        state.last_order = now;
+    }
+}
+
+void orderer::on_event(order_stop_planned const& /*event*/,
+                       model::time_point /*now*/,
+                       decisions& /*out*/)
+{
+    m_stopping = true;
+}
+
+void orderer::on_event(order_tick const& /*event*/,
+                       model::time_point now,
+                       decisions& out)
+{
+    for (auto& [name, state] : m_engines) {
+        if (state.wish && now - state.wished > m_settings.wish_life) {
+            state.wish.reset();
+        }
+        if (!due(state, now) || now < m_next_load.value_or(now)) {
+            continue;
+        }
+        m_next_load = now + load_interval();
+        state.in_flight = true;
+        state.ordered = true;
+        state.last_order = now;
+        fencing_number const number{m_revision, m_settings.generation};
+        out.push_back(order_send{order{name, state.wish->model, number}});
+    }
+}
+
+bool orderer::may_send(std::string_view engine, model::time_point now)
+{
+    if (m_guard.note_wake(now)) {
+        m_woke = now;
+    }
+    auto const found = m_engines.find(engine);
+    return found != m_engines.end() && found->second.in_flight
+           && allowed(found->second, now);
+}
+
+bool orderer::orders(std::string_view engine) const
+{
+    auto const found = m_engines.find(engine);
+    return found != m_engines.end() && found->second.mine;
+}
+
+std::string orderer::owner_of(std::string_view engine) const
+{
+    return rendezvous_owner(m_hosts, XXH3_64bits(engine.data(), engine.size()));
+}
+
+void orderer::assign(engine_state& state, model::time_point now) const
+{
+    bool const mine = owner_of(state.engine.name) == m_settings.host;
+    if (mine && !state.mine) {
+        state.since = now;
+    }
+    if (!mine) {
+        state.wish.reset();
+    }
+    state.mine = mine;
+}
+
+// An engine that checks fencing numbers settles by itself who is newer. For
+// one that doesn't, two clocks do: this host's list was confirmed so lately
+// that a newer orderer, if there is one, still holds back.
+bool orderer::allowed(engine_state const& state, model::time_point now) const
+{
+    if (m_stopping || !state.mine || !m_guard.may_act()) {
+        return false;
+    }
+    if (state.engine.checks_fencing) {
+        return true;
+    }
+    return now - m_confirmed <= m_settings.lease
+           && now - state.since >= m_settings.quiet;
+}
+
+bool orderer::due(engine_state const& state, model::time_point now) const
+{
+    if (!state.wish || state.in_flight || !allowed(state, now)) {
+        return false;
+    }
+    auto const& models = state.engine.models;
+    bool const serves =
+        std::find(models.begin(), models.end(), state.wish->model)
+        != models.end();
+    bool const lately =
+        state.ordered && now - state.last_order < m_settings.dwell;
+    return !serves && !lately;
+}
+
+// Each load reads whole weights from a store that all share: beyond its rate
+// all loads of the fleet become slow together. Nothing is saved up, else all
+// hosts could load at once after a quiet hour.
+model::milliseconds orderer::load_interval() const
+{
+    model::seconds const minute = std::chrono::minutes(1);
+    auto const hosts = std::max<std::size_t>(m_hosts.size(), 1);
+    auto const each = minute / m_settings.loads_per_minute;
+    return std::chrono::ceil<model::milliseconds>(each
+                                                  * static_cast<double>(hosts));
+}
+
+void orderer::fingerprint(model::time_point now, std::string& out) const
+{
+    append(out, m_settings.generation);
+    append(out, m_revision);
+    append(out, (m_guard.may_act() ? 2U : 0U) + (m_stopping ? 1U : 0U));
+    append_age(out, m_confirmed, now);
+    append_age(out, std::max(now, m_next_load.value_or(now)), now);
+    for (auto const& [name, state] : m_engines) {
+        append(out, std::string_view(name));
+        append(out,
+               (state.mine ? 4U : 0U) + (state.ordered ? 2U : 0U)
+                   + (state.in_flight ? 1U : 0U));
+        append_age(out, state.mine ? state.since : now, now);
+        append(out, std::string_view(state.wish ? state.wish->model : ""));
+        append_age(out, state.wish ? state.wished : now, now);
+        append_age(out, state.ordered ? state.last_order : now, now);
+    }
+}
+
+} // namespace caperjunction::fleet
--- a/src/fleet/witness.hpp
+++ b/src/fleet/witness.hpp
@@ -73,6 +73,8 @@
         std::uint32_t voters = 0;
         /// Stays with the vote wherever it goes.
         std::uint64_t origin = 0;
+        /// With a vote but no member: the member whose vote it was.
+        std::string seat;
         /// Since when it has been a member without a break.
         model::time_point entered{};
     };
@@ -114,7 +116,9 @@
     bool view_lapsed(model::time_point now) const;
     void lapse(model::time_point now);
     void mature(std::size_t bucket, model::time_point now);
-    void take_in(claim_transfer const& transfer, model::time_point now);
+    void take_in(std::string const& from,
+                 claim_transfer const& transfer,
+                 model::time_point now);
     claim_refusal refusal(claim_request const& request,
                           model::time_point now) const;
     claim_reply consider(claim_request const& request, model::time_point now);
--- a/src/fleet/witness_votes.cpp
+++ b/src/fleet/witness_votes.cpp
@@ -21,11 +21,16 @@
         bool const member =
             !m_leaving && view->is_witness(m_settings.host, bucket);
         if (state.vote && !member) {
-            auto const name = m_view->successor(m_settings.host, bucket, *view);
+            // A host that leaves gives its vote to the next in rank, which
+            // may not be the one that the next list puts in its place.
+            auto const& seat =
+                state.seat.empty() ? m_settings.host : state.seat;
+            auto const name = m_view->successor(seat, bucket, *view);
             to[name].push_back(bucket);
         }
         if (member && !state.member) {
             state.entered = now;
+            state.seat.clear();
         }
         if (member && m_view == nullptr && m_settings.first_fleet) {
             state.vote = true;
@@ -185,13 +190,15 @@
             return;
         }
         offer->second.taken = true;
-        take_in(transfer, now);
+        take_in(from, transfer, now);
     }
     out.push_back(
         {from, claim_transfer_ack{transfer.generation, transfer.number}});
 }
 
-void witness::take_in(claim_transfer const& transfer, model::time_point now)
+void witness::take_in(std::string const& from,
+                      claim_transfer const& transfer,
+                      model::time_point now)
 {
     for (auto const& record : transfer.claims) {
         auto const bucket = claim_bucket(record.key, m_buckets.size());
@@ -216,6 +223,7 @@
         if (!state.vote) {
             state.vote = true;
             state.origin = vote.origin;
+            state.seat = state.member ? std::string() : from;
         }
     }
 }
--- /dev/null
+++ b/tests/fleet/order_test.cpp
@@ -0,0 +1,249 @@
+#include "fleet/orderer.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+using namespace caperjunction;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An engine that remembers what it was ordered, as either kind does.
+struct fake_engine
+{
+    bool checks_fencing = false;
+    fleet::fencing_number highest;
+    std::vector<fleet::order> applied;
+
+    fleet::order_end take(fleet::order const& order)
+    {
+        if (checks_fencing && order.number < highest) {
+            return fleet::order_end::outdated;
+        }
+        highest = order.number;
+        applied.push_back(order);
+        return fleet::order_end::done;
+    }
+};
+
+/// One orderer with its clock; others' clocks run alike.
+struct host
+{
+    host(std::string const& name, std::uint64_t generation)
+        : orderer(settings_of(name, generation))
+    {
+    }
+
+    static fleet::order_settings settings_of(std::string const& name,
+                                             std::uint64_t generation)
+    {
+        fleet::order_settings settings;
+        settings.host = name;
+        settings.generation = generation;
+        settings.loads_per_minute = 600.0;
+        return settings;
+    }
+
+    std::vector<fleet::order_decision> tell(fleet::order_event const& event)
+    {
+        std::vector<fleet::order_decision> out;
+        orderer.handle(event, now, out);
+        return out;
+    }
+
+    void list(std::uint64_t revision,
+              std::vector<std::string> names,
+              bool checks_fencing)
+    {
+        tell(fleet::order_hosts_listed{revision, std::move(names)});
+        tell(fleet::order_engines_listed{{{"engine", checks_fencing, {}}}});
+        tell(fleet::order_hosts_confirmed{now});
+    }
+
+    /// Awake, with a list that stays the newest; returns what was ordered.
+    std::size_t pass(std::chrono::seconds by)
+    {
+        std::size_t orders = 0;
+        for (auto left = by; left > 0s; left -= 1s) {
+            now += 1s;
+            tell(fleet::order_hosts_confirmed{now});
+            orders += tell(fleet::order_tick{}).size();
+        }
+        return orders;
+    }
+
+    fleet::orderer orderer;
+    model::time_point now{std::chrono::hours(1)};
+};
+
+fleet::order const* sent(std::vector<fleet::order_decision> const& out)
+{
+    for (auto const& one : out) {
+        if (auto const* send = std::get_if<fleet::order_send>(&one)) {
+            return &send->order;
+        }
+    }
+    return nullptr;
+}
+
+fleet::order_wished wish(std::string const& model)
+{
+    return {{"engine", model}, false};
+}
+
+} // namespace
+
+TEST_CASE("a wish goes to the engine's one orderer, which orders once")
+{
+    host a("a", 1);
+    host b("b", 2);
+    a.list(1, {"a", "b"}, true);
+    b.list(1, {"a", "b"}, true);
+    CHECK(a.orderer.orders("engine") != b.orderer.orders("engine"));
+    host& mine = a.orderer.orders("engine") ? a : b;
+    host& other = a.orderer.orders("engine") ? b : a;
+    auto const forwarded = other.tell(wish("draft"));
+    REQUIRE(forwarded.size() == 1);
+    CHECK(std::get<fleet::order_wish_forward>(forwarded[0]).to
+          == (&mine == &a ? "a" : "b"));
+    mine.pass(1s);
+    auto const* order = sent(mine.tell(wish("draft")));
+    REQUIRE(order != nullptr);
+    CHECK(order->number == fleet::fencing_number{1, &mine == &a ? 1U : 2U});
+    CHECK(sent(mine.tell(wish("draft"))) == nullptr);
+}
+
+TEST_CASE("two hosts order an engine that checks fencing numbers")
+{
+    // A host sleeps while it is taken off the list, and wakes with its old
+    // list confirmed by a service that is stale. Without the numbers the
+    // engine would load the old wish over the new one.
+    fake_engine engine{true, {}, {}};
+    host old("a", 1);
+    old.list(1, {"a"}, true);
+    old.pass(1s);
+    old.tell(wish("old"));
+    host next("b", 2);
+    next.list(2, {"b"}, true);
+    next.now = old.now;
+    next.pass(1s);
+    auto const out = next.tell(wish("new"));
+    REQUIRE(sent(out) != nullptr);
+    CHECK(engine.take(*sent(out)) == fleet::order_end::done);
+    REQUIRE(old.orderer.may_send("engine", old.now));
+    fleet::order const late{"engine", "old", {1, 1}};
+    CHECK(engine.take(late) == fleet::order_end::outdated);
+    REQUIRE(engine.applied.size() == 1);
+    CHECK(engine.applied[0].model == "new");
+}
+
+TEST_CASE("two hosts order an engine that ignores fencing numbers")
+{
+    // The old orderer sleeps with an order in hand until the new one orders.
+    // The engine takes whatever comes last, so the old one must hold back.
+    host old("a", 1);
+    old.list(1, {"a"}, false);
+    old.pass(31s);
+    REQUIRE(sent(old.tell(wish("old"))) != nullptr);
+    CHECK(old.orderer.may_send("engine", old.now));
+
+    host next("b", 2);
+    next.now = old.now;
+    next.list(2, {"b"}, false);
+    next.tell(wish("new"));
+    next.pass(29s);
+    CHECK_FALSE(next.orderer.may_send("engine", next.now));
+    next.pass(1s);
+    CHECK(next.orderer.may_send("engine", next.now));
+
+    SUBCASE("and wakes")
+    {
+        old.now += 30s;
+        CHECK_FALSE(old.orderer.may_send("engine", old.now));
+    }
+    SUBCASE("and was awake, but cut off from the list")
+    {
+        for (int second = 0; second < 11; ++second) {
+            old.now += 1s;
+            old.tell(fleet::order_tick{});
+        }
+        CHECK_FALSE(old.orderer.may_send("engine", old.now));
+    }
+}
+
+TEST_CASE("the quiet time outlasts every order of the orderer before")
+{
+    fleet::order_settings const settings;
+    CHECK(settings.quiet > settings.lease + settings.flight);
+}
+
+TEST_CASE("an engine is not ordered again within the dwell time")
+{
+    // Demand that swings between two models would else keep an engine loading
+    // weights and never serving.
+    host one("a", 1);
+    one.list(1, {"a"}, true);
+    one.pass(1s);
+    REQUIRE(sent(one.tell(wish("x"))) != nullptr);
+    one.tell(fleet::order_ended{"engine", fleet::order_end::done});
+    std::size_t orders = 0;
+    for (int second = 0; second < 59; ++second) {
+        orders += one.pass(1s);
+        orders += sent(one.tell(wish(second % 2 == 0 ? "y" : "x"))) ? 1 : 0;
+    }
+    CHECK(orders == 0);
+    CHECK(one.pass(1s) == 1);
+}
+
+TEST_CASE("the weights store's rate bounds the orders of all hosts together")
+{
+    // Every engine wants another model at once. Each load beyond the rate
+    // makes all loads slower.
+    fleet::order_settings settings;
+    settings.host = "a";
+    settings.generation = 1;
+    settings.loads_per_minute = 6.0;
+    fleet::orderer orderer(settings);
+    model::time_point now{std::chrono::hours(1)};
+    std::vector<fleet::order_decision> out;
+    std::vector<fleet::ordered_engine> engines;
+    for (int index = 0; index < 100; ++index) {
+        engines.push_back({"engine-" + std::to_string(index), true, {}});
+    }
+    orderer.handle(fleet::order_hosts_listed{1, {"a"}}, now, out);
+    orderer.handle(fleet::order_engines_listed{engines}, now, out);
+    orderer.handle(fleet::order_hosts_confirmed{now}, now, out);
+    for (int second = 0; second < 600; ++second) {
+        now += 1s;
+        for (auto const& engine : engines) {
+            orderer.handle(
+                fleet::order_wished{{engine.name, "draft"}, false}, now, out);
+        }
+    }
+    CHECK(out.size() >= 59);
+    CHECK(out.size() <= 60);
+}
+
+TEST_CASE("a stopping host and a host that slept order nothing")
+{
+    host one("a", 1);
+    one.list(1, {"a"}, true);
+    one.pass(1s);
+    SUBCASE("stopping")
+    {
+        one.tell(fleet::order_stop_planned{});
+        CHECK(sent(one.tell(wish("draft"))) == nullptr);
+    }
+    SUBCASE("slept")
+    {
+        one.now += 60s;
+        CHECK(sent(one.tell(wish("draft"))) == nullptr);
+        one.tell(fleet::order_hosts_confirmed{one.now});
+        CHECK(sent(one.tell(fleet::order_tick{})) != nullptr);
+    }
+}
