Offer a leaving host's votes past a successor that is gone

Cause: the next in rank may have crashed while the list still names it; the leaving host's votes waited for it and died with the process. Change: after three unanswered offers the votes are offered to the next one; nobody was bound by an offer that was not accepted. Three hosts that stop before the list follows still leave three votes of five, not five: they choose the same successor, and a host has one vote at most. Conclusion: crashes next to a planned stop cost no vote; hurried stops cost some, but no majority in the case tested.

--- a/src/fleet/claim_view.cpp
+++ b/src/fleet/claim_view.cpp
@@ -77,13 +77,13 @@
     return std::find(names.begin(), names.end(), host) != names.end();
 }
 
-claim_view claim_view::without(std::string_view host) const
+claim_view claim_view::without(std::set<std::string> const& hosts) const
 {
-    model::hosts hosts = m_hosts;
-    std::erase_if(hosts.members, [&](model::host const& one) {
-        return one.name == host;
+    model::hosts rest = m_hosts;
+    std::erase_if(rest.members, [&](model::host const& one) {
+        return hosts.count(one.name) > 0;
     });
-    return claim_view(hosts, m_settings);
+    return claim_view(std::move(rest), m_settings);
 }
 
 std::string claim_view::successor(std::string_view host,
--- a/src/fleet/claim_view.hpp
+++ b/src/fleet/claim_view.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,8 +47,8 @@
     /// \pre bucket is below `buckets()`.
     bool is_witness(std::string_view host, std::size_t bucket) const;
 
-    /// The same list without one host that is about to leave.
-    claim_view without(std::string_view host) const;
+    /// The same list without hosts that leave or don't answer.
+    claim_view without(std::set<std::string> const& hosts) const;
 
     /// Who follows `host` in a bucket that it leaves: the witnesses that
     /// `next` has beyond this view are matched to those it lacks, in order of
--- a/src/fleet/witness.cpp
+++ b/src/fleet/witness.cpp
@@ -75,31 +75,6 @@
     }
 }
 
-void witness::on_event(claim_stop_planned const& /*event*/,
-                       model::time_point now,
-                       messages& out)
-{
-    if (m_leaving) {
-        return;
-    }
-    // First no vote more, then the hand-over: a claim granted after the copy
-    // was made would be missing from it.
-    m_leaving = true;
-    if (m_view == nullptr) {
-        return;
-    }
-    claim_view const next = m_view->without(m_settings.host);
-    std::map<std::string, std::vector<std::size_t>> to;
-    for (std::size_t bucket = 0; bucket < m_buckets.size(); ++bucket) {
-        mature(bucket, now);
-        if (m_buckets[bucket].vote) {
-            auto const name = m_view->successor(m_settings.host, bucket, next);
-            to[name].push_back(bucket);
-        }
-    }
-    hand_over(to, now, out);
-}
-
 void witness::on_event(claim_tick const& /*event*/,
                        model::time_point now,
                        messages& out)
--- a/src/fleet/witness.hpp
+++ b/src/fleet/witness.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -129,6 +130,9 @@
                    model::time_point now,
                    messages& out);
     void drive_hand_overs(model::time_point now, messages& out);
+    void offer_elsewhere();
+    void split_by_successor(witness_hand_over const& refused);
+    std::string const& seat(std::size_t bucket) const;
 
     witness_settings m_settings;
     wake_guard m_guard;
@@ -140,6 +144,8 @@
     witness_memory m_memory;
     std::uint64_t m_offers = 0;
     std::map<std::uint64_t, witness_hand_over> m_hand_overs;
+    /// Hosts that didn't take an offer since this one began to leave.
+    std::set<std::string> m_unwilling;
     /// By host and generation of the process that offers.
     std::map<std::pair<std::string, std::uint64_t>, witness_intake> m_intakes;
 };
--- a/src/fleet/witness_hand_over.hpp
+++ b/src/fleet/witness_hand_over.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace caperjunction::fleet {
 
@@ -17,6 +18,10 @@
     std::string to;
     model::time_point started{};
     model::time_point sent{};
+    /// Offers that were not answered.
+    std::uint32_t offers = 0;
+    /// Whose votes they are, in the order of `transfer.votes`.
+    std::vector<std::string> seats;
     /// Its `to_generation` is 0 until the offer was accepted.
     claim_transfer transfer;
 };
--- /dev/null
+++ b/src/fleet/witness_leave.cpp
@@ -0,0 +1,94 @@
+#include "fleet/witness.hpp"
+
+#include <iterator>
+
+namespace caperjunction::fleet {
+
+void witness::on_event(claim_stop_planned const& /*event*/,
+                       model::time_point now,
+                       messages& out)
+{
+    if (m_leaving) {
+        return;
+    }
+    // First no vote more, then the hand-over: a claim granted after the copy
+    // was made would be missing from it.
+    m_leaving = true;
+    m_unwilling.insert(m_settings.host);
+    if (m_view == nullptr) {
+        return;
+    }
+    claim_view const next = m_view->without(m_unwilling);
+    std::map<std::string, std::vector<std::size_t>> to;
+    for (std::size_t bucket = 0; bucket < m_buckets.size(); ++bucket) {
+        mature(bucket, now);
+        if (m_buckets[bucket].vote) {
+            auto const name = m_view->successor(seat(bucket), bucket, next);
+            to[name].push_back(bucket);
+        }
+    }
+    hand_over(to, now, out);
+}
+
+std::string const& witness::seat(std::size_t bucket) const
+{
+    auto const& state = m_buckets[bucket];
+    return state.seat.empty() ? m_settings.host : state.seat;
+}
+
+// Several hosts that stop one after another, faster than the list follows,
+// offer votes to hosts that are gone. An offer that nobody accepted binds
+// nobody, so another host may have the votes.
+void witness::offer_elsewhere()
+{
+    constexpr std::uint32_t s_offers = 3;
+    std::vector<witness_hand_over> refused;
+    for (auto at = m_hand_overs.begin(); at != m_hand_overs.end();) {
+        bool const open = at->second.transfer.to_generation == 0;
+        if (open && at->second.offers >= s_offers) {
+            m_unwilling.insert(at->second.to);
+            refused.push_back(std::move(at->second));
+            at = m_hand_overs.erase(at);
+        } else {
+            ++at;
+        }
+    }
+    for (auto const& one : refused) {
+        split_by_successor(one);
+    }
+}
+
+void witness::split_by_successor(witness_hand_over const& refused)
+{
+    std::map<std::string, claim_view> next;
+    std::map<std::string, witness_hand_over> parts;
+    for (std::size_t index = 0; index < refused.seats.size(); ++index) {
+        auto const& vote = refused.transfer.votes[index];
+        auto const& seat = refused.seats[index];
+        if (next.count(seat) == 0) {
+            auto gone = m_unwilling;
+            gone.insert(seat);
+            next.emplace(seat, m_view->without(gone));
+        }
+        auto const name = m_view->successor(seat, vote.bucket, next.at(seat));
+        auto& part = parts[name];
+        part.seats.push_back(seat);
+        part.transfer.votes.push_back(vote);
+        for (auto const& claim : refused.transfer.claims) {
+            if (claim_bucket(claim.key, m_buckets.size()) == vote.bucket) {
+                part.transfer.claims.push_back(claim);
+            }
+        }
+    }
+    // Nobody is left to have those.
+    parts.erase("");
+    for (auto& [name, part] : parts) {
+        part.to = name;
+        part.started = refused.started;
+        part.transfer.generation = m_settings.generation;
+        part.transfer.number = ++m_offers;
+        m_hand_overs.emplace(m_offers, std::move(part));
+    }
+}
+
+} // namespace caperjunction::fleet
--- a/src/fleet/witness_votes.cpp
+++ b/src/fleet/witness_votes.cpp
@@ -23,9 +23,7 @@
         if (state.vote && !member) {
             // A host that leaves gives its vote to the next in rank, which
             // may not be the one that the next list puts in its place.
-            auto const& seat =
-                state.seat.empty() ? m_settings.host : state.seat;
-            auto const name = m_view->successor(seat, bucket, *view);
+            auto const name = m_view->successor(seat(bucket), bucket, *view);
             to[name].push_back(bucket);
         }
         if (member && !state.member) {
@@ -84,6 +82,7 @@
             part->transfer.votes.push_back({static_cast<std::uint32_t>(bucket),
                                             state.voters,
                                             state.origin});
+            part->seats.push_back(seat(bucket));
             part->transfer.claims.insert(
                 part->transfer.claims.end(), records.begin(), records.end());
         }
@@ -100,6 +99,9 @@
     std::erase_if(m_hand_overs, [&](auto const& entry) {
         return now - entry.second.started > timing.transfer_lease;
     });
+    if (m_leaving) {
+        offer_elsewhere();
+    }
     for (auto& [number, hand_over] : m_hand_overs) {
         bool const due = hand_over.sent == model::time_point{}
                          || now - hand_over.sent >= timing.resend_after;
@@ -108,6 +110,7 @@
         }
         hand_over.sent = now;
         if (hand_over.transfer.to_generation == 0) {
+            ++hand_over.offers;
             out.push_back(
                 {hand_over.to, claim_offer{m_settings.generation, number}});
         } else {
--- a/tests/fleet/claim_fleet_test.cpp
+++ b/tests/fleet/claim_fleet_test.cpp
@@ -346,3 +346,57 @@
         }
     }
 }
+
+TEST_CASE("a leaving host's vote goes past a successor that is gone")
+{
+    // The next in rank has crashed and the list still names it. A vote that
+    // waited for it would be lost with the leaving host.
+    claim_fleet hosts(7);
+    auto const leaving = hosts.witnesses().front();
+    auto const staying = hosts.witnesses();
+    std::set<std::string> spare = hosts.listed();
+    for (auto const& name : staying) {
+        spare.erase(name);
+    }
+    REQUIRE(spare.size() == 2);
+    SUBCASE("the first")
+    {
+        hosts.kill(*spare.begin());
+    }
+    SUBCASE("the second")
+    {
+        hosts.kill(*spare.rbegin());
+    }
+    hosts.stop(leaving);
+    hosts.pass(5s);
+    CHECK(hosts.votes() == 5);
+    hosts.kill(leaving);
+    CHECK(hosts.book(staying.back()));
+}
+
+TEST_CASE("hosts stop faster than the list follows")
+{
+    // An operator stops three hosts within seconds of each other; the list
+    // still names all of them, and they choose the same successor, which can
+    // have one vote only. A majority of the votes must be left.
+    claim_fleet hosts(8);
+    CHECK(hosts.book("host-0"));
+    auto const order = hosts.witnesses();
+    for (std::size_t index = 0; index < 3; ++index) {
+        hosts.stop(order[index]);
+        hosts.pass(5s);
+        hosts.kill(order[index]);
+    }
+    CHECK(hosts.votes() >= 3);
+    auto names = hosts.listed();
+    for (std::size_t index = 0; index < 3; ++index) {
+        names.erase(order[index]);
+    }
+    hosts.list(names);
+    hosts.adopt_all();
+    CHECK(hosts.votes() >= 3);
+    CHECK_FALSE(hosts.book(order[3]));
+    CHECK(hosts.runs() == 1);
+    hosts.pass(601s);
+    CHECK(hosts.book(order[3]));
+}
