--- a/bench/claims_explorer/fault_budget.cpp
+++ b/bench/claims_explorer/fault_budget.cpp
@@ -29,4 +29,17 @@
     };
 }
 
+fault_budget order_budget(bool full)
+{
+    if (!full) {
+        return {.leaps = 2, .pauses = 1, .lists = 1, .resends = 2};
+    }
+    return {.crashes = 1,
+            .restarts = 1,
+            .leaps = 3,
+            .pauses = 2,
+            .lists = 2,
+            .resends = 3};
+}
+
 } // namespace caperjunction::claims_explorer
--- a/bench/claims_explorer/fault_budget.hpp
+++ b/bench/claims_explorer/fault_budget.hpp
@@ -42,6 +42,9 @@
 /// The profiles of the full run, or the few small ones of the short run.
 std::vector<fault_profile> fault_profiles(bool full);
 
+/// Of the search over an engine's orders; its resends are wishes.
+fault_budget order_budget(bool full);
+
 } // namespace caperjunction::claims_explorer
 
 #endif
--- a/bench/claims_explorer/main.cpp
+++ b/bench/claims_explorer/main.cpp
@@ -29,12 +29,14 @@
           off,
           "none",
           "mechanism to switch off: new_hosts_vote, no_grant_lease, "
-          "no_view_lease");
+          "no_view_lease, no_quiet_time");
 
 namespace {
 
 using namespace caperjunction::claims_explorer;
 
+constexpr double s_unbounded_loads = 1e6;
+
 ablation ablation_of(std::string const& name)
 {
     if (name == "new_hosts_vote") {
@@ -60,6 +62,23 @@
     return limits;
 }
 
+// Both kinds of engine, with all faults that touch orders.
+void add_orders(std::vector<profile_result>& results)
+{
+    bool const full = absl::GetFlag(FLAGS_full);
+    fault_budget const budget = order_budget(full);
+    for (bool const checks : {true, false}) {
+        order_scenario fixed;
+        fixed.checks_fencing = checks;
+        fixed.settings.loads_per_minute = s_unbounded_loads;
+        if (absl::GetFlag(FLAGS_off) == "no_quiet_time") {
+            fixed.settings.quiet = fixed.settings.quiet.zero();
+        }
+        results.push_back({checks ? "orders, checked" : "orders, unchecked",
+                           search_orders(fixed, budget, limits_of_flags())});
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -87,6 +106,9 @@
                  search(fixed, profile.budget, limits_of_flags())});
         }
     }
+    if (only.empty() || only == "orders") {
+        add_orders(results);
+    }
     std::cout << (format == "json" ? report_json(results)
                                    : report_table(results));
     bool const clean =
--- a/bench/claims_explorer/report.cpp
+++ b/bench/claims_explorer/report.cpp
@@ -14,6 +14,7 @@
         sum.states += one.result.states;
         sum.runs_twice += one.result.runs_twice;
         sum.false_not_run += one.result.false_not_run;
+        sum.stale_orders += one.result.stale_orders;
         sum.stuck += one.result.stuck;
         sum.settled += one.result.settled;
         sum.exhaustive = sum.exhaustive && one.result.exhaustive;
@@ -30,20 +31,23 @@
             {"runs_twice", result.runs_twice},
             {"false_not_run", result.false_not_run},
             {"stuck", result.stuck},
+            {"stale_orders", result.stale_orders},
             {"settled", result.settled},
             {"exhaustive", result.exhaustive}};
 }
 
 std::string line(std::string const& name, search_result const& result)
 {
-    return fmt::format("{:<20} {:>10} {:>10} {:>13} {:>7} {:>9} {:>10}\n",
-                       name,
-                       result.states,
-                       result.runs_twice,
-                       result.false_not_run,
-                       result.stuck,
-                       result.settled,
-                       result.exhaustive ? "yes" : "no");
+    return fmt::format(
+        "{:<20} {:>10} {:>10} {:>13} {:>7} {:>12} {:>9} {:>10}\n",
+        name,
+        result.states,
+        result.runs_twice,
+        result.false_not_run,
+        result.stuck,
+        result.stale_orders,
+        result.settled,
+        result.exhaustive ? "yes" : "no");
 }
 
 } // namespace
@@ -64,12 +68,13 @@
 std::string report_table(std::vector<profile_result> const& results)
 {
     std::string text =
-        fmt::format("{:<20} {:>10} {:>10} {:>13} {:>7} {:>9} {:>10}\n",
+        fmt::format("{:<20} {:>10} {:>10} {:>13} {:>7} {:>12} {:>9} {:>10}\n",
                     "profile",
                     "states",
                     "runs_twice",
                     "false_not_run",
                     "stuck",
+                    "stale_orders",
                     "settled",
                     "exhaustive");
     for (auto const& one : results) {
--- a/bench/claims_explorer/search.hpp
+++ b/bench/claims_explorer/search.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_BENCH_CLAIMS_EXPLORER_SEARCH_HPP
 
 #include "bench/claims_explorer/fault_budget.hpp"
+#include "bench/claims_explorer/order_scenario.hpp"
 #include "bench/claims_explorer/scenario.hpp"
 #include "bench/claims_explorer/step.hpp"
 
@@ -31,6 +32,8 @@
     std::size_t states = 0;
     std::size_t runs_twice = 0;
     std::size_t false_not_run = 0;
+    /// Orders of an older orderer that an engine took after a newer one's.
+    std::size_t stale_orders = 0;
     std::size_t stuck = 0;
     /// Quiet states whose way out was tried.
     std::size_t settled = 0;
@@ -45,6 +48,11 @@
                      fault_budget const& budget,
                      search_limits const& limits);
 
+/// Follows all histories of two hosts that order one engine.
+search_result search_orders(order_scenario const& fixed,
+                            fault_budget const& budget,
+                            search_limits const& limits);
+
 } // namespace caperjunction::claims_explorer
 
 #endif
--- a/bench/claims_explorer/world.hpp
+++ b/bench/claims_explorer/world.hpp
@@ -5,6 +5,7 @@
 #include "bench/claims_explorer/node.hpp"
 #include "bench/claims_explorer/scenario.hpp"
 #include "bench/claims_explorer/step.hpp"
+#include "bench/claims_explorer/violations.hpp"
 #include "fleet/claim_message.hpp"
 #include "model/time.hpp"
 
@@ -25,18 +26,6 @@
     std::uint64_t hash = 0;
 };
 
-/// What a history broke.
-struct violations
-{
-    std::uint32_t runs_twice = 0;
-    std::uint32_t false_not_run = 0;
-
-    bool any() const
-    {
-        return runs_twice + false_not_run > 0;
-    }
-};
-
 /// One state of the whole fleet: hosts, messages on their way, the clock,
 /// what ran, and the faults that may still come. Copies share what is equal.
 ///
--- a/src/fleet/orderer.cpp
+++ b/src/fleet/orderer.cpp
@@ -145,14 +145,17 @@
     }
 }
 
-bool orderer::may_send(std::string_view engine, model::time_point now)
+bool orderer::may_send(order const& order, model::time_point now)
 {
     if (m_guard.note_wake(now)) {
         m_woke = now;
     }
-    auto const found = m_engines.find(engine);
+    // An order that waited while the engine went to another host and came
+    // back is older than that host's orders.
+    fencing_number const newest{m_revision, m_settings.generation};
+    auto const found = m_engines.find(order.engine);
     return found != m_engines.end() && found->second.in_flight
-           && allowed(found->second, now);
+           && order.number == newest && allowed(found->second, now);
 }
 
 bool orderer::orders(std::string_view engine) const
--- a/src/fleet/orderer.hpp
+++ b/src/fleet/orderer.hpp
@@ -44,7 +44,7 @@
     /// To be asked right before the first byte of an order leaves.
     ///
     /// \pre `now` is read after everything that may take long.
-    bool may_send(std::string_view engine, model::time_point now);
+    bool may_send(order const& order, model::time_point now);
 
     /// Whether this host orders that engine, by its own list.
     bool orders(std::string_view engine) const;
--- a/tests/fleet/explorer_test.cpp
+++ b/tests/fleet/explorer_test.cpp
@@ -53,3 +53,33 @@
     CHECK(result.runs_twice > 0);
     CHECK_FALSE(result.history.empty());
 }
+
+TEST_CASE("no short history lets an older orderer follow a newer one")
+{
+    // Two hosts take turns in ordering an engine while one of them sleeps or
+    // hears of the list late. The engine would load an outdated model.
+    for (bool const checks : {true, false}) {
+        order_scenario fixed;
+        fixed.checks_fencing = checks;
+        fixed.settings.loads_per_minute = 1e6;
+        auto limits = short_search();
+        limits.max_states = 100'000;
+        auto const result = search_orders(fixed, order_budget(false), limits);
+        CHECK(result.exhaustive);
+        CHECK(result.stale_orders == 0);
+        CHECK(result.stuck == 0);
+    }
+}
+
+TEST_CASE("without a quiet time an older order follows a newer one")
+{
+    // The engine ignores fencing numbers, and the new orderer doesn't wait
+    // for the one before to notice.
+    order_scenario fixed;
+    fixed.settings.loads_per_minute = 1e6;
+    fixed.settings.quiet = fixed.settings.quiet.zero();
+    auto limits = short_search();
+    limits.max_states = 100'000;
+    auto const result = search_orders(fixed, order_budget(true), limits);
+    CHECK(result.stale_orders > 0);
+}
--- a/tests/fleet/order_test.cpp
+++ b/tests/fleet/order_test.cpp
@@ -135,8 +135,8 @@
     auto const out = next.tell(wish("new"));
     REQUIRE(sent(out) != nullptr);
     CHECK(engine.take(*sent(out)) == fleet::order_end::done);
-    REQUIRE(old.orderer.may_send("engine", old.now));
     fleet::order const late{"engine", "old", {1, 1}};
+    REQUIRE(old.orderer.may_send(late, old.now));
     CHECK(engine.take(late) == fleet::order_end::outdated);
     REQUIRE(engine.applied.size() == 1);
     CHECK(engine.applied[0].model == "new");
@@ -149,22 +149,24 @@
     host old("a", 1);
     old.list(1, {"a"}, false);
     old.pass(31s);
+    fleet::order const late{"engine", "old", {1, 1}};
     REQUIRE(sent(old.tell(wish("old"))) != nullptr);
-    CHECK(old.orderer.may_send("engine", old.now));
+    CHECK(old.orderer.may_send(late, old.now));
 
     host next("b", 2);
     next.now = old.now;
     next.list(2, {"b"}, false);
     next.tell(wish("new"));
-    next.pass(29s);
-    CHECK_FALSE(next.orderer.may_send("engine", next.now));
-    next.pass(1s);
-    CHECK(next.orderer.may_send("engine", next.now));
+    fleet::order const order{"engine", "new", {2, 2}};
+    CHECK(next.pass(29s) == 0);
+    CHECK_FALSE(next.orderer.may_send(order, next.now));
+    CHECK(next.pass(1s) == 1);
+    CHECK(next.orderer.may_send(order, next.now));
 
     SUBCASE("and wakes")
     {
         old.now += 30s;
-        CHECK_FALSE(old.orderer.may_send("engine", old.now));
+        CHECK_FALSE(old.orderer.may_send(late, old.now));
     }
     SUBCASE("and was awake, but cut off from the list")
     {
@@ -172,10 +174,26 @@
             old.now += 1s;
             old.tell(fleet::order_tick{});
         }
-        CHECK_FALSE(old.orderer.may_send("engine", old.now));
+        CHECK_FALSE(old.orderer.may_send(late, old.now));
     }
 }
 
+TEST_CASE("an order that waited while its engine changed hands twice is void")
+{
+    // The engine's connection was slow; meanwhile another host ordered it,
+    // and it came back. The order that waited is older than that host's.
+    host one("a", 1);
+    one.list(1, {"a"}, false);
+    one.pass(31s);
+    auto const out = one.tell(wish("old"));
+    REQUIRE(sent(out) != nullptr);
+    fleet::order const late = *sent(out);
+    one.list(2, {"b"}, false);
+    one.list(3, {"a"}, false);
+    one.pass(31s);
+    CHECK_FALSE(one.orderer.may_send(late, one.now));
+}
+
 TEST_CASE("the quiet time outlasts every order of the orderer before")
 {
     fleet::order_settings const settings;
@@ -212,6 +230,7 @@
     model::time_point now{std::chrono::hours(1)};
     std::vector<fleet::order_decision> out;
     std::vector<fleet::ordered_engine> engines;
+    engines.reserve(100);
     for (int index = 0; index < 100; ++index) {
         engines.push_back({"engine-" + std::to_string(index), true, {}});
     }
