Blame for a crash what had just started there, and keep suspects apart

Cause: one crash was counted once for each broken connection; neighbours that found an engine gone, or had been streaming for seconds, were quarantined with the cause, so that their answers were cut short; hosts passed suspicions on to each other for ever.

Change: evidence is counted once a crash and engine, when an attempt's own end says that it broke; what had just started weighs double; suspects run on engines that fall to their host; a digest tells only what its host has seen. Hosts prefer the engines that fall to them, whose prompts they know.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -102,6 +102,7 @@
     void charge_overrun(entry& running);
     void expect_output(entry& running, std::uint32_t tokens);
     void end_whole(entry& running, attempt_ended const& happened);
+    void note_broken(entry& running, index upstream);
     void end_broken(entry& running, index upstream);
     void end_not_run(entry& running, index upstream);
     void try_again(entry& waiting, index avoided, std::string const& reason);
@@ -111,7 +112,8 @@
     void eject(index engine);
     void lose(index engine);
     void blame(index engine);
-    void suspect(model::request_id id, std::uint64_t fingerprint, index engine);
+    std::vector<broken_attempt> take_broken(index engine);
+    void suspect(broken_attempt const& attempt, blame_weight weight);
     void revisit_engines();
     void probe(index engine);
     void drain_engine(index engine);
--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -212,21 +212,31 @@
     try_again(running, upstream, "not_run_there");
 }
 
+void core::note_broken(entry& running, index upstream)
+{
+    broken_attempt const attempt{running.id,
+                                 running.fingerprint,
+                                 upstream,
+                                 m_now,
+                                 running.attempt_tokens == 0};
+    if (running.blame != blame_weight::none) {
+        // Its engine was reported lost before its own end came.
+        running.phase = phase::ended;
+        suspect(attempt, running.blame);
+        running.suspect = m_quarantine.suspected(running.fingerprint);
+        return;
+    }
+    if (m_broken.size() >= most_broken) {
+        m_broken.erase(m_broken.begin());
+    }
+    m_broken.push_back(attempt);
+}
+
 void core::end_broken(entry& running, index upstream)
 {
     running.may_have_run = true;
-    if (running.blamed) {
-        running.blamed = false;
-        running.suspect = true;
-    } else if (!running.is_service) {
-        if (m_broken.size() >= most_broken) {
-            m_broken.erase(m_broken.begin());
-        }
-        m_broken.push_back({running.id,
-                            running.fingerprint,
-                            upstream,
-                            m_now,
-                            running.attempt_tokens == 0});
+    if (!running.is_service) {
+        note_broken(running, upstream);
     }
     if (!running.repeatable) {
         // It may have run. A second run could charge a client twice, so the
@@ -257,6 +267,7 @@
     }
     waiting.avoided = avoided;
     waiting.upstream = no_index;
+    waiting.blame = blame_weight::none;
     if (waiting.is_service) {
         start_service(waiting);
         return;
--- a/src/decide/core_engine.cpp
+++ b/src/decide/core_engine.cpp
@@ -21,6 +21,14 @@
 constexpr model::milliseconds class_quiet{30'000};
 constexpr double trust_after_gap = 0.6;
 
+blame_weight weigh_blame(bool early, bool any_early, bool only_one)
+{
+    if (early || only_one) {
+        return blame_weight::telling;
+    }
+    return any_early ? blame_weight::none : blame_weight::slight;
+}
+
 } // namespace
 
 void core::on(engine_report const& happened)
@@ -89,68 +97,68 @@
 
 void core::blame(index place)
 {
-    // What is in flight ends as broken by events of its own; what broke just
-    // before was part of the same crash. The cause most often strikes before
-    // its first token. Those that were streaming are blamed only if nothing
-    // else was there: they would have to wait for engines of their own, and
-    // most are innocent.
-    for (model::request_id const id : m_engines.at(place).flights) {
-        entry* const running = find(id);
-        if (running != nullptr && running->phase == phase::running) {
-            m_broken.push_back({id,
-                                running->fingerprint,
-                                place,
-                                m_now,
-                                running->attempt_tokens == 0});
+    // The cause most often strikes before its first token. Those that were
+    // streaming are blamed less, and only if none here had just started: most
+    // are innocent, and suspects wait for engines of their own. What is still
+    // in flight is blamed once its own end says that it broke; if it turns out
+    // to have found the engine gone, it had no part in this.
+    engine_state const& engine = m_engines.at(place);
+    std::vector<broken_attempt> const before = take_broken(place);
+    std::size_t involved = before.size();
+    bool any_early = std::any_of(before.begin(), before.end(), [](auto& one) {
+        return one.early;
+    });
+    for (model::request_id const id : engine.flights) {
+        entry const* const running = find(id);
+        if (running != nullptr) {
+            ++involved;
+            any_early = any_early || running->attempt_tokens == 0;
         }
     }
-    std::vector<broken_attempt> here;
-    bool any_early = false;
-    for (broken_attempt const& one : m_broken) {
-        if (one.engine == place && m_now - one.at <= same_crash) {
-            here.push_back(one);
-            any_early = any_early || one.early;
+    bool const alone = involved == 1 && engine.peer_requests == 0;
+    for (model::request_id const id : engine.flights) {
+        entry* const running = find(id);
+        if (running != nullptr) {
+            bool const early = running->attempt_tokens == 0;
+            running->blame =
+                weigh_blame(early, any_early, alone || running->suspect);
         }
     }
-    m_broken.erase(std::remove_if(m_broken.begin(),
-                                  m_broken.end(),
-                                  [&](broken_attempt const& one) {
-                                      return one.engine == place
-                                             || m_now - one.at > same_crash;
-                                  }),
-                   m_broken.end());
-    for (broken_attempt const& one : here) {
-        if (one.early || !any_early) {
-            suspect(one.id, one.fingerprint, place);
+    for (broken_attempt const& one : before) {
+        bool const known = m_quarantine.suspected(one.fingerprint);
+        suspect(one, weigh_blame(one.early, any_early, alone || known));
+    }
+}
+
+std::vector<broken_attempt> core::take_broken(index place)
+{
+    std::vector<broken_attempt> taken;
+    std::vector<broken_attempt> kept;
+    for (broken_attempt const& one : m_broken) {
+        if (m_now - one.at > same_crash) {
+            continue;
         }
+        (one.engine == place ? taken : kept).push_back(one);
     }
+    m_broken = std::move(kept);
+    return taken;
 }
 
-void core::suspect(model::request_id id,
-                   std::uint64_t fingerprint,
-                   index engine)
+void core::suspect(broken_attempt const& attempt, blame_weight weight)
 {
-    bool const caught = m_quarantine.crashed(fingerprint, m_now);
-    if (caught) {
+    if (weight == blame_weight::none) {
+        return;
+    }
+    std::uint64_t const fingerprint = attempt.fingerprint;
+    bool const telling = weight == blame_weight::telling;
+    if (m_quarantine.crashed(fingerprint, attempt.engine, telling, m_now)) {
         m_out->emplace_back(quarantine_request{
             fingerprint,
             m_now + m_quarantine.remaining(fingerprint, m_now),
             "second_crash"});
     }
-    entry* const waiting = find(id);
-    if (waiting == nullptr) {
-        return;
-    }
-    if (waiting->phase == phase::running) {
-        if (waiting->upstream == engine) {
-            waiting->blamed = true;
-            return;
-        }
-        // Already sent on, before its engine was known to be lost.
-        if (!waiting->suspect && !waiting->is_service) {
-            waiting->suspect = true;
-            ++m_engines.at(waiting->upstream).suspects;
-        }
+    entry* const waiting = find(attempt.id);
+    if (waiting == nullptr || !m_quarantine.suspected(fingerprint)) {
         return;
     }
     if (waiting->phase == phase::queued) {
@@ -159,6 +167,10 @@
         if (!refuse_quarantined(*waiting)) {
             enqueue(*waiting);
         }
+    } else if (waiting->phase == phase::running && !waiting->suspect) {
+        // Already sent on, before its engine was known to be lost.
+        waiting->suspect = true;
+        ++m_engines.at(waiting->upstream).suspects;
     }
 }
 
--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -51,7 +51,7 @@
     add_peer_load(source, 1);
     for (suspect_load const& one : source.load.suspects) {
         m_quarantine.learn(one.fingerprint,
-                           one.crashes,
+                           one.evidence,
                            std::chrono::seconds(one.seconds),
                            m_now);
     }
@@ -228,6 +228,11 @@
 void core::add_suspects(digest& load) const
 {
     for (auto const& known : m_quarantine.records()) {
+        // Only what this host has seen itself: were hosts to pass on what
+        // they heard, they would keep each other's suspicions up for ever.
+        if (known.second.last_engine == no_index) {
+            continue;
+        }
         if (load.suspects.size() >= max_digest_suspects) {
             return;
         }
@@ -235,7 +240,7 @@
             m_quarantine.remaining(known.first, m_now));
         load.suspects.push_back(
             {known.first,
-             saturate<std::uint8_t>(known.second.crashes),
+             saturate<std::uint8_t>(known.second.evidence),
              known.second.running_on,
              saturate<std::uint16_t>(static_cast<std::size_t>(left.count()))});
     }
--- a/src/decide/digest.cpp
+++ b/src/decide/digest.cpp
@@ -99,7 +99,7 @@
     out.put(static_cast<std::uint16_t>(suspects.size()));
     for (suspect_load const& one : suspects) {
         out.put(one.fingerprint);
-        out.put(one.crashes);
+        out.put(one.evidence);
         out.put(one.engine_hash);
         out.put(one.seconds);
     }
@@ -110,7 +110,7 @@
     suspects.resize(in.count(max_digest_suspects));
     for (suspect_load& one : suspects) {
         in.take(one.fingerprint);
-        in.take(one.crashes);
+        in.take(one.evidence);
         in.take(one.engine_hash);
         in.take(one.seconds);
     }
--- a/src/decide/digest.hpp
+++ b/src/decide/digest.hpp
@@ -44,7 +44,7 @@
 struct suspect_load
 {
     std::uint64_t fingerprint = 0;
-    std::uint8_t crashes = 0;
+    std::uint8_t evidence = 0;
     /// Where it runs; 0 if it doesn't.
     std::uint32_t engine_hash = 0;
     /// Left of its quarantine; 0 if it is only suspect.
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -100,6 +100,11 @@
         } else {
             rooms.any_tier.erase(place);
         }
+        if (found == room::any_tier && state.owned > 0.0) {
+            rooms.owned.insert(place);
+        } else {
+            rooms.owned.erase(place);
+        }
         if (found == room::highest_tier) {
             rooms.highest_tier.insert(place);
         } else {
@@ -247,6 +252,7 @@
                       engines.end());
         for (region_room* rooms : {&left.own, &left.others}) {
             rooms->any_tier.erase(place);
+            rooms->owned.erase(place);
             rooms->highest_tier.erase(place);
         }
     }
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_DECIDE_ENTRY_HPP
 #define CAPERJUNCTION_DECIDE_ENTRY_HPP
 
+#include "decide/blame_weight.hpp"
 #include "decide/indices.hpp"
 #include "model/request_id.hpp"
 #include "model/time.hpp"
@@ -16,6 +17,8 @@
 {
     queued,
     running,
+    /// Between attempts, while one event is handled.
+    ended,
     handed_over,
 };
 
@@ -65,8 +68,8 @@
     bool may_have_run = false;
     /// In flight at a crash; runs apart from other suspects.
     bool suspect = false;
-    /// In flight on an engine that is lost; its end is still to come.
-    bool blamed = false;
+    /// For an engine that was lost under it; its own end is still to come.
+    blame_weight blame = blame_weight::none;
     /// Goes ahead of higher tiers by its tier's guaranteed share.
     bool owed = false;
     /// Counted against its team's limits.
--- a/src/decide/model_group.hpp
+++ b/src/decide/model_group.hpp
@@ -26,6 +26,8 @@
 struct region_room
 {
     open_list any_tier;
+    /// Those of `any_tier` that fall to this host.
+    open_list owned;
     open_list highest_tier;
 };
 
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -19,6 +19,13 @@
 constexpr double highest_tier_across_below = 0.97;
 // Between engines of equal first token the emptier one decodes faster.
 constexpr double load_penalty_ms = 30.0;
+// On the engines that fall to this host it knows most of the prompts that
+// wait; on the others those of other hosts come as a surprise.
+constexpr double foreign_penalty_ms = 80.0;
+// No two hosts have as much of one engine.
+constexpr double suspect_share = 0.51;
+// By then the others' digests tell where their suspects run.
+constexpr model::milliseconds suspect_patience{1000};
 // Paid bytes have to buy a noticeable gain.
 constexpr double across_penalty_ms = 100.0;
 
@@ -81,9 +88,10 @@
             weigh(own, holder.engine);
         }
     }
+    sample(own, group.own.owned);
     sample(own, group.own.any_tier);
     // The last room of an engine is the highest tier's alone.
-    if (waiting.tier == 0 && own.best.engine == no_index) {
+    if ((waiting.tier == 0 || waiting.suspect) && own.best.engine == no_index) {
         sample(own, group.own.highest_tier);
     }
     if (own.best.engine == no_index) {
@@ -128,8 +136,9 @@
         return;
     }
     room const room = own.engines.room_of(engine, own.now);
-    if (room == room::none
-        || (room == room::highest_tier && waiting.tier != 0)) {
+    // So is a suspect's: what it was sent with has been taken from it.
+    bool const last_room = waiting.tier == 0 || waiting.suspect;
+    if (room == room::none || (room == room::highest_tier && !last_room)) {
         return;
     }
     // The lowest tier leaves room to those between: its answers are the
@@ -140,8 +149,13 @@
         return;
     }
     // A request in flight at a crash may be its cause. Kept apart, a second
-    // crash tells which one it was, and costs the others nothing.
-    if (waiting.suspect && engine.suspects + engine.peer_suspects > 0) {
+    // crash tells which one it was, and costs the others nothing. Hosts hear of
+    // each other's suspects late, so each keeps its own on the engines that
+    // fall to it.
+    bool const patience_over = own.now - waiting.queued_at > suspect_patience;
+    if (waiting.suspect
+        && (engine.suspects + engine.peer_suspects > 0
+            || (engine.owned < suspect_share && !patience_over))) {
         return;
     }
     double const uncached =
@@ -155,6 +169,7 @@
     double score = static_cast<double>(predicted.count());
     score += load_penalty_ms * engine.outstanding(own.now)
              / std::max(1.0, engine.bound());
+    score += foreign_penalty_ms * (1.0 - engine.owned);
     if (!engine.own_region) {
         predicted += m_link_delay;
         score += static_cast<double>(m_link_delay.count()) + across_penalty_ms;
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -13,8 +13,13 @@
 /// A fingerprint that was in flight when an engine crashed.
 struct suspect_record
 {
-    std::uint32_t crashes = 0;
+    /// Evidence from crashes: 2 for a telling one, 1 for any other.
+    std::uint32_t evidence = 0;
     model::time_point last{};
+    /// The latest crash counted on this host; the engine is `no_index` if all
+    /// that is known of it comes from others.
+    model::time_point last_crash{};
+    index last_engine = no_index;
     /// The engine it runs on now, by `name_hash`; 0 if it doesn't run.
     std::uint32_t running_on = 0;
     /// Not run before this, on any host; set at its second crash.
@@ -24,16 +29,23 @@
 /// Finds the request that crashes every engine that runs it.
 ///
 /// Made for a caller that sends such a request again and again: each resend
-/// would cost one more engine and all that runs on it. After the first crash
-/// whatever was in flight is suspect and runs on an engine with no other
-/// suspect, so the second crash names the cause; it then gets a clear error.
+/// would cost one more engine and all that runs on it. After a crash what had
+/// just started there is suspect, and runs on an engine with no other suspect,
+/// so that a second crash names the cause; it then gets a clear error. What
+/// had been streaming is hardly the cause, and is suspect after two crashes.
 ///
 /// Thread safety: none; owned by one task.
 class quarantine
 {
 public:
     /// Counts a crash; true if the fingerprint is in quarantine from now on.
-    bool crashed(std::uint64_t fingerprint, model::time_point now);
+    /// It is `telling` if the request had just started there, or was the only
+    /// one that can have caused it. One crash is told many times, once for
+    /// each broken connection; it counts once.
+    bool crashed(std::uint64_t fingerprint,
+                 index engine,
+                 bool telling,
+                 model::time_point now);
 
     /// A request with this fingerprint ended well: it was not the cause.
     void cleared(std::uint64_t fingerprint);
@@ -48,7 +60,7 @@
 
     /// Takes over what another host knows.
     void learn(std::uint64_t fingerprint,
-               std::uint32_t crashes,
+               std::uint32_t evidence,
                model::milliseconds remaining,
                model::time_point now);
 
