--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -33,7 +33,8 @@
 /// decisions that follow are appended to `m_out`.
 ///
 /// Split over several files: core.cpp (events), core_admit.cpp,
-/// core_place.cpp, core_attempt.cpp, core_engine.cpp, core_peer.cpp.
+/// core_refuse.cpp, core_place.cpp, core_attempt.cpp, core_engine.cpp,
+/// core_peer.cpp.
 ///
 /// Thread safety: none; owned by one task.
 class core
--- a/src/decide/core_admit.cpp
+++ b/src/decide/core_admit.cpp
@@ -1,6 +1,5 @@
 #include "decide/core.hpp"
 #include "decide/name_hash.hpp"
-#include "model/limits.hpp"
 
 #include <algorithm>
 
@@ -8,20 +7,8 @@
 
 namespace {
 
-// A refusal's Retry-After: not so short that resends add to the burst that
-// caused it, not so long that a desk gives up the sale.
-constexpr model::milliseconds least_retry_after{250};
-constexpr model::milliseconds most_retry_after{300'000};
-// A tier counts as being refused while more than a stray one is.
-constexpr model::milliseconds refusal_horizon{2000};
-constexpr double refusing_rate = 0.1;
 constexpr char const* come_back = "send it again after the time in Retry-After";
 
-model::milliseconds clamp_retry(model::milliseconds wait)
-{
-    return std::clamp(wait, least_retry_after, most_retry_after);
-}
-
 } // namespace
 
 void core::on(request_arrived const& happened)
@@ -195,92 +182,6 @@
     return false;
 }
 
-overload_gate& core::gate(entry const& waiting)
-{
-    auto& gates = m_engines.groups()[waiting.group].gates;
-    if (waiting.tier >= gates.size()) {
-        gates.resize(waiting.tier + 1);
-    }
-    return gates[waiting.tier];
-}
-
-bool core::hopeless(entry const& waiting) const
-{
-    // What has been handed to an engine before is owed its end.
-    if (waiting.attempt > 0) {
-        return false;
-    }
-    model_group const& group = m_engines.groups()[waiting.group];
-    model::seconds const prefill{waiting.prompt_tokens
-                                 / group.prefill.tokens_per_second()};
-    return m_now + prefill >= waiting.deadline;
-}
-
-bool core::higher_refused(entry const& waiting)
-{
-    model_group const& group = m_engines.groups()[waiting.group];
-    for (index tier = 0; tier < waiting.tier; ++tier) {
-        bool const here =
-            tier < group.refusals.size()
-            && group.refusals[tier].per_second(m_now) > refusing_rate;
-        bool const elsewhere =
-            tier < group.peer_refused.size() && group.peer_refused[tier] > 0;
-        if (here || elsewhere) {
-            return true;
-        }
-    }
-    return false;
-}
-
-model::milliseconds core::time_to_come_back(entry const& waiting)
-{
-    // Nobody knows when overload ends. If spells of all lengths are alike, one
-    // that has lasted for a time is over within twice that time in two cases
-    // out of three. An earlier resend would most likely be refused once more,
-    // or take the place of a fresh request that can still be in time.
-    return std::max(expected_wait(waiting), 2 * gate(waiting).shut_for(m_now));
-}
-
-void core::refuse_late(entry& waiting)
-{
-    // Given up on, so it is told at once; waiting on would only keep its
-    // caller from coming back when there is room.
-    dequeue(waiting);
-    refuse_request(waiting,
-                   model::error_kind::refused,
-                   time_to_come_back(waiting),
-                   "target_missed_under_overload",
-                   come_back);
-}
-
-void core::make_room(entry const& arriving)
-{
-    // Made for a flood: memory is bounded, and what has to go is the lowest
-    // tier's newest, which has waited least and was promised least.
-    std::size_t total = 0;
-    for (model_group const& group : m_engines.groups()) {
-        total += group.queue.size();
-    }
-    if (total < model::limits::max_queued_requests) {
-        return;
-    }
-    for (index tier = m_policy.lowest_tier() + 1; tier-- > arriving.tier;) {
-        for (model_group& group : m_engines.groups()) {
-            if (group.queue.size(tier) == 0) {
-                continue;
-            }
-            entry& evicted = *group.queue.queue(tier).newest();
-            dequeue(evicted);
-            refuse_request(evicted,
-                           model::error_kind::refused,
-                           time_to_come_back(evicted),
-                           "evicted",
-                           come_back);
-            return;
-        }
-    }
-}
-
 void core::enqueue(entry& waiting)
 {
     waiting.phase = phase::queued;
@@ -305,45 +206,4 @@
     m_engines.groups()[waiting.group].queue.remove(waiting);
 }
 
-model::milliseconds core::expected_wait(entry const& waiting) const
-{
-    model_group const& group = m_engines.groups()[waiting.group];
-    return group.waits.predict(
-        group.queue, m_policy.shares(), waiting.tier, m_now);
-}
-
-void core::refuse_request(entry& waiting,
-                          model::error_kind kind,
-                          model::milliseconds retry_after,
-                          std::string reason,
-                          std::string remedy)
-{
-    if (kind == model::error_kind::refused && !waiting.is_service) {
-        auto& refusals = m_engines.groups()[waiting.group].refusals;
-        while (refusals.size() <= waiting.tier) {
-            refusals.emplace_back(refusal_horizon);
-        }
-        refusals[waiting.tier].add(1.0, m_now);
-        gate(waiting).refused(m_now);
-    }
-    auto const outcome = waiting.may_have_run ? model::outcome::unknown
-                                              : model::outcome::not_run;
-    m_out->emplace_back(refuse{waiting.id,
-                               kind,
-                               outcome,
-                               clamp_retry(retry_after),
-                               std::move(reason),
-                               std::move(remedy)});
-    finish(waiting);
-}
-
-void core::finish(entry& done)
-{
-    if (done.limited) {
-        double const used = done.attempt == 0 ? 0.0 : token_cost(done);
-        m_teams[done.team].limiter.ended(used - done.charged, m_now);
-    }
-    m_entries.erase(done.id);
-}
-
 } // namespace caperjunction::decide
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -121,41 +121,51 @@
     }
 }
 
-void placer::weigh(choice& own, index place)
+bool placer::allowed(choice const& own, index place)
 {
     engine_state const& engine = own.engines.at(place);
     entry const& waiting = own.waiting;
-    for (candidate const& known : own.best.candidates) {
-        if (known.upstream == engine.name) {
-            return;
-        }
-    }
     auto const& groups = engine.groups;
     if (std::find(groups.begin(), groups.end(), waiting.group)
         == groups.end()) {
-        return;
+        return false;
     }
+    // The last room is for the highest tier, and for suspects: what those
+    // were sent with has been taken from them.
     room const room = own.engines.room_of(engine, own.now);
-    // So is a suspect's: what it was sent with has been taken from it.
     bool const last_room = waiting.tier == 0 || waiting.suspect;
     if (room == room::none || (room == room::highest_tier && !last_room)) {
-        return;
+        return false;
     }
     // The lowest tier leaves room to those between: its answers are the
     // longest as a rule, and what it holds comes free too late for them.
     bool const lowest =
         waiting.tier > 0 && waiting.tier + 1 == own.tiers && !waiting.owed;
     if (lowest && !engine_table::room_for_lowest(engine, own.now)) {
-        return;
+        return false;
     }
     // A request in flight at a crash may be its cause. Kept apart, a second
-    // crash tells which one it was, and costs the others nothing. Hosts hear of
-    // each other's suspects late, so each keeps its own on the engines that
-    // fall to it.
+    // crash tells which one it was, and costs the others nothing. Hosts hear
+    // of each other's suspects late, so each keeps its own on the engines
+    // that fall to it.
+    if (!waiting.suspect) {
+        return true;
+    }
     bool const patience_over = own.now - waiting.queued_at > suspect_patience;
-    if (waiting.suspect
-        && (engine.suspects + engine.peer_suspects > 0
-            || (engine.owned < suspect_share && !patience_over))) {
+    return engine.suspects + engine.peer_suspects == 0
+           && (engine.owned >= suspect_share || patience_over);
+}
+
+void placer::weigh(choice& own, index place)
+{
+    engine_state const& engine = own.engines.at(place);
+    entry const& waiting = own.waiting;
+    for (candidate const& known : own.best.candidates) {
+        if (known.upstream == engine.name) {
+            return;
+        }
+    }
+    if (!allowed(own, place)) {
         return;
     }
     double const uncached =
--- a/src/decide/placer.hpp
+++ b/src/decide/placer.hpp
@@ -43,6 +43,7 @@
     struct choice;
 
     void sample(choice& own, open_list const& from);
+    static bool allowed(choice const& own, index engine);
     void weigh(choice& own, index engine);
     void weigh_across(choice& own);
     void sample_across(choice& own, open_list const& from, double below);
