List what the runs miss of their reach

Cause: whether a run is within reach takes a look at a dozen figures, some of them beside three baselines; done by eye it is done wrong.

Runs also tell how many answers came late and how many came slowly, for the search of causes.

--- a/bench/policy_bench/class_result.hpp
+++ b/bench/policy_bench/class_result.hpp
@@ -21,6 +21,10 @@
     std::uint32_t hung_up = 0;
     /// Of `served`, those within both targets.
     std::uint32_t within = 0;
+    /// Of `served`, those whose first token came too late, and of the others
+    /// those whose tokens came too slowly.
+    std::uint32_t late = 0;
+    std::uint32_t slow = 0;
     /// Those who hung up by their own will while all was in time; they are
     /// neither in nor out of target.
     std::uint32_t not_counted = 0;
--- a/bench/policy_bench/main.cpp
+++ b/bench/policy_bench/main.cpp
@@ -1,4 +1,5 @@
 // Runs the decision logic and the baselines in virtual time.
+#include "bench/policy_bench/reach.hpp"
 #include "bench/policy_bench/report.hpp"
 #include "bench/policy_bench/run_plan.hpp"
 #include "bench/policy_bench/summary.hpp"
@@ -10,45 +11,58 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <functional>
 #include <string>
+#include <vector>
 
 ABSL_FLAG(std::string, deployment, "kitanomine", "names, or all");
 ABSL_FLAG(std::string, scenario, "steady", "names, or all");
 ABSL_FLAG(std::string, policy, "caperjunction", "names, or all");
 ABSL_FLAG(std::string, seed, "1", "one seed, or several with commas");
 ABSL_FLAG(std::string, seeds, "", "the same; goes before --seed");
-ABSL_FLAG(std::string, format, "table", "table, json or markdown");
+ABSL_FLAG(std::string, format, "table", "table, json, markdown or reach");
 ABSL_FLAG(bool, list, false, "print all names and end");
 
 namespace {
 
 using namespace caperjunction;
 
+using printer =
+    std::function<std::string(std::vector<bench::run_result> const&)>;
+
+printer find_format(std::string const& name)
+{
+    if (name == "table") {
+        return bench::to_table;
+    }
+    if (name == "json") {
+        return bench::to_json;
+    }
+    if (name == "markdown") {
+        return bench::to_markdown;
+    }
+    if (name == "reach") {
+        return bench::to_reach;
+    }
+    throw model::error(model::error_kind::bad_settings,
+                       "there is no format '" + name + "'",
+                       "name table, json, markdown or reach");
+}
+
 void run_program()
 {
     if (absl::GetFlag(FLAGS_list)) {
         fmt::print("{}", bench::list_names());
         return;
     }
-    std::string const format = absl::GetFlag(FLAGS_format);
-    if (format != "table" && format != "json" && format != "markdown") {
-        throw model::error(model::error_kind::bad_settings,
-                           "there is no format '" + format + "'",
-                           "name table, json or markdown");
-    }
+    printer const print = find_format(absl::GetFlag(FLAGS_format));
     std::string const seeds = absl::GetFlag(FLAGS_seeds);
     auto const results = bench::run(
         bench::parse_plan(absl::GetFlag(FLAGS_deployment),
                           absl::GetFlag(FLAGS_scenario),
                           absl::GetFlag(FLAGS_policy),
                           seeds.empty() ? absl::GetFlag(FLAGS_seed) : seeds));
-    if (format == "json") {
-        fmt::print("{}", bench::to_json(results));
-    } else if (format == "markdown") {
-        fmt::print("{}", bench::to_markdown(results));
-    } else {
-        fmt::print("{}", bench::to_table(results));
-    }
+    fmt::print("{}", print(results));
 }
 
 } // namespace
--- a/bench/policy_bench/report.cpp
+++ b/bench/policy_bench/report.cpp
@@ -105,7 +105,8 @@
         for (class_result const& entry : one.classes) {
             text += fmt::format("  {:<20} {:<8} offered {:>6} served {:>6} "
                                 "refused {:>5} attained {:.4f} of {:.2f} "
-                                "smaller teams {:.4f} max_wait {:.2f} s{}\n",
+                                "late {:>4} slow {:>4} smaller teams {:.4f} "
+                                "max_wait {:.2f} s{}\n",
                                 entry.name,
                                 entry.tier,
                                 entry.offered,
@@ -113,6 +114,8 @@
                                 entry.refused,
                                 entry.attainment(),
                                 entry.promised,
+                                entry.late,
+                                entry.slow,
                                 entry.smaller_teams_attainment(),
                                 entry.max_wait_s,
                                 entry.fits_share ? "" : " beyond its share");
--- a/bench/policy_bench/score.cpp
+++ b/bench/policy_bench/score.cpp
@@ -29,19 +29,23 @@
     return m_where.capacity() * model::seconds(m_what.length).count();
 }
 
+bool score::in_time(caller const& who) const
+{
+    send const& last = m_hosts.sends()[who.send];
+    return last.end == send_end::ran
+           && last.first_token - who.plan->when
+                  <= m_where.class_of(who.plan->load).first_token;
+}
+
 bool score::within(caller const& who) const
 {
     send const& last = m_hosts.sends()[who.send];
-    if (last.end != send_end::ran) {
-        return false;
-    }
-    lists::service_class const& own = m_where.class_of(who.plan->load);
-    if (last.first_token - who.plan->when > own.first_token) {
+    if (!in_time(who)) {
         return false;
     }
     return last.relayed < 2
            || (last.last_token - last.first_token) / (last.relayed - 1)
-                  <= own.between_tokens;
+                  <= m_where.class_of(who.plan->load).between_tokens;
 }
 
 bool score::left_in_time(caller const& who) const
@@ -103,6 +107,8 @@
     into.failed += end == send_end::failed ? 1 : 0;
     into.hung_up += end == send_end::hung_up ? 1 : 0;
     into.within += within(who) ? 1 : 0;
+    into.late += end == send_end::ran && !in_time(who) ? 1 : 0;
+    into.slow += in_time(who) && !within(who) ? 1 : 0;
     into.not_counted += left_in_time(who) ? 1 : 0;
     if (who.plan->team != 0 && !left_in_time(who)) {
         ++into.smaller_teams;
--- a/bench/policy_bench/score.hpp
+++ b/bench/policy_bench/score.hpp
@@ -33,6 +33,7 @@
 
     class_result describe(std::size_t load) const;
     void count(caller const& who, class_result& into) const;
+    bool in_time(caller const& who) const;
     bool within(caller const& who) const;
     bool left_in_time(caller const& who) const;
     double work_of(caller const& who) const;
