--- a/bench/claims_explorer/fault_budget.hpp
+++ b/bench/claims_explorer/fault_budget.hpp
@@ -37,9 +37,12 @@
 {
     std::string name;
     fault_budget budget;
+    /// Of the states that a search may see.
+    double share = 1.0;
 };
 
-/// The profiles of the full run, or the few small ones of the short run.
+/// Small profiles, most of them followed to the last history, and for the
+/// full run larger ones, of which each seed sees another part.
 std::vector<fault_profile> fault_profiles(bool full);
 
 /// Of the search over an engine's orders; its resends are wishes.
