--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -96,6 +96,7 @@
     bool start(entry& waiting);
     bool start_service(entry& waiting);
     bool must_yield(entry const& waiting) const;
+    bool higher_waits(entry const& waiting) const;
     void send(entry& waiting, placement chosen, std::string reason);
 
     // Attempts.
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -67,7 +67,7 @@
             one->suspect = false;
             enqueue(*one);
             drain(one->group);
-        } else {
+        } else if (!higher_waits(*one)) {
             start(*one);
         }
     }
@@ -104,6 +104,19 @@
     }
 }
 
+bool core::higher_waits(entry const& waiting) const
+{
+    // A suspect stands outside the queue; unless it had been running, that
+    // must not bring it ahead of a higher tier.
+    fair_queue const& queue = m_engines.groups()[waiting.group].queue;
+    for (index tier = 0; tier < waiting.tier; ++tier) {
+        if (waiting.attempt == 0 && queue.size(tier) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool core::must_yield(entry const& waiting) const
 {
     // The engines are shared: room that this host sees may be what a higher
--- a/src/decide/core_refuse.cpp
+++ b/src/decide/core_refuse.cpp
@@ -10,7 +10,9 @@
 // A refusal's Retry-After: not so short that resends add to the burst that
 // caused it, not so long that a desk gives up the sale.
 constexpr model::milliseconds least_retry_after{250};
-constexpr model::milliseconds most_retry_after{300'000};
+constexpr model::milliseconds most_retry_after{600'000};
+// Overload that has lasted longer is not foretold further than this.
+constexpr model::milliseconds longest_forecast{300'000};
 // A tier counts as being refused while more than a stray one is.
 constexpr model::milliseconds refusal_horizon{2000};
 constexpr double refusing_rate = 0.1;
@@ -66,7 +68,9 @@
     // that has lasted for a time is over within twice that time in two cases
     // out of three. An earlier resend would most likely be refused once more,
     // or take the place of a fresh request that can still be in time.
-    return std::max(expected_wait(waiting), 2 * gate(waiting).shut_for(m_now));
+    auto const lasting = 2 * gate(waiting).shut_for(m_now);
+    return std::min(longest_forecast,
+                    std::max(expected_wait(waiting), lasting));
 }
 
 void core::refuse_late(entry& waiting)
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -91,7 +91,8 @@
     sample(own, group.own.owned);
     sample(own, group.own.any_tier);
     // The last room of an engine is the highest tier's alone.
-    if ((waiting.tier == 0 || waiting.suspect) && own.best.engine == no_index) {
+    if ((waiting.tier == 0 || waiting.attempt > 0)
+        && own.best.engine == no_index) {
         sample(own, group.own.highest_tier);
     }
     if (own.best.engine == no_index) {
@@ -130,10 +131,11 @@
         == groups.end()) {
         return false;
     }
-    // The last room is for the highest tier, and for suspects: what those
-    // were sent with has been taken from them.
+    // The last room is for the highest tier, and for suspects that were
+    // running: their room has been taken from them.
     room const room = own.engines.room_of(engine, own.now);
-    bool const last_room = waiting.tier == 0 || waiting.suspect;
+    bool const resumed = waiting.suspect && waiting.attempt > 0;
+    bool const last_room = waiting.tier == 0 || resumed;
     if (room == room::none || (room == room::highest_tier && !last_room)) {
         return false;
     }
--- /dev/null
+++ b/src/decide/session_line.cpp
@@ -0,0 +1,72 @@
+#include "decide/session_line.hpp"
+
+#include "model/error.hpp"
+
+#include <charconv>
+#include <cstdlib>
+#include <sstream>
+
+namespace caperjunction::decide {
+
+namespace {
+
+bool parse_number(std::string const& text, std::uint64_t& into)
+{
+    char const* const end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, into);
+    return !text.empty() && read.ec == std::errc{} && read.ptr == end;
+}
+
+} // namespace
+
+session_line::session_line(std::string_view text, std::size_t number)
+    : m_number(number)
+{
+    std::istringstream words{std::string(text)};
+    std::string time;
+    if (!(words >> time >> m_verb) || !parse_number(time, m_milliseconds)) {
+        fail("no time and verb");
+    }
+    std::string word;
+    while (words >> word) {
+        m_words.push_back(word);
+    }
+}
+
+std::string session_line::text(std::string_view key,
+                               std::string otherwise) const
+{
+    std::string const start = std::string(key) + '=';
+    for (std::string const& word : m_words) {
+        if (word.rfind(start, 0) == 0) {
+            return word.substr(start.size());
+        }
+    }
+    return otherwise;
+}
+
+std::uint64_t session_line::number(std::string_view key,
+                                   std::uint64_t otherwise) const
+{
+    std::string const found = text(key);
+    std::uint64_t value = otherwise;
+    if (!found.empty() && !parse_number(found, value)) {
+        fail(std::string(key) + " is no number");
+    }
+    return value;
+}
+
+double session_line::real(std::string_view key, double otherwise) const
+{
+    std::string const found = text(key);
+    return found.empty() ? otherwise : std::strtod(found.c_str(), nullptr);
+}
+
+void session_line::fail(std::string const& what) const
+{
+    throw model::error(model::error_kind::bad_request,
+                       "line " + std::to_string(m_number) + ": " + what,
+                       "write it as the comment of decide::replay says");
+}
+
+} // namespace caperjunction::decide
