Turn the benches' figures into one page

Cause: the benches print some hundreds of figures; a person sees in them neither how policies compare nor how the fleet's cost grows.

Change: scripts/report runs the benches that are built and writes one self-contained HTML page with SVG plots (plain Python in tools/report): attainment by class and policy against the promise, goodput, waste, longest waits, slopes over the hosts, the explorer's findings, figures of one machine beside their reach. A bench that was not run is named on the page.

Conclusion: one command from nothing to a page that can be passed on.

--- /dev/null
+++ b/tests/report/report_test.py
@@ -0,0 +1,67 @@
+"""The report's arithmetic, and that its page needs nothing else."""
+
+import json
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT))
+
+from tools.report import chart, fleet, single  # noqa: E402
+
+RUN = {"deployment": "kitanomine", "scenario": "burst", "policy": "p",
+       "seed": 1, "goodput_ratio": 0.9, "wasted_ratio": 0.01,
+       "cross_region_bytes": 10, "violations": [],
+       "classes": [{"name": "a<b", "tier": "t", "attainment": 0.98,
+                    "promised": 0.95, "max_wait_s": 1.5}]}
+
+
+def make_page(files):
+    with tempfile.TemporaryDirectory() as folder:
+        for name, data in files.items():
+            (pathlib.Path(folder) / f"{name}.json").write_text(
+                json.dumps(data))
+        target = pathlib.Path(folder) / "page.html"
+        done = subprocess.run(
+            [sys.executable, "-m", "tools.report", str(target), "a run",
+             folder], cwd=ROOT, capture_output=True, text=True, check=True)
+        return target.read_text(), done.stdout
+
+
+class ReportTest(unittest.TestCase):
+    def test_slope_is_the_exponent_of_growth(self):
+        self.assertAlmostEqual(fleet.slope([(7, 7), (14, 14), (28, 28)]), 1)
+        self.assertAlmostEqual(fleet.slope([(7, 5), (14, 5)]), 0)
+        self.assertIsNone(fleet.slope([(7, 5)]))
+
+    def test_promise_is_kept_exactly_when_the_bar_reaches_its_line(self):
+        scale = chart.NinesScale(0, 100)
+        self.assertLess(scale.place(0.96), scale.place(0.95))
+        self.assertLess(scale.place(0.95), scale.place(0.94))
+        self.assertEqual(scale.place(0), 100)
+        self.assertAlmostEqual(scale.place(1), 0)
+
+    def test_reach_is_judged_on_both_sides(self):
+        self.assertTrue(single.within(0.3, (None, 0.3)))
+        self.assertFalse(single.within(0.31, (None, 0.3)))
+        self.assertFalse(single.within(99_999, (100_000, None)))
+
+    def test_page_is_self_contained_and_tells_what_was_not_run(self):
+        page, told = make_page({"policy_bench": [RUN]})
+        self.assertIn("not_run=relay_bench,core_bench,fleet_bench", told)
+        self.assertIn("Not run for this page: relay_bench", page)
+        self.assertIn("a&lt;b", page)
+        self.assertIsNone(re.search(r"(src|href)=|@import|<script", page))
+
+    def test_an_empty_folder_gives_a_page_without_sections(self):
+        page, told = make_page({})
+        self.assertIn("sections=0", told)
+        self.assertNotIn("<h2>", page)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/report/__init__.py
@@ -0,0 +1,1 @@
+"""Turns the benches' JSON into one HTML page that needs nothing else."""
--- /dev/null
+++ b/tools/report/fleet.py
@@ -0,0 +1,94 @@
+"""fleet_bench: how detection, spread and load grow with the hosts."""
+
+import math
+import re
+
+from . import chart, page
+
+TARGET_HOSTS = 400
+
+
+def tidy(setting):
+    """Numbers in a setting's name with the digits that matter."""
+    return re.sub(r"\d+\.\d{3,}",
+                  lambda match: chart.short(float(match.group())), setting)
+
+
+def group(rows):
+    """{(scenario, name, unit): {setting: [(hosts, value)]}}"""
+    groups = {}
+    for row in rows:
+        key = (row["scenario"], row["name"], row["unit"])
+        settings = groups.setdefault(key, {})
+        settings.setdefault(tidy(row["setting"]), []).append(
+            (row["hosts"], row["value"]))
+    return groups
+
+
+def slope(pairs):
+    """The exponent of a power law through the points, by least squares."""
+    points = [(math.log(x), math.log(y)) for x, y in pairs if y > 0]
+    if len({x for x, _ in points}) < 2:
+        return None
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    over = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    under = sum((x - mean_x) ** 2 for x, _ in points)
+    return over / under
+
+
+def is_curve(settings):
+    return any(len({hosts for hosts, _ in pairs}) > 1
+               for pairs in settings.values())
+
+
+def curve(key, settings):
+    scenario, name, unit = key
+    shown = {setting: pairs for setting, pairs in settings.items()
+             if any(value > 0 for _, value in pairs)}
+    if not shown:
+        return ""
+    picture = chart.lines(f"{scenario}: {name}", unit, shown)
+    return f"<div>{picture}{chart.legend(shown)}</div>"
+
+
+def slope_rows(curves):
+    rows = []
+    for (scenario, name, unit), settings in curves.items():
+        for setting, pairs in settings.items():
+            exponent = slope(pairs)
+            if exponent is None:
+                continue
+            hosts, value = max(pairs)
+            guess = value * (TARGET_HOSTS / hosts) ** exponent
+            rows.append([scenario, name, setting, unit,
+                         *[chart.short(v) for _, v in sorted(pairs)],
+                         f"{exponent:.2f}", chart.short(guess)])
+    return rows
+
+
+def render(rows):
+    groups = group(rows)
+    curves = {key: value for key, value in groups.items() if is_curve(value)}
+    single = [[scenario, name, setting, hosts, chart.short(value), unit]
+              for (scenario, name, unit), settings in groups.items()
+              if (scenario, name, unit) not in curves
+              for setting, pairs in settings.items()
+              for hosts, value in pairs]
+    sizes = sorted({hosts for settings in curves.values()
+                    for pairs in settings.values() for hosts, _ in pairs})
+    content = '<div class="grid">'
+    content += "".join(curve(key, value) for key, value in curves.items())
+    content += "</div>"
+    if curves:
+        head = ["scenario", "figure", "setting", "unit",
+                *[f"{size} hosts" for size in sizes], "exponent",
+                f"{TARGET_HOSTS} hosts, if it holds"]
+        content += page.fold("Slopes: exponent of the growth with the hosts",
+                             page.table(head, slope_rows(curves)))
+    content += page.fold("Figures of one size", page.table(
+        ["scenario", "figure", "setting", "hosts", "value", "unit"], single))
+    note = ("Virtual time, but for processor time. An exponent of 0 means "
+            "that the figure does not grow with the fleet, 1 that it grows "
+            "in proportion. The last column is an extrapolation, not a run.")
+    return page.section("The fleet", note, content)
