Draw the cost of a decision over what it grows with

Cause: core_bench has landed and writes google benchmark's JSON; the report only had a plain table for it, of a form that was guessed.

Change: a section that varies one dimension at a time, with the exponent of each growth. Wide tables scroll, figures in brackets stand to the right.

--- a/tests/report/report_test.py
+++ b/tests/report/report_test.py
@@ -11,7 +11,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
 
-from tools.report import chart, fleet, single  # noqa: E402
+from tools.report import chart, core, relay  # noqa: E402
+from tools.report.slope import slope  # noqa: E402
 
 RUN = {"deployment": "kitanomine", "scenario": "burst", "policy": "p",
        "seed": 1, "goodput_ratio": 0.9, "wasted_ratio": 0.01,
@@ -34,9 +35,9 @@
 
 class ReportTest(unittest.TestCase):
     def test_slope_is_the_exponent_of_growth(self):
-        self.assertAlmostEqual(fleet.slope([(7, 7), (14, 14), (28, 28)]), 1)
-        self.assertAlmostEqual(fleet.slope([(7, 5), (14, 5)]), 0)
-        self.assertIsNone(fleet.slope([(7, 5)]))
+        self.assertAlmostEqual(slope([(7, 7), (14, 14), (28, 28)]), 1)
+        self.assertAlmostEqual(slope([(7, 5), (14, 5)]), 0)
+        self.assertIsNone(slope([(7, 5)]))
 
     def test_promise_is_kept_exactly_when_the_bar_reaches_its_line(self):
         scale = chart.NinesScale(0, 100)
@@ -45,10 +46,19 @@
         self.assertEqual(scale.place(0), 100)
         self.assertAlmostEqual(scale.place(1), 0)
 
+    def test_a_benchmark_varies_one_dimension_at_a_time(self):
+        rows = [("f", {"engines": engines, "queued": queued}, 1.0)
+                for engines in (1, 10, 100) for queued in (0, 5)]
+        curves = core.curves(rows, "engines")
+        self.assertEqual(sorted(curves["f"]), ["queued 0", "queued 5"])
+        self.assertEqual(curves["f"]["queued 5"],
+                         [(1, 1.0), (10, 1.0), (100, 1.0)])
+        self.assertEqual(core.curves(rows, "queued"), {})
+
     def test_reach_is_judged_on_both_sides(self):
-        self.assertTrue(single.within(0.3, (None, 0.3)))
-        self.assertFalse(single.within(0.31, (None, 0.3)))
-        self.assertFalse(single.within(99_999, (100_000, None)))
+        self.assertTrue(relay.within(0.3, (None, 0.3)))
+        self.assertFalse(relay.within(0.31, (None, 0.3)))
+        self.assertFalse(relay.within(99_999, (100_000, None)))
 
     def test_page_is_self_contained_and_tells_what_was_not_run(self):
         page, told = make_page({"policy_bench": [RUN]})
--- a/tools/report/__main__.py
+++ b/tools/report/__main__.py
@@ -8,12 +8,12 @@
 import pathlib
 import sys
 
-from . import claims, fleet, page, policy, single
+from . import claims, core, fleet, page, policy, relay
 
 BENCHES = {
     "policy_bench": policy.render,
-    "relay_bench": single.render_relay,
-    "core_bench": single.render_core,
+    "relay_bench": relay.render,
+    "core_bench": core.render,
     "fleet_bench": fleet.render,
     "claims_explorer": claims.render,
 }
--- a/tools/report/chart.py
+++ b/tools/report/chart.py
@@ -164,18 +164,21 @@
     return text(x, y, " ".join(names), size=size)
 
 
-def lines(title, unit, series, width=540, height=250):
+def lines(title, unit, series, axis="hosts", width=540, height=250):
     """Values over a count, both by logarithm; series[name] is a list of
     (count, value) pairs."""
     points = [pair for pairs in series.values() for pair in pairs]
     counts = sorted({count for count, _ in points})
+    if len(counts) < 2:
+        raise ValueError(f"{title}: a curve needs two counts")
     scale = log_scale([value for _, value in points], TOP, height - BOTTOM)
     parts = frame(width, height, f"{title} ({unit})", scale)
     across = Scale(counts[0], counts[-1], width - RIGHT - 12, LEFT + 12,
                    log=True)
     for count in counts:
-        parts.append(text(across.place(count), height - BOTTOM + 15, count))
-    parts.append(text((LEFT + width) / 2, height - 12, "hosts", size=10))
+        parts.append(text(across.place(count), height - BOTTOM + 15,
+                          f"{count:,}"))
+    parts.append(text((LEFT + width) / 2, height - 12, axis, size=10))
     for place, (name, pairs) in enumerate(series.items()):
         colour = COLOURS[place % len(COLOURS)]
         path = " ".join(f"{across.place(c):.1f},{scale.place(v):.1f}"
@@ -183,7 +186,7 @@
         parts.append(f'<polyline points="{path}" fill="none" '
                      f'stroke="{colour}" stroke-width="2"/>')
         for count, value in pairs:
-            tip = escape(f"{name}, {count} hosts: {short(value)} {unit}")
+            tip = escape(f"{name}, {count:,} {axis}: {short(value)} {unit}")
             parts.append(f'<circle cx="{across.place(count):.1f}" '
                          f'cy="{scale.place(value):.1f}" r="3.5" '
                          f'fill="{colour}"><title>{tip}</title></circle>')
--- a/tools/report/page.py
+++ b/tools/report/page.py
@@ -14,8 +14,9 @@
 .legend i{display:inline-block;width:12px;height:12px;margin-right:6px}
 .legend b.mark{display:inline-block;width:16px;border-top:2px solid #111;
 margin:0 6px 4px 0}
-table{border-collapse:collapse;font-size:13px;margin:8px 0}
-th,td{padding:3px 10px;border-bottom:1px solid #e1e4e8;text-align:left}
+table{border-collapse:collapse;font-size:12px;margin:8px 0}
+.wide{overflow-x:auto}
+th,td{padding:3px 8px;border-bottom:1px solid #e1e4e8;text-align:left}
 td.number{text-align:right;font-variant-numeric:tabular-nums}
 td.bad{background:#fbe3e0}td.good{background:#e4f2e6}
 code{background:#f2f4f6;padding:1px 4px}details{margin:6px 0}
@@ -33,8 +34,7 @@
 def cell(value):
     words = value.words if isinstance(value, Cell) else value
     classes = [value.verdict] if isinstance(value, Cell) else []
-    plain = str(words).replace(",", "").replace(".", "").replace("-", "")
-    if plain[:1].isdigit():
+    if str(words).lstrip("(-")[:1].isdigit():
         classes.append("number")
     return f'<td class="{" ".join(classes)}">{escape(str(words))}</td>'
 
@@ -43,7 +43,7 @@
     top = "".join(f"<th>{escape(str(name))}</th>" for name in head)
     body = "".join("<tr>" + "".join(cell(value) for value in row) + "</tr>"
                    for row in rows)
-    return f"<table><tr>{top}</tr>{body}</table>"
+    return f'<div class="wide"><table><tr>{top}</tr>{body}</table></div>'
 
 
 def fold(summary, content):
--- a/tools/report/single.py
+++ b/tools/report/relay.py
@@ -1,9 +1,9 @@
-"""relay_bench and core_bench: figures of one machine beside their reach."""
+"""relay_bench: figures of one machine beside their reach."""
 
 from . import chart, page
 
 # The reach of relay_bench: (least, greatest), either may be open.
-RELAY_REACH = {
+REACH = {
     "added_first_token_p50_ms": (None, 0.3),
     "added_first_token_p99_ms": (None, 2.0),
     "events_per_s_per_core": (100_000, None),
@@ -42,9 +42,9 @@
             and (greatest is None or value <= greatest))
 
 
-def rows_of(data, reaches):
+def rows_of(data):
     for name, value in flatten(data):
-        reach = reaches.get(name)
+        reach = REACH.get(name)
         if reach is None:
             yield [name, chart.short(value), ""]
         else:
@@ -53,14 +53,8 @@
                    reach_text(reach)]
 
 
-def render_relay(data):
+def render(data):
     note = ("The router against the same stand-in asked directly, in one run "
             "on one machine; depends on the machine and its load.")
     return page.section("Relaying", note, page.table(
-        ["figure", "measured", "reach"], rows_of(data, RELAY_REACH)))
-
-
-def render_core(data):
-    note = "Costs of the decision logic on one core; depends on the machine."
-    return page.section("Cost of a decision", note, page.table(
-        ["figure", "measured", "reach"], rows_of(data, {})))
+        ["figure", "measured", "reach"], rows_of(data)))
