Count returning overload as one spell, and pay shares in engine time

Cause: the gate opened and shut again within seconds, and each time the time to come back began at nothing, so that callers returned into the overload; prompts were charged less than the engine time they take, and shares fell short of what is guaranteed.

--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 // Engines compute a prompt's tokens together, output tokens one step each:
-// on engines of today's kind a prompt token costs about a tenth.
-constexpr double prompt_weight = 0.1;
+// on engines of today's kind a prompt token costs about an eighth.
+constexpr double prompt_weight = 0.13;
 // Earnings kept, in requests: enough to serve each tier its turn, too little
 // for a block that a higher tier would notice as a missed target.
 constexpr double kept_requests = 1.5;
 constexpr double window_seconds = 20.0;
 // Some of what is earned ends in answers that nobody waits for any more.
-constexpr double share_margin = 1.1;
+constexpr double share_margin = 1.2;
 
 } // namespace
 
--- a/src/decide/overload_gate.hpp
+++ b/src/decide/overload_gate.hpp
@@ -41,9 +41,15 @@
     {
         if (!m_shut && m_late && now - m_since >= patience) {
             m_shut = true;
-            m_shut_since = now;
+            // Overload that is back within the length of its last spell is
+            // the same one. Counted anew, it would tell callers to come back
+            // in a second, into its middle.
+            if (now - m_opened > m_opened - m_shut_since) {
+                m_shut_since = now;
+            }
         } else if (m_shut && now - m_pressed >= relief) {
             m_shut = false;
+            m_opened = now;
         }
         return m_shut;
     }
@@ -70,6 +76,7 @@
     model::time_point m_since{};
     model::time_point m_pressed{};
     model::time_point m_shut_since{};
+    model::time_point m_opened{};
 };
 
 } // namespace caperjunction::decide
