Work out only the states that changed, and keep the dead dead over a pause

Cause: with 400 hosts each rumour made every host work out all states and publish a whole view; and a host that woke up gave hosts that were lost long ago a second of life, since their silence was counted anew. Change: membership works out the hosts that something was said of; a new generation alone is published with the next tick; only reports still open are counted anew after a pause (test 'a host that was dead before a pause').

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -37,7 +37,7 @@
         },
         event);
     spread_news();
-    update_view();
+    update_view(std::holds_alternative<agent_tick>(event));
     m_out = nullptr;
 }
 
@@ -68,7 +68,10 @@
     m_rumours.keep_only([this](std::string const& name) {
         return name == m_settings.self.name || m_peers.count(name) != 0;
     });
-    m_changed = true;
+    for (auto const& [name, peer] : m_peers) {
+        m_touched.insert(name);
+    }
+    m_urgent = true;
 }
 
 void membership::tell_unlisted(
@@ -122,6 +125,7 @@
 void membership::take(stop_planned const&)
 {
     m_leaving = true;
+    m_urgent = true;
     host_rumour own = m_rumours.find(m_settings.self.name);
     own.kind = rumour_kind::leaving;
     raise(own);
@@ -275,7 +279,7 @@
         return false;
     }
     m_news.push_back(rumour);
-    m_changed = true;
+    m_touched.insert(rumour.host);
     membership_peer* const peer = find(rumour.host);
     if (peer == nullptr) {
         return true;
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -108,7 +108,7 @@
 
     // membership_view.cpp: what is told to others.
     void spread_news();
-    void update_view();
+    void update_view(bool ticking);
     host_state state_of(membership_peer const& peer) const;
     void tell_change(membership_peer const& peer, host_state before);
     void update_neighbours();
@@ -127,7 +127,11 @@
     std::uint64_t m_list_revision = 0;
     model::time_point m_started{};
     bool m_leaving = false;
-    bool m_changed = true;
+    /// Hosts whose state has to be worked out anew.
+    std::set<std::string> m_touched;
+    /// The published view lacks something; at once, if urgent.
+    bool m_unpublished = false;
+    bool m_urgent = true;
     model::time_point m_next_heartbeat{};
     std::string m_last_probed;
     model::time_point m_next_lost_probe{};
--- a/src/fleet/membership_tick.cpp
+++ b/src/fleet/membership_tick.cpp
@@ -29,7 +29,9 @@
     for (auto& [name, peer] : m_peers) {
         peer.awaited = m_now;
         peer.proven = false;
-        peer.silent_since = m_now;
+        if (peer.state == host_state::suspect) {
+            peer.silent_since = m_now;
+        }
     }
     ++m_probe_number;
     m_replies.clear();
@@ -93,7 +95,7 @@
         bool const heard = !is_silent(peer);
         if (heard != peer.reachable) {
             peer.reachable = heard;
-            m_changed = true;
+            m_urgent = true;
         }
         if (!heard && fresh()) {
             report_silent(peer);
@@ -143,8 +145,7 @@
     for (auto const& [name, peer] : m_peers) {
         if (peer.state == host_state::suspect
             && state_of(peer) != host_state::suspect) {
-            m_changed = true;
-            return;
+            m_touched.insert(name);
         }
     }
 }
--- a/src/fleet/membership_view.cpp
+++ b/src/fleet/membership_view.cpp
@@ -58,19 +58,29 @@
     return expired ? host_state::lost : host_state::suspect;
 }
 
-void membership::update_view()
+// A new state is published at once. A new generation alone waits for the
+// next tick: when 400 hosts start together, a view for each of them would
+// keep every host busy for seconds.
+void membership::update_view(bool ticking)
 {
-    if (!m_changed) {
-        return;
+    m_unpublished = m_unpublished || !m_touched.empty();
+    for (std::string const& name : m_touched) {
+        membership_peer* const peer = find(name);
+        if (peer == nullptr) {
+            continue;
+        }
+        host_state const before = peer->state;
+        peer->state = state_of(*peer);
+        m_urgent = m_urgent || peer->state != before;
+        tell_change(*peer, before);
     }
-    m_changed = false;
-    for (auto& [name, peer] : m_peers) {
-        host_state const before = peer.state;
-        peer.state = state_of(peer);
-        tell_change(peer, before);
+    m_touched.clear();
+    if (m_urgent || (m_unpublished && ticking)) {
+        m_urgent = false;
+        m_unpublished = false;
+        update_neighbours();
+        publish();
     }
-    update_neighbours();
-    publish();
 }
 
 void membership::tell_change(membership_peer const& peer, host_state before)
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -112,6 +112,22 @@
     }
 }
 
+TEST_CASE("a host that was dead before a pause is not alive after it")
+{
+    // After a pause all clocks start anew, so that nobody is taken for dead
+    // for this host's own sleep. That must not bring back the dead.
+    auto const fleet = make_seven();
+    fleet->crash("b3");
+    fleet->run_for(10s);
+    fleet->pause("a2");
+    fleet->run_for(10s);
+    fleet->resume("a2");
+    for (int step = 0; step < 50; ++step) {
+        fleet->run_for(100ms);
+        CHECK(state_at(*fleet, "a2", "b3") == fleet::host_state::lost);
+    }
+}
+
 TEST_CASE("late news of a process that is gone don't hit its successor")
 {
     // A host leaves and starts again under its name while a peer sleeps.
