--- a/bench/claims_explorer/node.cpp
+++ b/bench/claims_explorer/node.cpp
@@ -37,6 +37,8 @@
 {
     std::string bytes;
     fleet::append(bytes, alive ? generation : 0);
+    // A restart goes on with what its callers have sent.
+    fleet::append(bytes, starts);
     if (alive) {
         witness.fingerprint(now, bytes);
         claimant.fingerprint(now, bytes);
@@ -45,7 +47,6 @@
                       (leaving ? 1U : 0U) + (slept ? 2U : 0U) + (woke ? 4U : 0U)
                           + (told_not_run ? 8U : 0U));
         fleet::append(bytes, static_cast<std::uint64_t>(stage));
-        fleet::append(bytes, starts);
     }
     return XXH3_64bits(bytes.data(), bytes.size());
 }
--- a/bench/claims_explorer/world.cpp
+++ b/bench/claims_explorer/world.cpp
@@ -121,10 +121,14 @@
     for (auto const& one : m_members) {
         parts.push_back(one.hash);
     }
+    // What is delivered in order counts in order; what races doesn't.
     std::vector<std::uint64_t> letters;
     for (auto const& one : m_flights) {
-        letters.push_back(one.letter->hash + (one.held ? 1 : 0));
+        bool const unordered = one.held || one.letter->races();
+        auto const hash = one.letter->hash + (one.held ? 1 : 0);
+        (unordered ? letters : parts).push_back(hash);
     }
+    parts.push_back(letters.size());
     std::sort(letters.begin(), letters.end());
     parts.insert(parts.end(), letters.begin(), letters.end());
     auto const add_age = [&](model::time_point then) {
--- a/bench/claims_explorer/world.hpp
+++ b/bench/claims_explorer/world.hpp
@@ -24,6 +24,14 @@
     std::size_t to = 0;
     fleet::claim_message message;
     std::uint64_t hash = 0;
+
+    /// Requests race, and are delivered in any order. All else is delivered
+    /// at once and in order unless a fault is spent on it; else the search
+    /// would spend itself on orders that make no difference.
+    bool races() const
+    {
+        return std::holds_alternative<fleet::claim_request>(message);
+    }
 };
 
 /// One state of the whole fleet: hosts, messages on their way, the clock,
--- a/bench/claims_explorer/world_steps.cpp
+++ b/bench/claims_explorer/world_steps.cpp
@@ -2,18 +2,6 @@
 
 namespace caperjunction::claims_explorer {
 
-namespace {
-
-// Requests race, and are delivered in any order. All else is delivered at
-// once and in order unless a fault is spent on it; else the search would
-// spend itself on orders that make no difference.
-bool races(envelope const& letter)
-{
-    return std::holds_alternative<fleet::claim_request>(letter.message);
-}
-
-} // namespace
-
 std::vector<step> world::steps() const
 {
     std::vector<step> out;
@@ -31,7 +19,7 @@
 {
     for (std::size_t index = 0; index < m_flights.size(); ++index) {
         auto const& one = m_flights[index];
-        if (one.held || races(*one.letter)) {
+        if (one.held || one.letter->races()) {
             continue;
         }
         out.push_back({step_kind::deliver, index});
--- a/src/fleet/witness.cpp
+++ b/src/fleet/witness.cpp
@@ -212,6 +212,8 @@
     for (auto const& bucket : m_buckets) {
         append(out, (bucket.member ? 2U : 0U) + (bucket.vote ? 1U : 0U));
         append(out, bucket.vote ? bucket.origin : 0U);
+        append(out, bucket.voters);
+        append(out, std::string_view(bucket.seat));
         append_age(out, bucket.vote ? now : bucket.entered, now);
     }
     m_memory.fingerprint(now, out);
@@ -221,6 +223,7 @@
         append(out, std::string_view(hand_over.to));
         append(out, hand_over.transfer.to_generation);
         append(out, hand_over.transfer.claims.size());
+        append(out, hand_over.offers);
         append_age(out, hand_over.started, now);
     }
     for (auto const& [from, intake] : m_intakes) {
