Judge a tier's share by what can be known of its answers

Cause: the check for a lower tier in a higher one's place counted the true length of every dispatched answer. Nobody knows it then: about fifty long answers make up the lowest tier's twenty seconds, so chance alone puts it a quarter above its share now and then, and the policy was blamed for it.

Change: the ledger counts the prompt and the class's mean output.

--- a/bench/policy_bench/tier_ledger.cpp
+++ b/bench/policy_bench/tier_ledger.cpp
@@ -15,7 +15,8 @@
     entry made;
     made.at = now;
     made.rank = m_where.tier_of(plan.load).rank;
-    made.work = m_where.work(plan.prompt_tokens, plan.output_tokens);
+    made.work = m_where.work(plan.prompt_tokens,
+                             m_where.loads[plan.load].mean_output_tokens);
     m_work[made.rank] += made.work;
     m_entries.push_back(made);
     while (m_entries.front().at + window < now) {
--- a/bench/policy_bench/tier_ledger.hpp
+++ b/bench/policy_bench/tier_ledger.hpp
@@ -10,15 +10,17 @@
 
 namespace caperjunction::bench {
 
-/// What part of the engines each tier has been given of late, by the true
-/// work of what was dispatched.
+/// What part of the engines each tier has been given of late, by the work of
+/// what was dispatched: its prompt and its class's mean output. Nobody can
+/// know an answer's length when it is dispatched; by true lengths, chance
+/// alone would put a tier of few long answers a quarter above its share.
 ///
 /// Thread safety: none.
 class tier_ledger
 {
 public:
     static constexpr std::chrono::seconds window{20};
-    /// A policy learns the lengths of answers only as they come.
+    /// Hosts share nothing but digests, and each keeps shares of its own.
     static constexpr double slack = 1.25;
 
     explicit tier_ledger(deployment const& where);
