Keep the orders that a fleet test looks at

Cause: a test in order_test.cpp kept a pointer into a vector that had been returned by value and was gone at the next line. The address sanitizer stopped test_fleet there (heap-use-after-free, scripts/test_sanitized address,undefined); the ordinary run passed by chance.

Change: the test keeps the vector, as its neighbours do. No check is altered.

Conclusion: a fault of the test alone; the orderer was right.

--- a/tests/fleet/order_test.cpp
+++ b/tests/fleet/order_test.cpp
@@ -112,7 +112,8 @@
     CHECK(std::get<fleet::order_wish_forward>(forwarded[0]).to
           == (&mine == &a ? "a" : "b"));
     mine.pass(1s);
-    auto const* order = sent(mine.tell(wish("draft")));
+    auto const out = mine.tell(wish("draft"));
+    auto const* order = sent(out);
     REQUIRE(order != nullptr);
     CHECK(order->number == fleet::fencing_number{1, &mine == &a ? 1U : 2U});
     CHECK(sent(mine.tell(wish("draft"))) == nullptr);
