--- a/bench/claims_explorer/fault_budget.cpp
+++ b/bench/claims_explorer/fault_budget.cpp
@@ -4,12 +4,13 @@
 
 std::vector<fault_profile> fault_profiles(bool full)
 {
+    constexpr double s_half = 1.0 / 2.0;
     constexpr double s_part = 1.0 / 6.0;
     std::vector<fault_profile> profiles{
         {"messages", {.drops = 1, .holds = 1, .resends = 0}},
-        {"lists", {.lists = 1, .resends = 0}},
+        {"lists", {.lists = 1, .resends = 0}, s_half},
         {"crashes", {.crashes = 1, .restarts = 1, .resends = 0}},
-        {"pauses", {.leaps = 1, .pauses = 1, .resends = 0}},
+        {"pauses", {.leaps = 1, .pauses = 1, .resends = 0}, s_half},
         {"stops", {.leaves = 1, .resends = 0}},
     };
     if (!full) {
