Tell peers of prompts under way, forecast memory, learn mean lengths

Cause: the highest tier missed its first token behind giant prompts that other hosts had sent to the same engine; memory filled up a minute after a burst of long answers had been let in; lengths learnt as a quantile drifted, and with them the shares; a host refused what a peer had room for.

--- a/src/decide/core_admit.cpp
+++ b/src/decide/core_admit.cpp
@@ -9,6 +9,22 @@
 
 constexpr char const* come_back = "send it again after the time in Retry-After";
 
+/// Whether a host with this load has room to spare for the tier.
+bool takes(digest const& load, std::uint32_t model, index tier)
+{
+    bool lower = false;
+    for (queue_load const& one : load.queues) {
+        if (one.model_hash != model) {
+            continue;
+        }
+        if (one.tier <= tier && one.refused > 0) {
+            return false;
+        }
+        lower = lower || (one.tier > tier && one.queued > 0);
+    }
+    return lower;
+}
+
 } // namespace
 
 void core::on(request_arrived const& happened)
@@ -156,28 +172,27 @@
 bool core::hand_to_peer(entry& waiting, std::string const& reason)
 {
     // A higher tier must not be refused here while another host still queues
-    // lower work for the same model. One hop only, so that it can't circle.
-    if (waiting.taken_over || waiting.may_have_run) {
+    // lower work for the same model and refuses nothing. One hop only, so
+    // that it can't circle; from different peers on, so that a burst of them
+    // doesn't fall on one.
+    if (waiting.taken_over || waiting.attempt > 0) {
         return false;
     }
     std::uint32_t const model = name_hash(m_engines.model(waiting.group));
-    for (peer const& other : m_peers) {
-        if (!other.live) {
+    for (std::size_t tried = 0; tried < m_peers.size(); ++tried) {
+        peer const& other =
+            m_peers[(waiting.id.value + tried) % m_peers.size()];
+        if (!other.live || !takes(other.load, model, waiting.tier)) {
             continue;
         }
-        for (queue_load const& load : other.load.queues) {
-            if (load.model_hash == model && load.tier > waiting.tier
-                && load.queued > 0) {
-                m_out->emplace_back(hand_over{waiting.id, other.name, reason});
-                waiting.phase = phase::handed_over;
-                // The other host's refusal must find it: by then its longest
-                // wait is over there as well.
-                waiting.expires =
-                    m_now + 2 * m_policy.rules(waiting.class_place).max_wait;
-                m_expiries.emplace(waiting.expires, waiting.id);
-                return true;
-            }
-        }
+        m_out->emplace_back(hand_over{waiting.id, other.name, reason});
+        waiting.phase = phase::handed_over;
+        // The other host's refusal must find it: by then its longest wait is
+        // over there as well.
+        waiting.expires =
+            m_now + 2 * m_policy.rules(waiting.class_place).max_wait;
+        m_expiries.emplace(waiting.expires, waiting.id);
+        return true;
     }
     return false;
 }
--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -25,12 +25,16 @@
         || happened.tokens == 0) {
         return;
     }
-    running->relayed += happened.tokens;
-    running->attempt_tokens += happened.tokens;
-    charge_overrun(*running);
     if (running->is_service) {
+        running->relayed += happened.tokens;
         return;
     }
+    memory_forecast& memory = m_engines.groups()[running->group].memory;
+    memory.remove(*running);
+    running->relayed += happened.tokens;
+    running->attempt_tokens += happened.tokens;
+    charge_overrun(*running);
+    memory.add(*running);
     engine_state& engine = m_engines.at(running->upstream);
     if (running->first_token == model::time_point{}) {
         running->first_token = m_now;
@@ -134,6 +138,7 @@
         --engine.suspects;
         m_quarantine.running(running.fingerprint, 0);
     }
+    m_engines.groups()[running.group].memory.remove(running);
     m_engines.groups()[running.group].waits.ended(
         std::chrono::duration_cast<model::milliseconds>(m_now
                                                         - running.dispatched));
@@ -144,12 +149,12 @@
 {
     // Charged as the tokens come: otherwise a team whose answers turn out
     // long would get them at a short one's price until each has ended.
-    if (!running.is_service && running.relayed > running.expected_output) {
+    if (running.relayed > running.expected_output) {
         if (!running.overran) {
             running.overran = true;
-            m_lengths.observe(
+            m_lengths.passed(
                 running.class_place,
-                true,
+                running.expected_output,
                 m_policy.rules(running.class_place).max_output_tokens);
         }
         expect_output(running,
@@ -183,9 +188,9 @@
             engine.cache_trust += (found - engine.cache_trust) * 0.05;
         }
         if (!running.overran) {
-            m_lengths.observe(
+            m_lengths.ended(
                 running.class_place,
-                false,
+                running.relayed,
                 m_policy.rules(running.class_place).max_output_tokens);
         }
         expect_output(running, running.relayed);
--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -12,6 +12,7 @@
 // or cut off, and what it had can't be relied on either way.
 constexpr model::milliseconds digest_valid{3000};
 constexpr std::size_t peers_a_tick = 8;
+constexpr double prefill_unit = 16.0;
 
 template <typename Small>
 Small saturate(std::size_t value)
@@ -92,6 +93,8 @@
         index const engine = m_engines.find_hash(one.engine_hash);
         if (engine != no_index) {
             add(m_engines.at(engine).peer_requests, one.in_flight, sign);
+            m_engines.at(engine).add_peer_prefill(
+                sign * prefill_unit * one.prefill, m_now);
         }
     }
     for (queue_load const& one : source.load.queues) {
@@ -184,8 +187,11 @@
     for (index place = 0; place < m_engines.size(); ++place) {
         engine_state const& engine = m_engines.at(place);
         if (engine.local() > 0 && load.engines.size() < max_digest_engines) {
-            load.engines.push_back({name_hash(engine.name),
-                                    saturate<std::uint16_t>(engine.local())});
+            load.engines.push_back(
+                {name_hash(engine.name),
+                 saturate<std::uint16_t>(engine.local()),
+                 saturate<std::uint16_t>(static_cast<std::size_t>(
+                     engine.own_prefill() / prefill_unit))});
         }
     }
     for (team_state const& team : m_teams) {
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -149,10 +149,12 @@
         group.queue.serve(waiting, token_cost(waiting), m_now);
     }
     group.waits.started();
+    group.memory.add(waiting);
     engine_state& engine = m_engines.at(chosen.engine);
     waiting.upstream = chosen.engine;
     waiting.prefill = chosen.prefill;
     engine.dispatched(waiting.id, chosen.prefill, m_now);
+
     if (waiting.suspect) {
         ++engine.suspects;
         m_quarantine.running(waiting.fingerprint, name_hash(engine.name));
--- a/src/decide/core_refuse.cpp
+++ b/src/decide/core_refuse.cpp
@@ -78,6 +78,9 @@
     // Given up on, so it is told at once; waiting on would only keep its
     // caller from coming back when there is room.
     dequeue(waiting);
+    if (hand_to_peer(waiting, "late_here")) {
+        return;
+    }
     refuse_request(waiting,
                    model::error_kind::refused,
                    time_to_come_back(waiting),
--- a/src/decide/digest.cpp
+++ b/src/decide/digest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t version_mark = 0x31444a43;
+constexpr std::uint32_t version_mark = 0x32444a43;
 
 class writer
 {
@@ -134,6 +134,7 @@
     for (engine_load const& one : load.engines) {
         out.put(one.engine_hash);
         out.put(one.in_flight);
+        out.put(one.prefill);
     }
     out.put(static_cast<std::uint16_t>(load.teams.size()));
     for (team_load const& one : load.teams) {
@@ -169,6 +170,7 @@
     for (engine_load& one : into.engines) {
         in.take(one.engine_hash);
         in.take(one.in_flight);
+        in.take(one.prefill);
     }
     into.teams.resize(in.count(max_digest_teams));
     bool rates_good = true;
--- a/src/decide/digest.hpp
+++ b/src/decide/digest.hpp
@@ -25,6 +25,8 @@
 {
     std::uint32_t engine_hash = 0;
     std::uint16_t in_flight = 0;
+    /// Prompt tokens that wait there for their first token, in units of 16.
+    std::uint16_t prefill = 0;
 
     friend bool operator==(engine_load const&, engine_load const&) = default;
 };
@@ -66,7 +68,7 @@
 };
 
 /// Bounds on a digest's parts. At today's size all fit in 2 KB; at 10,000
-/// engines a digest tells only what is largest, within 8 KB.
+/// engines a digest tells only what is largest, within 9 KB.
 inline constexpr std::size_t max_digest_queues = 64;
 inline constexpr std::size_t max_digest_engines = 512;
 inline constexpr std::size_t max_digest_teams = 192;
--- a/src/decide/engine_state.cpp
+++ b/src/decide/engine_state.cpp
@@ -138,6 +138,21 @@
     return open ? m_bound : 0.0;
 }
 
+void engine_state::add_peer_prefill(double tokens, model::time_point now)
+{
+    m_peer_prefill = std::max(0.0, m_peer_prefill + tokens);
+    m_peer_prefill_told = now;
+}
+
+double engine_state::pending_prefill(double rate, model::time_point now) const
+{
+    // One giant prompt that another host has sent holds up a short one by a
+    // second, however small the batch; it is shorter by what was computed
+    // since the digest.
+    double const age = model::seconds(now - m_peer_prefill_told).count();
+    return m_pending_prefill + std::max(0.0, m_peer_prefill - rate * age);
+}
+
 bool engine_state::takes_probe() const
 {
     return health == engine_health::probing && local() < most_probes;
@@ -146,7 +161,7 @@
 model::milliseconds engine_state::predict_first_token(
     double uncached_tokens, double prefill_rate, model::time_point now) const
 {
-    double const ahead = m_pending_prefill + uncached_tokens;
+    double const ahead = pending_prefill(prefill_rate, now) + uncached_tokens;
     double const compute = ahead / prefill_rate * 1000.0;
     double const full = std::max(1.0, bound());
     double const over = std::max(0.0, outstanding(now) + 1.0 - full);
--- a/src/decide/engine_state.hpp
+++ b/src/decide/engine_state.hpp
@@ -119,11 +119,18 @@
         return m_kv_used;
     }
 
-    double pending_prefill() const
+    /// Prompt tokens of this host that wait there for their first token.
+    double own_prefill() const
     {
         return m_pending_prefill;
     }
 
+    /// Adds another host's, or takes them back, as a digest tells them.
+    void add_peer_prefill(double tokens, model::time_point now);
+
+    /// Those of all hosts, by what is known; `rate` in tokens per second.
+    double pending_prefill(double rate, model::time_point now) const;
+
 private:
     struct moment
     {
@@ -140,6 +147,8 @@
 
     double m_bound = 0.0;
     double m_pending_prefill = 0.0;
+    double m_peer_prefill = 0.0;
+    model::time_point m_peer_prefill_told{};
     model::time_point m_bound_moved{};
     std::array<moment, history> m_history{};
     std::size_t m_history_end = 0;
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -23,13 +23,13 @@
 // Prefill waiting on an engine delays every first token there. Below the
 // tightest first-token targets, so that what waits stays here, in order.
 constexpr double prefill_seconds = 0.12;
-constexpr double highest_tier_prefill_seconds = 0.4;
+constexpr double highest_tier_prefill_seconds = 0.25;
 // Full KV memory makes an engine put running work back and compute it anew.
 // Answers still grow after they were let in, and reports lag; so lower tiers
 // stop well before it is full.
 constexpr double lower_tiers_memory = 0.85;
 constexpr double highest_tier_memory = 0.97;
-constexpr double lowest_tier_memory = 0.75;
+constexpr double lowest_tier_memory = 0.9;
 constexpr double lowest_leaves = 0.1;
 // Digests of all hosts have come round in this time.
 constexpr model::milliseconds allowance_period{250};
@@ -159,11 +159,11 @@
     if (state.health == engine_health::probing) {
         return state.takes_probe() ? room::any_tier : room::none;
     }
-    double const pending =
+    double const rate =
         state.groups.empty()
-            ? 0.0
-            : state.pending_prefill()
-                  / m_groups[state.groups.front()].prefill.tokens_per_second();
+            ? 1.0
+            : m_groups[state.groups.front()].prefill.tokens_per_second();
+    double const pending = state.pending_prefill(rate, now) / rate;
     if (outstanding < lower_tiers_limit(state) && pending < prefill_seconds
         && state.allowance >= 1.0 && state.kv_used() < lower_tiers_memory) {
         return room::any_tier;
@@ -177,11 +177,12 @@
 }
 
 bool engine_table::room_for_lowest(engine_state const& state,
-                                   model::time_point now)
+                                   model::time_point now) const
 {
     return state.outstanding(now)
                < lower_tiers_limit(state) - state.bound() * lowest_leaves
-           && state.kv_used() < lowest_tier_memory;
+           && state.kv_used() * m_groups[state.groups.front()].memory.growth()
+                  < lowest_tier_memory;
 }
 
 void engine_table::rank_engines()
--- a/src/decide/engine_table.hpp
+++ b/src/decide/engine_table.hpp
@@ -46,8 +46,9 @@
     room room_of(engine_state const& engine, model::time_point now) const;
 
     /// Whether an engine with room for any tier has some for the lowest.
-    static bool room_for_lowest(engine_state const& engine,
-                                model::time_point now);
+    /// \pre the engine serves a model.
+    bool room_for_lowest(engine_state const& engine,
+                         model::time_point now) const;
 
     index find(std::string const& name) const
     {
--- a/src/decide/length_predictor.hpp
+++ b/src/decide/length_predictor.hpp
@@ -9,12 +9,11 @@
 
 namespace caperjunction::decide {
 
-/// Predicts output lengths by class: a quantile of what was seen.
+/// Predicts output lengths by class: their mean.
 ///
 /// Made for mixed lengths: a caller's bound is mostly far above what it gets,
-/// so charging the bound would rank teams by habit of asking. A quantile
-/// above the middle, since lengths have a long tail and the mean, which is
-/// what they cost, lies there; the difference is corrected at the end.
+/// so charging the bound would rank teams by habit of asking. The mean, since
+/// shares are charged by it and have to come out right over many answers.
 ///
 /// Thread safety: none; owned by one task.
 class length_predictor
@@ -31,27 +30,19 @@
         return most == 0 ? tokens : std::min(tokens, most);
     }
 
-    /// Notes an answer that ended before its expected length, or that has
-    /// just passed it. Passing counts at once: the short answers end first,
-    /// and by those alone a class of long ones would look short for minutes.
-    /// `most` is the class's bound on outputs.
-    void observe(index class_place, bool longer, std::uint32_t most)
+    /// Notes an answer that ended with so many tokens before it reached its
+    /// expected length. `most` is the class's bound on outputs.
+    void ended(index class_place, std::uint32_t tokens, std::uint32_t most)
     {
-        if (class_place >= m_classes.size()) {
-            m_classes.resize(class_place + 1);
-        }
-        estimate& own = m_classes[class_place];
-        if (own.samples == 0) {
-            own.value = prior(most);
-        }
-        ++own.samples;
-        // Moves up by `quantile` and down by the rest: it comes to rest where
-        // that share of answers is shorter.
-        double const share =
-            std::max(step_share, 1.0 / (prior_weight + own.samples));
-        double const step = std::max(1.0, own.value * share);
-        own.value += longer ? step * quantile : -step * (1.0 - quantile);
-        own.value = std::max(1.0, own.value);
+        add(class_place, tokens, most);
+    }
+
+    /// Notes an answer that has just passed its expected length. It counts at
+    /// once, and not again when it ends: the short answers end first, and by
+    /// those alone a class of long ones would look short for minutes.
+    void passed(index class_place, std::uint32_t expected, std::uint32_t most)
+    {
+        add(class_place, beyond * expected, most);
     }
 
 private:
@@ -61,14 +52,30 @@
         std::uint32_t samples = 0;
     };
 
-    static constexpr double quantile = 0.62;
-    static constexpr double step_share = 0.03;
+    // Mean length of answers that pass the mean, as a multiple of it.
+    static constexpr double beyond = 1.45;
+    static constexpr double least_weight = 0.02;
     // Callers and classes ask for a multiple of what they get.
     static constexpr double asked_for = 4.0;
     static constexpr double unknown_length = 256.0;
     // Answers that the first guess counts for.
     static constexpr double prior_weight = 20.0;
 
+    void add(index class_place, double sample, std::uint32_t most)
+    {
+        if (class_place >= m_classes.size()) {
+            m_classes.resize(class_place + 1);
+        }
+        estimate& own = m_classes[class_place];
+        if (own.samples == 0) {
+            own.value = prior(most);
+        }
+        ++own.samples;
+        double const weight =
+            std::max(least_weight, 1.0 / (prior_weight + own.samples));
+        own.value += (sample - own.value) * weight;
+    }
+
     static double prior(std::uint32_t most)
     {
         return most == 0 ? unknown_length : most / asked_for;
--- a/src/decide/model_group.hpp
+++ b/src/decide/model_group.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_DECIDE_MODEL_GROUP_HPP
 
 #include "decide/fair_queue.hpp"
+#include "decide/memory_forecast.hpp"
 #include "decide/open_list.hpp"
 #include "decide/overload_gate.hpp"
 #include "decide/prefill_rate.hpp"
@@ -51,6 +52,7 @@
     std::vector<index> engines;
     wait_estimator waits;
     prefill_rate prefill;
+    memory_forecast memory;
     /// By tier.
     std::vector<overload_gate> gates;
     /// What other hosts hold in queue and refuse, by tier.
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -143,7 +143,7 @@
     // longest as a rule, and what it holds comes free too late for them.
     bool const lowest =
         waiting.tier > 0 && waiting.tier + 1 == own.tiers && !waiting.owed;
-    if (lowest && !engine_table::room_for_lowest(engine, own.now)) {
+    if (lowest && !own.engines.room_for_lowest(engine, own.now)) {
         return false;
     }
     // A request in flight at a crash may be its cause. Kept apart, a second
