Take an engine that nobody answers at for lost

Cause: an engine that was down and had nothing of this host in flight looked the emptiest; each retry went there, and after five attempts that never ran a neighbour of a crash was given up with half of its answer out.

--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -9,7 +9,9 @@
 
 // Attempts of one request. Beyond these, what fails is most likely the
 // request or the whole fleet, and a further try only adds load.
-constexpr std::uint32_t most_attempts = 5;
+constexpr std::uint32_t most_broken_attempts = 5;
+// Those that were not run cost nobody anything but time.
+constexpr std::uint32_t most_attempts = 12;
 // Broken attempts remembered until it shows whether the engine was lost.
 constexpr std::size_t most_broken = 512;
 // An answer beyond its expected length is expected to be longer yet by this
@@ -71,8 +73,15 @@
     case attempt_end::complete:
         end_whole(*running, happened);
         break;
-    case attempt_end::refused:
     case attempt_end::unreachable:
+        if (!is_service) {
+            // Nobody may have been there to tell that the engine went away;
+            // without this each retry finds it the emptiest of all.
+            lose(place);
+        }
+        end_not_run(*running, place);
+        break;
+    case attempt_end::refused:
         end_not_run(*running, place);
         break;
     case attempt_end::broken:
@@ -240,6 +249,7 @@
 void core::end_broken(entry& running, index upstream)
 {
     running.may_have_run = true;
+    ++running.broken;
     if (!running.is_service) {
         note_broken(running, upstream);
     }
@@ -261,7 +271,8 @@
     if (refuse_quarantined(waiting)) {
         return;
     }
-    if (waiting.attempt >= most_attempts
+    if (waiting.broken >= most_broken_attempts
+        || waiting.attempt >= most_attempts
         || !m_retries[waiting.class_place].try_take(m_now)) {
         refuse_request(waiting,
                        model::error_kind::upstream_failed,
--- a/src/decide/core_engine.cpp
+++ b/src/decide/core_engine.cpp
@@ -81,6 +81,9 @@
 void core::lose(index place)
 {
     engine_state& engine = m_engines.at(place);
+    if (engine.health == engine_health::lost) {
+        return;
+    }
     if (engine.health != engine_health::leaving) {
         engine.health = engine_health::lost;
         engine.penalty =
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -55,6 +55,8 @@
     /// Tokens of this attempt alone.
     std::uint32_t attempt_tokens = 0;
     std::uint32_t attempt = 0;
+    /// Attempts that broke after bytes were handed over.
+    std::uint32_t broken = 0;
     /// Tokens counted against its team's limits.
     double charged = 0.0;
     /// Uncached prompt tokens it adds to its engine until the first token.
