--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -43,6 +43,13 @@
     return word.substr(start, word.find('=') - start);
 }
 
+/// The flags library's own words; it knows them but has no flags for them.
+bool is_help(std::string const& name)
+{
+    return name == "help" || name == "helpshort" || name == "helpfull"
+           || name == "helppackage" || name == "helpon" || name == "helpmatch";
+}
+
 // The flags library would end the process with a line of its own; here the
 // error says what to do.
 void check_names(int count, char** words)
@@ -53,6 +60,9 @@
             return;
         }
         std::string const name = flag_name(word);
+        if (is_help(name)) {
+            continue;
+        }
         if (!name.empty() && absl::FindCommandLineFlag(name) == nullptr) {
             throw model::error(model::error_kind::bad_settings,
                                absl::StrCat("there is no flag --", name),
