--- a/tests/fleet/configuration_test.cpp
+++ b/tests/fleet/configuration_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/fleet/fleet_fixture.hpp"
 
+#include "fleet/configuration.hpp"
+#include "fleet/hashing.hpp"
 #include "fleet/splice_chain.hpp"
 
 #include <doctest/doctest.h>
@@ -192,6 +194,74 @@
     CHECK(everywhere(*fleet, published_value::upstreams, fleet->revision()));
 }
 
+TEST_CASE("a stale service is asked at a bounded rate")
+{
+    // The service answers each watch at once, with a revision lower than the
+    // one that was asked after. Asked again at once, it would be asked as
+    // fast as the network allows.
+    auto const fleet = make_seven();
+    fleet->service().freeze();
+    fleet->service().thaw();
+    fleet->publish(published_value::plans, "plans eight pair 1");
+    fleet->run_for(5s);
+    fleet->service().restore_frozen();
+    fleet->publish(published_value::upstreams, "upstreams 3");
+    auto const calls = fleet->service().calls;
+    fleet->run_for(100s);
+    CHECK(fleet->service().calls - calls < 3'000);
+}
+
+TEST_CASE("a host that starts beside a broken list gets the last good one")
+{
+    // The service holds a broken list, and only peers have the one before.
+    // A host that starts now would never be ready, and during a replacement
+    // of all hosts the last good list would be gone for good.
+    auto const fleet = make_seven();
+    fleet->publish(published_value::plans, "plans nine pair 1");
+    fleet->run_for(3s);
+    auto const good = fleet->revision();
+    fleet->publish(published_value::plans, "bad plans");
+    fleet->run_for(3s);
+    fleet->crash("a3");
+    fleet->run_for(5s);
+    fleet->start("a3");
+    fleet->run_for(10s);
+    CHECK(fleet->host("a3").agent->ready());
+    CHECK(in_force(*fleet, "a3", published_value::plans) == good);
+}
+
+TEST_CASE("a list that once stood in for a broken one never comes back")
+{
+    // A host had to fetch revision 3, since 5 was broken. Revision 6 is good
+    // and 7 broken again. Falling back on 3 would honour withdrawn keys.
+    fleet::configuration_settings settings;
+    settings.host = "a1";
+    settings.region = "a";
+    settings.check = bench::check_by_words;
+    fleet::configuration values(settings);
+    std::vector<fleet::agent_output> out;
+    model::time_point const now{std::chrono::hours(1)};
+    auto const read = [&](published_value value,
+                          std::uint64_t revision,
+                          std::string const& text) {
+        auto const body = std::make_shared<std::string const>(text);
+        values.handle(fleet::value_read{value, revision, body}, now, out);
+    };
+    read(published_value::entitlements, 1, "pair 1");
+    read(published_value::plans, 5, "bad pair 1");
+    fleet::config_value third;
+    third.value = published_value::plans;
+    third.revision = 3;
+    third.body = std::make_shared<std::string const>("third pair 1");
+    third.hash = fleet::hash_text(*third.body);
+    values.handle(fleet::message_received{"a2", third}, now, out);
+    CHECK(values.announce().in_force[published_value::plans] == 3);
+    read(published_value::plans, 6, "sixth pair 1");
+    CHECK(values.announce().in_force[published_value::plans] == 6);
+    read(published_value::plans, 7, "bad pair 1");
+    CHECK(values.announce().in_force[published_value::plans] == 6);
+}
+
 TEST_CASE("splices rebuild any body from any earlier one")
 {
     CHECK(rc::check("splices lead from each revision to the last", [] {
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -50,6 +50,20 @@
     CHECK_FALSE(view->find("b1")->reachable);
 }
 
+TEST_CASE("a report is refuted before the next heartbeat is due")
+{
+    // Heartbeats come no faster than reports run out. A neighbour that waits
+    // for the next one before it speaks up for a host speaks too late.
+    bench::virtual_fleet_settings settings;
+    settings.agent.membership.heartbeat_period = 1'000ms;
+    settings.agent.membership.silence_limit = 4'000ms;
+    settings.agent.membership.refute_time = 300ms;
+    auto const fleet = make_seven(settings);
+    fleet->cut("b1", "a1");
+    fleet->run_for(120s);
+    CHECK(times_lost(*fleet, "b1") == 0);
+}
+
 TEST_CASE("leaving is known to all before a second has passed")
 {
     // A host is being replaced while the platform's list still shows it as
