Check the lists against the platform's too, and only what was read

Cause: caperjunction check named 'plans' and 'entitlements' where the user knows files, told every name as undefined when a list could not be read at all, and left out check_deployment.

Change: check takes two files or four, names them, and checks across lists only if they could be read. It stands in a file of its own.

Conclusion: what is printed is what is to be mended.

--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -19,8 +19,8 @@
 constexpr char const* usage =
     "routes language-model traffic with service levels.\n\n"
     "  caperjunction serve                run one host\n"
-    "  caperjunction check PLANS ENTITLEMENTS\n"
-    "                                     check the two lists\n"
+    "  caperjunction check PLANS ENTITLEMENTS [HOSTS UPSTREAMS]\n"
+    "                                     check the lists\n"
     "  caperjunction explain ID           show the trail of one request\n"
     "  caperjunction status               show one host's view\n"
     "  caperjunction version\n\n"
--- a/src/program/commands.cpp
+++ b/src/program/commands.cpp
@@ -1,9 +1,8 @@
 #include "program/commands.hpp"
 
-#include "lists/check.hpp"
-#include "lists/parse.hpp"
 #include "model/error.hpp"
 #include "net/upstream_client.hpp"
+#include "program/check_command.hpp"
 #include "program/flags.hpp"
 #include "program/report.hpp"
 #include "program/serve.hpp"
@@ -13,8 +12,6 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <fstream>
-#include <sstream>
 #include <string>
 
 namespace caperjunction::program {
@@ -27,39 +24,9 @@
     throw model::error(model::error_kind::bad_settings, message, remedy);
 }
 
-std::string read_file(std::string const& name)
-{
-    std::ifstream file(name, std::ios::binary);
-    if (!file) {
-        refuse("cannot read " + name, "check the name and its permissions");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 int run_check(command_line const& line)
 {
-    if (line.arguments.size() != 2) {
-        refuse("check takes two files",
-               "run caperjunction check PLANS ENTITLEMENTS");
-    }
-    std::vector<lists::fault> faults;
-    auto const plans = lists::parse_plans(
-        read_file(line.arguments[0]), line.arguments[0], faults);
-    auto const entitlements = lists::parse_entitlements(
-        read_file(line.arguments[1]), line.arguments[1], faults);
-    for (lists::fault const& item : lists::check(plans, entitlements)) {
-        faults.push_back(item);
-    }
-    for (lists::fault const& item : faults) {
-        fmt::print(
-            "{}:{}: {}; {}\n", item.file, item.path, item.message, item.remedy);
-    }
-    if (faults.empty()) {
-        fmt::print("both lists are sound\n");
-    }
-    return faults.empty() ? 0 : 1;
+    return check_files(line.arguments);
 }
 
 /// One answer of a host's admin address.
