--- a/src/decide/core.cpp
+++ b/src/decide/core.cpp
@@ -115,6 +115,12 @@
     if (m_now - m_slow_work_done >= slow_work_period) {
         m_slow_work_done = m_now;
         m_quarantine.expire(m_now);
+        model_shift const shift = m_shifter.look(m_engines, m_now);
+        if (shift.engine != no_index) {
+            m_out->emplace_back(shift_model{m_engines.at(shift.engine).name,
+                                            m_engines.model(shift.group),
+                                            "one_short_one_idle"});
+        }
     }
 }
 
--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -7,6 +7,7 @@
 #include "decide/entry.hpp"
 #include "decide/event.hpp"
 #include "decide/length_predictor.hpp"
+#include "decide/model_shifter.hpp"
 #include "decide/name_table.hpp"
 #include "decide/outlier_detector.hpp"
 #include "decide/peer.hpp"
@@ -125,6 +126,7 @@
     void add_peer_load(peer const& source, int sign);
     void forget_peer(peer& gone);
     void count_peer(peer const& source, int sign);
+    void count_elsewhere(peer const& source);
     void revisit_peers();
     index team_index(std::string const& customer,
                      std::string const& team,
@@ -145,6 +147,7 @@
     length_predictor m_lengths;
     outlier_detector m_outliers;
     quarantine m_quarantine;
+    model_shifter m_shifter;
     std::unordered_map<model::request_id, entry> m_entries;
     std::set<expiry> m_expiries;
     /// Suspects that wait for an engine without another one.
@@ -153,6 +156,8 @@
     std::vector<model::time_point> m_class_seen;
     name_table m_team_names;
     std::vector<team_state> m_teams;
+    /// Tokens that each team has got on other hosts, by their digests.
+    std::vector<double> m_elsewhere;
     std::unordered_map<std::uint32_t, index> m_team_hashes;
     name_table m_peer_names;
     std::vector<peer> m_peers;
--- a/src/decide/core_admit.cpp
+++ b/src/decide/core_admit.cpp
@@ -206,7 +206,7 @@
         m_waiting_suspects.push_back(waiting.id);
         return;
     }
-    m_engines.groups()[waiting.group].queue.push(waiting);
+    m_engines.groups()[waiting.group].queue.push(waiting, m_elsewhere);
 }
 
 void core::dequeue(entry& waiting)
--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -44,6 +44,9 @@
         m_peers.back().name = happened.host;
     }
     peer& source = m_peers[place];
+    if (source.live) {
+        count_elsewhere(source);
+    }
     forget_peer(source);
     source.load = std::move(load);
     source.heard = m_now;
@@ -142,6 +145,18 @@
     count_peer(gone, -1);
 }
 
+void core::count_elsewhere(peer const& source)
+{
+    model::seconds const span = m_now - source.heard;
+    for (team_load const& one : source.load.teams) {
+        auto const found = m_team_hashes.find(one.team_hash);
+        if (found != m_team_hashes.end()) {
+            m_elsewhere[found->second] +=
+                static_cast<double>(one.tokens_per_second) * span.count();
+        }
+    }
+}
+
 void core::count_peer(peer const& source, int sign)
 {
     auto const change = static_cast<std::uint32_t>(sign);
@@ -172,6 +187,7 @@
     index const place = m_team_names.intern(name);
     if (place == m_teams.size()) {
         m_teams.emplace_back();
+        m_elsewhere.push_back(0.0);
         m_teams.back().hash = name_hash(name);
         m_team_hashes.emplace(m_teams.back().hash, place);
     }
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -30,7 +30,8 @@
 
 bool core::start_next(index group_place)
 {
-    for (entry* const head : m_engines.groups()[group_place].queue.turns()) {
+    for (entry* const head :
+         m_engines.groups()[group_place].queue.turns(m_elsewhere)) {
         if (head == nullptr) {
             break;
         }
--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -33,10 +33,10 @@
     }
 }
 
-void fair_queue::push(entry& waiting)
+void fair_queue::push(entry& waiting, std::vector<double> const& elsewhere)
 {
     tier_state& tier = m_tiers[waiting.tier];
-    tier.queue.push(waiting);
+    tier.queue.push(waiting, elsewhere);
     tier.usual_cost.add(token_cost(waiting));
     ++m_size;
 }
@@ -47,13 +47,14 @@
     --m_size;
 }
 
-std::array<entry*, fair_queue::max_turns> fair_queue::turns()
+std::array<entry*, fair_queue::max_turns>
+fair_queue::turns(std::vector<double> const& elsewhere)
 {
     std::array<entry*, max_turns> order{};
     std::size_t placed = 0;
     entry* highest = nullptr;
     for (tier_state& tier : m_tiers) {
-        entry* const head = tier.queue.head();
+        entry* const head = tier.queue.head(elsewhere);
         if (head == nullptr) {
             continue;
         }
@@ -66,7 +67,7 @@
     // Behind those that are owed come all by rank: room that an owed one may
     // not use can still be good for the highest tier.
     for (tier_state& tier : m_tiers) {
-        entry* const head = tier.queue.head();
+        entry* const head = tier.queue.head(elsewhere);
         bool const owed =
             std::find(order.begin(), order.end(), head) != order.end();
         if (head != nullptr && !owed) {
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -29,7 +29,9 @@
     /// \pre nothing is queued in a tier beyond them.
     void set_shares(std::vector<double> const& shares);
 
-    void push(entry& waiting);
+    /// `elsewhere` holds the tokens that each team has got on other hosts,
+    /// ever growing; it is as long as there are teams.
+    void push(entry& waiting, std::vector<double> const& elsewhere);
 
     void remove(entry& waiting);
 
@@ -37,7 +39,7 @@
 
     /// The first request of each tier in the order in which they are to be
     /// tried; null behind the last.
-    std::array<entry*, max_turns> turns();
+    std::array<entry*, max_turns> turns(std::vector<double> const& elsewhere);
 
     /// Whether `waiting`'s tier goes ahead of higher ones by its share.
     bool owed(entry const& waiting) const;
--- a/src/decide/overload_gate.hpp
+++ b/src/decide/overload_gate.hpp
@@ -21,7 +21,7 @@
     /// Notes whether the tier's oldest request is late.
     void observe(bool late, model::time_point now)
     {
-        if (late) {
+        if (late || m_late) {
             m_pressed = now;
         }
         if (late != m_late) {
--- a/src/decide/tier_queue.hpp
+++ b/src/decide/tier_queue.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace caperjunction::decide {
 
@@ -27,13 +28,14 @@
 {
 public:
     /// \pre `waiting` is not queued; it outlives its place here.
-    void push(entry& waiting);
+    void push(entry& waiting, std::vector<double> const& elsewhere);
 
     /// \pre `waiting` is queued here.
     void remove(entry& waiting);
 
-    /// The request that goes next; null if there is none.
-    entry* head();
+    /// The request that goes next; null if there is none. `elsewhere` holds
+    /// the tokens that each team has got on other hosts, ever growing.
+    entry* head(std::vector<double> const& elsewhere);
 
     /// The one that came last; null if there is none.
     entry* newest() const
@@ -66,6 +68,8 @@
     struct team_queue
     {
         double counter = 0.0;
+        /// Tokens elsewhere that the counter has in it.
+        double elsewhere = 0.0;
         std::map<order, entry*> requests;
     };
 
