Let two of the new tests see the fault they are for

Cause: said that each of four new tests finds its fault; two of them passed with the fault put in. The virtual service let a watch wait where a stale one answers at once, and the host that its neighbours did not refute for could refute for itself. Change: the virtual service can answer with a lower revision; the host of the refutation test hears nobody.

--- a/bench/fleet_bench/virtual_links.cpp
+++ b/bench/fleet_bench/virtual_links.cpp
@@ -134,7 +134,9 @@
     if (m_service.down()
         || m_service.unreachable_from.count(waiting.host) != 0) {
         answer(waiting, fleet::read_ended{waiting.watch.value, true});
-    } else if (held.revision > waiting.watch.after) {
+    } else if (held.revision > waiting.watch.after
+               || (m_service.answers_lower
+                   && held.revision < waiting.watch.after)) {
         answer(
             waiting,
             fleet::value_read{waiting.watch.value, held.revision, held.body});
--- a/bench/fleet_bench/virtual_service.hpp
+++ b/bench/fleet_bench/virtual_service.hpp
@@ -70,6 +70,9 @@
         return m_watches;
     }
 
+    /// Whether a watch after a revision that it doesn't hold is answered at
+    /// once, with a lower one; it waits otherwise.
+    bool answers_lower = false;
     /// Hosts that can't reach it.
     std::set<std::string> unreachable_from;
     /// Calls so far; a waiting watch counts once.
--- a/tests/fleet/configuration_test.cpp
+++ b/tests/fleet/configuration_test.cpp
@@ -205,6 +205,7 @@
     fleet->publish(published_value::plans, "plans eight pair 1");
     fleet->run_for(5s);
     fleet->service().restore_frozen();
+    fleet->service().answers_lower = true;
     fleet->publish(published_value::upstreams, "upstreams 3");
     auto const calls = fleet->service().calls;
     fleet->run_for(100s);
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -52,14 +52,18 @@
 
 TEST_CASE("a report is refuted before the next heartbeat is due")
 {
-    // Heartbeats come no faster than reports run out. A neighbour that waits
-    // for the next one before it speaks up for a host speaks too late.
+    // One neighbour doesn't hear a host, and the host itself hears nobody, so
+    // that it can't speak up for itself. Heartbeats come no faster than
+    // reports run out: a neighbour that waits for the next one is too late.
     bench::virtual_fleet_settings settings;
     settings.agent.membership.heartbeat_period = 1'000ms;
     settings.agent.membership.silence_limit = 4'000ms;
     settings.agent.membership.refute_time = 300ms;
     auto const fleet = make_seven(settings);
     fleet->cut("b1", "a1");
+    for (std::string const& name : seven) {
+        fleet->cut(name, "b1");
+    }
     fleet->run_for(120s);
     CHECK(times_lost(*fleet, "b1") == 0);
 }
