Keep a request sent ahead from ending the process

Cause: while an answer is due, the front reads on so that a caller's hang-up is seen. libevent's read callback ends the process when bytes come in that state. Any caller that sent its next request before the first answer took the whole host down, and with retries the next host too. Found by hand on the engine stand-in, which reads on in the same way.

Conclusion: the hang-up is still seen, and nobody else pays for it.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -3,6 +3,7 @@
 #include "model/error.hpp"
 #include "net/caller_request.hpp"
 #include "net/http_input.hpp"
+#include "net/read_ahead.hpp"
 #include "net/sockets.hpp"
 
 #include <event2/bufferevent.h>
@@ -286,7 +287,7 @@
     timeval const limit = to_timeval(m_settings.caller_timeout);
     // A caller that waits for its answer is silent by rights.
     bufferevent_set_timeouts(stream, nullptr, &limit);
-    bufferevent_enable(stream, EV_READ);
+    begin_read_ahead(stream);
     watch& made = m_watches[connection];
     made = {this, id};
     evhttp_connection_set_closecb(
@@ -305,8 +306,9 @@
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
     m_watches.erase(connection);
     timeval const limit = to_timeval(m_settings.caller_timeout);
-    bufferevent_set_timeouts(
-        evhttp_connection_get_bufferevent(connection), &limit, &limit);
+    bufferevent* const stream = evhttp_connection_get_bufferevent(connection);
+    bufferevent_set_timeouts(stream, &limit, &limit);
+    end_read_ahead(stream);
 }
 
 } // namespace caperjunction::net
--- a/stand_ins/exchange.cpp
+++ b/stand_ins/exchange.cpp
@@ -1,5 +1,7 @@
 #include "stand_ins/exchange.hpp"
 
+#include "net/read_ahead.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -47,7 +49,7 @@
     evhttp_connection_set_closecb(connection, &exchange::closed, this);
     // evhttp stops reading while a request is handled and would notice a
     // client that hangs up only at the first write.
-    bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+    net::begin_read_ahead(evhttp_connection_get_bufferevent(connection));
 }
 
 void exchange::forget_connection()
@@ -56,6 +58,7 @@
         evhttp_request_get_connection(m_request);
     if (connection != nullptr) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        net::end_read_ahead(evhttp_connection_get_bufferevent(connection));
     }
 }
 
--- /dev/null
+++ b/tests/net/read_ahead_test.cpp
@@ -0,0 +1,92 @@
+#include "lists/catalogue.hpp"
+#include "lists/key_hash.hpp"
+#include "net/exchange.hpp"
+#include "net/front.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fmt/format.h>
+
+#include <string>
+
+using namespace caperjunction;
+
+namespace {
+
+constexpr char const* key = "desk.secret";
+constexpr char const* salt = "00112233445566778899";
+
+std::shared_ptr<lists::catalogue const> make_catalogue()
+{
+    lists::plan_list plans;
+    plans.tiers = {{"top", 0, 0.5}};
+    lists::service_class work;
+    work.name = "work";
+    work.tier = "top";
+    plans.classes = {work};
+    plans.plans = {{"gold", {"work"}, {}}};
+    plans.customers = {
+        {"c", {{"t", "gold", {{"desk", salt, lists::hash_key(salt, key)}}}}}};
+    lists::entitlement_list entitlements;
+    entitlements.models = {{"m", 8192}};
+    entitlements.entitlements = {{"gold", {"m"}, {}}};
+    return std::make_shared<lists::catalogue>(plans, entitlements);
+}
+
+std::string make_request()
+{
+    std::string const body = R"({"model":"m","prompt":"a"})";
+    return fmt::format("POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                       "Authorization: Bearer {}\r\nContent-Length: {}\r\n"
+                       "\r\n{}",
+                       key,
+                       body.size(),
+                       body);
+}
+
+} // namespace
+
+// A client library keeps a connection busy and sends its next request before
+// the answer to the first has come. libevent would end the process, and with
+// it the answers of everyone else on this host.
+TEST_CASE("a request sent ahead waits and does not end the process")
+{
+    runtime::event_loop loop;
+    int arrived = 0;
+    int hung_up = 0;
+    net::front front(loop,
+                     {},
+                     {[&arrived](std::unique_ptr<net::exchange>) {
+                          ++arrived;
+                          return true;
+                      },
+                      [&hung_up](model::request_id) {
+                          ++hung_up;
+                      }});
+    front.use(make_catalogue());
+    bufferevent* const client =
+        bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(front.port());
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bufferevent_socket_connect(
+        client, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+    std::string const request = make_request();
+    bufferevent_write(client, request.data(), request.size());
+    while (arrived == 0) {
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    bufferevent_write(client, request.data(), request.size());
+    event_base_loop(loop.base(), EVLOOP_ONCE);
+    event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+    CHECK(arrived == 1);
+    bufferevent_free(client);
+    while (hung_up == 0) {
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    CHECK(hung_up == 1);
+}
