--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -15,7 +15,7 @@
 constexpr double kept_requests = 1.5;
 constexpr double window_seconds = 20.0;
 // Some of what is earned ends in answers that nobody waits for any more.
-constexpr double share_margin = 1.21;
+constexpr double share_margin = 1.24;
 
 } // namespace
 
