Draw the cost of a booking too

Cause: booking_bench has landed; its names give a size without a dimension's name, and its times come in several units, which the report would have mixed.

Change: sizes are read as a dimension, units turned into ns, large numbers shortened so that axes show them whole.

--- a/tests/report/report_test.py
+++ b/tests/report/report_test.py
@@ -55,6 +55,11 @@
                          [(1, 1.0), (10, 1.0), (100, 1.0)])
         self.assertEqual(core.curves(rows, "queued"), {})
 
+    def test_a_benchmark_of_one_size_is_read_with_its_unit(self):
+        data = {"benchmarks": [{"name": "f/7/iterations:1", "cpu_time": 2,
+                                "time_unit": "us"}]}
+        self.assertEqual(list(core.read(data)), [("f", {"size": 7}, 2000)])
+
     def test_reach_is_judged_on_both_sides(self):
         self.assertTrue(relay.within(0.3, (None, 0.3)))
         self.assertFalse(relay.within(0.31, (None, 0.3)))
@@ -62,7 +67,7 @@
 
     def test_page_is_self_contained_and_tells_what_was_not_run(self):
         page, told = make_page({"policy_bench": [RUN]})
-        self.assertIn("not_run=relay_bench,core_bench,fleet_bench", told)
+        self.assertIn("not_run=relay_bench,core_bench,booking_bench", told)
         self.assertIn("Not run for this page: relay_bench", page)
         self.assertIn("a&lt;b", page)
         self.assertIsNone(re.search(r"(src|href)=|@import|<script", page))
--- a/tools/report/__main__.py
+++ b/tools/report/__main__.py
@@ -13,7 +13,8 @@
 BENCHES = {
     "policy_bench": policy.render,
     "relay_bench": relay.render,
-    "core_bench": core.render,
+    "core_bench": core.render_decisions,
+    "booking_bench": core.render_bookings,
     "fleet_bench": fleet.render,
     "claims_explorer": claims.render,
 }
--- a/tools/report/chart.py
+++ b/tools/report/chart.py
@@ -22,6 +22,8 @@
     """A number for an axis or a cell, with three digits that matter."""
     if number == 0:
         return "0"
+    if abs(number) >= 1_000_000:
+        return f"{number / 1e6:,.4g} M"
     if abs(number) >= 1000:
         return f"{number:,.0f}"
     if abs(number) >= 0.01:
--- a/tools/report/core.py
+++ b/tools/report/core.py
@@ -1,20 +1,22 @@
-"""core_bench: the processor time of a decision, and how it grows."""
+"""core_bench, booking_bench: processor times, and how they grow."""
 
 from . import chart, page
 from .slope import slope
 
 # Fewer points than this are told in the table, not drawn.
 LEAST_POINTS = 3
+NS_PER_UNIT = {"ns": 1, "us": 1e3, "ms": 1e6, "s": 1e9}
 
 
 def read(data):
     """(function, {dimension: count}, ns) of each benchmark, whose names are
-    such as one_decision/engines:12/queued:0."""
+    such as one_decision/engines:12/queued:0, or booking/7."""
     for entry in data["benchmarks"]:
         function, *parts = entry["name"].split("/")
-        pairs = [part.split(":") for part in parts if ":" in part]
+        pairs = [part.split(":") if ":" in part else ("size", part)
+                 for part in parts if not part.startswith("iterations:")]
         yield (function, {name: int(count) for name, count in pairs},
-               entry["cpu_time"])
+               entry["cpu_time"] * NS_PER_UNIT[entry["time_unit"]])
 
 
 def curves(rows, dimension):
@@ -25,7 +27,7 @@
             continue
         others = ", ".join(f"{name} {count:,}"
                            for name, count in counts.items()
-                           if name != dimension)
+                           if name != dimension) or function
         found.setdefault(function, {}).setdefault(others, []).append(
             (counts[dimension], value))
     drawn = {}
@@ -42,7 +44,15 @@
                               for name in counts))
 
 
-def render(data):
+def render_decisions(data):
+    return render(data, "Cost of a decision")
+
+
+def render_bookings(data):
+    return render(data, "Cost of a booking")
+
+
+def render(data, title):
     rows = list(read(data))
     pictures, slopes = [], []
     for dimension in dimensions(rows):
@@ -63,6 +73,8 @@
             "axes. Load average at the run: "
             f"{', '.join(map(chart.short, load)) or 'not told'}.")
     content = f'<div class="grid">{"".join(pictures)}</div>'
-    content += page.table(["function", "grows with", "at", "exponent"], slopes)
+    if slopes:
+        content += page.table(["function", "grows with", "at", "exponent"],
+                              slopes)
     content += page.fold("All figures", page.table(head, every))
-    return page.section("Cost of a decision", note, content)
+    return page.section(title, note, content)
