Free the request of a caller that hung up

Cause: evhttp cuts a request loose when its connection goes before the answer is complete, and leaves it to its handler.

Change: the front frees it once the owner has been told, as the contract of hung_up ('its caller is gone') has it.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -289,13 +289,18 @@
     bufferevent_set_timeouts(stream, nullptr, &limit);
     begin_read_ahead(stream);
     watch& made = m_watches[connection];
-    made = {this, id};
+    made = {this, id, caller};
     evhttp_connection_set_closecb(
         connection,
         [](evhttp_connection* closed, void* arg) {
             watch const seen = *static_cast<watch*>(arg);
             seen.owner->m_watches.erase(closed);
             seen.owner->m_hooks.hung_up(seen.id);
+            // evhttp has cut an unanswered request loose and left it to its
+            // handler; kept, each hang-up would cost its whole body for good.
+            if (evhttp_request_get_connection(seen.caller) == nullptr) {
+                evhttp_request_free(seen.caller);
+            }
         },
         &made);
 }
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -65,6 +65,7 @@
     {
         front* owner = nullptr;
         model::request_id id;
+        evhttp_request* caller = nullptr;
     };
 
     void handle(evhttp_request* caller);
