--- a/tests/bench/golden_test.cpp
+++ b/tests/bench/golden_test.cpp
@@ -69,3 +69,10 @@
 {
     check_all("strict_priority");
 }
+
+// The outcome that callers meet is to change only where somebody meant it to:
+// a change of the decisions shows here in the diff of these files.
+TEST_CASE("the decisions give the recorded outcome of each scenario")
+{
+    check_all("caperjunction");
+}
