--- a/src/program/control.cpp
+++ b/src/program/control.cpp
@@ -172,9 +172,8 @@
         return net::admin_answer{200, "text/plain", "alive\n"};
     });
     m_admin.serve("/readyz", [this](std::string const& /*id*/) {
-        return m_ready && !m_stopping
-                   ? net::admin_answer{200, "text/plain", "ready\n"}
-                   : net::admin_answer{503, "text/plain", "not ready\n"};
+        return ready() ? net::admin_answer{200, "text/plain", "ready\n"}
+                       : net::admin_answer{503, "text/plain", "not ready\n"};
     });
     m_admin.serve("/metrics", [this](std::string const& /*id*/) {
         return net::admin_answer{
--- a/src/program/control.hpp
+++ b/src/program/control.hpp
@@ -36,6 +36,12 @@
     /// Begins a planned stop: readiness goes first, work goes on.
     void plan_stop();
 
+    /// The lists are in force and no stop is planned.
+    bool ready() const
+    {
+        return m_ready && !m_stopping;
+    }
+
     std::uint16_t admin_port() const
     {
         return m_admin.port();
