--- a/tests/program/booking_test.cpp
+++ b/tests/program/booking_test.cpp
@@ -10,9 +10,9 @@
 
 std::shared_ptr<tests::answer> book(tests::site& site, std::string const& key)
 {
-    auto const answer = site.call("/services/ledger/reserve",
-                                  R"({"case":1})",
-                                  {{"Idempotency-Key", key}});
+    auto answer = site.call("/services/ledger/reserve",
+                            R"({"case":1})",
+                            {{"Idempotency-Key", key}});
     REQUIRE(site.wait(answer));
     return answer;
 }
--- a/tests/program/site.cpp
+++ b/tests/program/site.cpp
@@ -149,7 +149,7 @@
                                    std::string const& body,
                                    std::vector<net::header> headers)
 {
-    auto const made = std::make_shared<answer>();
+    auto made = std::make_shared<answer>();
     net::upstream_call call;
     call.to = {"127.0.0.1", relay->port()};
     call.path = path;
@@ -205,7 +205,7 @@
 
 std::string site::admin(std::string const& path)
 {
-    auto const made = std::make_shared<answer>();
+    auto made = std::make_shared<answer>();
     net::upstream_call call;
     call.to = {"127.0.0.1", control->admin_port()};
     call.path = path;
