--- a/src/fleet/claimant.cpp
+++ b/src/fleet/claimant.cpp
@@ -174,6 +174,15 @@
     return true;
 }
 
+std::optional<claim_attempt> claimant::running_attempt(claim_key key) const
+{
+    auto const found = m_calls.find(key);
+    if (found == m_calls.end()) {
+        return std::nullopt;
+    }
+    return attempt_of(found->second);
+}
+
 bool claimant::active(claim_key key) const
 {
     return m_calls.find(key) != m_calls.end();
--- a/src/fleet/claimant.hpp
+++ b/src/fleet/claimant.hpp
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,10 @@
     /// \pre `now` is read after everything that may take long.
     bool begin_dispatch(claim_key key, model::time_point now);
 
+    /// The attempt by which this host claims or runs the key; empty if it
+    /// doesn't. Names the answer that is kept for resends.
+    std::optional<claim_attempt> running_attempt(claim_key key) const;
+
     /// Whether the key is being claimed, queued or run by this host.
     bool active(claim_key key) const;
 
--- /dev/null
+++ b/src/net/caller_sink.hpp
@@ -0,0 +1,47 @@
+#ifndef CAPERJUNCTION_NET_CALLER_SINK_HPP
+#define CAPERJUNCTION_NET_CALLER_SINK_HPP
+
+#include "model/request_id.hpp"
+#include "model/time.hpp"
+#include "net/caller_reply.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <string_view>
+
+namespace caperjunction::net {
+
+/// An answer in one piece.
+struct whole_answer
+{
+    int status = 200;
+    std::string_view content_type;
+    std::string_view body;
+    reply_facts facts;
+    /// Sent as `Retry-After` if above zero.
+    model::milliseconds retry_after{0};
+};
+
+/// Where an answer goes: to a caller's connection, or to the host that
+/// handed the request over. Either one `whole`, or `begin`, any number of
+/// `events`, and `end`.
+///
+/// Thread safety: none; called by the task that owns the exchange.
+struct caller_sink
+{
+    std::function<void(whole_answer const&)> whole;
+    std::function<void(model::request_id)> begin;
+    std::function<void(std::string_view)> events;
+    std::function<void(model::outcome)> end;
+    /// Bytes that wait for a slow receiver.
+    std::function<std::size_t()> unsent;
+};
+
+/// Answers with an error in JSON. \pre Nothing of the answer has been sent.
+void send_error(caller_sink const& sink,
+                error_reply const& error,
+                reply_facts const& facts);
+
+} // namespace caperjunction::net
+
+#endif
--- /dev/null
+++ b/src/net/engine_reader.hpp
@@ -0,0 +1,68 @@
+#ifndef CAPERJUNCTION_NET_ENGINE_READER_HPP
+#define CAPERJUNCTION_NET_ENGINE_READER_HPP
+
+#include "decide/event.hpp"
+#include "model/time.hpp"
+#include "model/upstreams.hpp"
+#include "net/upstream_client.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <sigc++/sigc++.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace caperjunction::net {
+
+/// Asks engines for their load and for what their prefix caches gained and
+/// lost, one engine after the other, at a bounded rate.
+///
+/// Thread safety: none; owned by one task.
+class engine_reader
+{
+public:
+    /// Between two calls; with two calls an engine, twelve engines are each
+    /// heard every half a second.
+    static constexpr model::milliseconds call_period{20};
+
+    explicit engine_reader(runtime::event_loop& loop);
+    ~engine_reader();
+    engine_reader(engine_reader const&) = delete;
+    engine_reader& operator=(engine_reader const&) = delete;
+
+    void use(std::vector<model::engine> const& engines);
+
+    sigc::signal<void(decide::engine_report const&)> reported;
+    sigc::signal<void(decide::cache_changed const&)> cache_changed;
+
+private:
+    struct known_engine
+    {
+        std::string name;
+        model::endpoint address;
+        std::uint64_t sequence = 0;
+        bool asked = false;
+    };
+
+    using taker = void (engine_reader::*)(std::string const& name,
+                                          std::string const& body);
+
+    void ask_next();
+    void ask(known_engine& engine, std::string path, taker take);
+    void take_load(std::string const& name, std::string const& body);
+    void take_cache(std::string const& name, std::string const& body);
+    known_engine* find(std::string const& name);
+
+    runtime::event_loop& m_loop;
+    upstream_client m_client;
+    std::vector<known_engine> m_engines;
+    std::size_t m_next = 0;
+    bool m_cache_next = false;
+    runtime::timer_handle m_timer;
+};
+
+} // namespace caperjunction::net
+
+#endif
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -4,17 +4,16 @@
 #include "decide/request.hpp"
 #include "model/time.hpp"
 #include "net/answer_assembler.hpp"
-#include "net/caller_reply.hpp"
+#include "net/caller_sink.hpp"
 #include "net/header.hpp"
 #include "net/sse_scanner.hpp"
 #include "net/upstream_call.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
-struct evhttp_request;
-
 namespace caperjunction::net {
 
 /// How an answer reaches the caller.
@@ -33,12 +32,14 @@
 {
     decide::request request;
     reply_mode mode = reply_mode::events;
-    /// Null once the caller has hung up or has been answered.
-    evhttp_request* caller = nullptr;
+    /// Empty once the caller has hung up.
+    std::optional<caller_sink> caller;
+    /// The host that handed the request over; empty for a caller's own.
+    std::string from_host;
+    /// The host that serves it instead of this one; else empty.
+    std::string to_host;
     /// Some of the answer has been sent; no status can be chosen any more.
     bool begun = false;
-    /// A planned attempt has been handed to an upstream at least once.
-    bool handed = false;
 
     std::string method = "POST";
     std::string path;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -3,6 +3,7 @@
 #include "model/error.hpp"
 #include "net/caller_request.hpp"
 #include "net/http_input.hpp"
+#include "net/http_sink.hpp"
 #include "net/read_ahead.hpp"
 #include "net/sockets.hpp"
 
@@ -104,7 +105,7 @@
     try {
         serve(caller, id);
     } catch (model::error const& failure) {
-        send_error(caller,
+        send_error(make_http_sink(caller, [] {}),
                    {failure.kind(),
                     failure.what(),
                     failure.remedy(),
@@ -116,7 +117,7 @@
 void front::serve(evhttp_request* caller, model::request_id id)
 {
     if (m_catalogue == nullptr) {
-        send_error(caller,
+        send_error(make_http_sink(caller, [] {}),
                    {model::error_kind::unavailable,
                     "this host has no lists yet",
                     "send it again in a second",
@@ -161,10 +162,12 @@
 
 std::unique_ptr<exchange> front::make_exchange(evhttp_request* caller,
                                                model::request_id id,
-                                               lists::identity const& who) const
+                                               lists::identity const& who)
 {
     auto made = std::make_unique<exchange>();
-    made->caller = caller;
+    made->caller = make_http_sink(caller, [this, caller] {
+        release(caller);
+    });
     made->request.id = id;
     made->request.customer = who.customer->name;
     made->request.team = who.team->name;
@@ -224,7 +227,7 @@
     made->mode = parsed.stream ? reply_mode::events : reply_mode::assembled;
     made->path = chat ? chat_path : completion_path;
     made->body = std::move(parsed.upstream_body);
-    pass_on(std::move(made));
+    pass_on(caller, std::move(made));
 }
 
 void front::serve_models(evhttp_request* caller,
@@ -239,11 +242,9 @@
         }
     }
     nlohmann::json const body{{"object", "list"}, {"data", data}};
-    send_whole(caller,
-               200,
-               "application/json",
-               body.dump(),
-               {id, model::outcome::ran});
+    std::string const text = body.dump();
+    make_http_sink(caller, [] {
+    }).whole({200, "application/json", text, {id, model::outcome::ran}});
 }
 
 void front::serve_service(evhttp_request* caller,
@@ -261,13 +262,12 @@
         made->content_type = type;
     }
     check_service_call(*m_catalogue, who, *made);
-    pass_on(std::move(made));
+    pass_on(caller, std::move(made));
 }
 
-void front::pass_on(std::unique_ptr<exchange> made)
+void front::pass_on(evhttp_request* caller, std::unique_ptr<exchange> made)
 {
     model::request_id const id = made->request.id;
-    evhttp_request* const caller = made->caller;
     if (m_hooks.arrived(std::move(made))) {
         watch_for_hang_up(caller, id);
         return;
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -83,8 +83,8 @@
     lists::identity authenticate(evhttp_request* caller) const;
     std::unique_ptr<exchange> make_exchange(evhttp_request* caller,
                                             model::request_id id,
-                                            lists::identity const& who) const;
-    void pass_on(std::unique_ptr<exchange> made);
+                                            lists::identity const& who);
+    void pass_on(evhttp_request* caller, std::unique_ptr<exchange> made);
     void watch_for_hang_up(evhttp_request* caller, model::request_id id);
     model::request_id next_id();
 
--- /dev/null
+++ b/src/net/hand_over.cpp
@@ -0,0 +1,119 @@
+#include "net/hand_over.hpp"
+
+#include "model/error.hpp"
+#include "net/caller_request.hpp"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+#include <limits>
+
+namespace caperjunction::net {
+namespace {
+
+std::string field_of(fleet::handover_request const& request,
+                     std::string const& name)
+{
+    for (fleet::header_field const& field : request.headers) {
+        if (field.name == name) {
+            return field.value;
+        }
+    }
+    return "";
+}
+
+reply_mode mode_of(fleet::handover_request const& request)
+{
+    std::string const name = field_of(request, "mode");
+    if (name == "events") {
+        return reply_mode::events;
+    }
+    return name == "assembled" ? reply_mode::assembled : reply_mode::collected;
+}
+
+char const* name_of(reply_mode mode)
+{
+    switch (mode) {
+    case reply_mode::events:
+        return "events";
+    case reply_mode::assembled:
+        return "assembled";
+    case reply_mode::collected:
+        break;
+    }
+    return "collected";
+}
+
+void fill_text(decide::request& request,
+               std::string const& path,
+               std::string const& body)
+{
+    bool const chat = path.find("chat") != std::string::npos;
+    caller_request parsed = parse_caller_request(
+        body,
+        chat ? text_interface::chat : text_interface::completion,
+        std::numeric_limits<std::uint32_t>::max());
+    request.prompt_tokens = parsed.prompt_tokens;
+    request.max_output_tokens = parsed.max_output_tokens;
+    request.prefix_blocks = std::move(parsed.prefix_blocks);
+}
+
+} // namespace
+
+fleet::handover_request pack(exchange const& held, model::time_point now)
+{
+    using std::chrono::duration_cast;
+    decide::request const& request = held.request;
+    fleet::handover_request packed;
+    packed.id = request.id;
+    packed.method = held.method;
+    packed.path = held.path;
+    packed.body = held.body;
+    packed.waited = duration_cast<model::milliseconds>(now - request.arrived);
+    packed.headers = {
+        {"customer", request.customer},
+        {"team", request.team},
+        {"plan", request.plan},
+        {"class", request.service_class},
+        {"model", request.model},
+        {"service", request.service},
+        {"mode", name_of(held.mode)},
+        {"content-type", held.content_type},
+        {"fingerprint", fmt::format("{:016x}", request.fingerprint)}};
+    return packed;
+}
+
+std::unique_ptr<exchange> unpack(fleet::handover_request const& packed,
+                                 model::time_point now)
+{
+    auto made = std::make_unique<exchange>();
+    decide::request& request = made->request;
+    request.id = packed.id;
+    request.customer = field_of(packed, "customer");
+    request.team = field_of(packed, "team");
+    request.plan = field_of(packed, "plan");
+    request.service_class = field_of(packed, "class");
+    request.model = field_of(packed, "model");
+    request.service = field_of(packed, "service");
+    request.arrived = now - packed.waited;
+    request.handed_over = true;
+    made->mode = mode_of(packed);
+    made->method = packed.method;
+    made->path = packed.path;
+    made->body = packed.body;
+    made->content_type = field_of(packed, "content-type");
+    bool const sound = absl::SimpleHexAtoi(field_of(packed, "fingerprint"),
+                                           &request.fingerprint)
+                       && request.model.empty() != request.service.empty();
+    if (!sound) {
+        throw model::error(model::error_kind::bad_request,
+                           "a handed-over request lacks its fields",
+                           "run the same version on all hosts");
+    }
+    if (!request.model.empty()) {
+        fill_text(request, made->path, made->body);
+    }
+    return made;
+}
+
+} // namespace caperjunction::net
--- a/src/net/platform_reader.cpp
+++ b/src/net/platform_reader.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -63,13 +64,15 @@
     start(value, fmt::format("/v1/values/{}", fleet::to_string(value)));
 }
 
-void platform_reader::watch(fleet::published_value value, std::uint64_t after)
+void platform_reader::watch(fleet::published_value value,
+                            std::uint64_t after,
+                            model::milliseconds wait)
 {
     start(value,
           fmt::format("/v1/values/{}?after={}&wait_ms={}",
                       fleet::to_string(value),
                       after,
-                      m_watch_wait.count()));
+                      std::min(wait, m_watch_wait).count()));
 }
 
 void platform_reader::start(fleet::published_value value, std::string path)
@@ -88,14 +91,16 @@
             state->body.append(bytes);
         }
     };
-    hooks.done = [this, state, value](call_end end) {
+    model::time_point const started = m_loop.now();
+    hooks.done = [this, state, value, started](call_end end) {
         fleet::value_read read{value, 0, nullptr};
         bool const whole = end == call_end::complete;
         if (whole && state->status == status_ok && fill(read, state->body)) {
-            arrived.emit(read);
+            arrived.emit(read, started);
             return;
         }
-        ended.emit({value, !whole || state->status != status_not_modified});
+        ended.emit({value, !whole || state->status != status_not_modified},
+                   started);
     };
     m_client.start(call, std::move(hooks));
 }
--- a/src/net/platform_reader.hpp
+++ b/src/net/platform_reader.hpp
@@ -27,12 +27,16 @@
     /// Reads the value once.
     void read(fleet::published_value value);
 
-    /// Waits at the service for a revision above `after`.
-    void watch(fleet::published_value value, std::uint64_t after);
-
-    /// Each read and each watch ends with just one of these two.
-    sigc::signal<void(fleet::value_read const&)> arrived;
-    sigc::signal<void(fleet::read_ended const&)> ended;
+    /// Asks the service for a revision above `after`, and lets it wait for
+    /// one for `wait` (at most the watch wait of the settings).
+    void watch(fleet::published_value value,
+               std::uint64_t after,
+               model::milliseconds wait);
+
+    /// Each read and each watch ends with just one of these two; with them
+    /// comes the time at which the call began.
+    sigc::signal<void(fleet::value_read const&, model::time_point)> arrived;
+    sigc::signal<void(fleet::read_ended const&, model::time_point)> ended;
 
 private:
     void start(fleet::published_value value, std::string path);
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -1,12 +1,10 @@
 #include "net/relay.hpp"
 
 #include "net/caller_reply.hpp"
-#include "net/sockets.hpp"
 
 #include <fmt/format.h>
 
 #include <utility>
-#include <vector>
 
 namespace caperjunction::net {
 namespace {
@@ -17,21 +15,28 @@
 constexpr std::size_t hold_above = 1'048'576;
 constexpr std::size_t release_below = 262'144;
 
-constexpr int status_ok = 200;
-
 model::milliseconds since(model::time_point start, model::time_point end)
 {
     return std::chrono::duration_cast<model::milliseconds>(end - start);
 }
 
+template <typename... Cases>
+struct overloaded : Cases...
+{
+    using Cases::operator()...;
+};
+
+template <typename... Cases>
+overloaded(Cases...) -> overloaded<Cases...>;
+
 } // namespace
 
 relay::relay(runtime::event_loop& loop,
              relay_settings const& settings,
-             tell_hook tell)
+             report_hook report)
     : m_loop(loop)
     , m_settings(settings)
-    , m_tell(std::move(tell))
+    , m_report(std::move(report))
     , m_client(loop, settings.upstreams)
     , m_front(loop,
               settings,
@@ -54,23 +59,51 @@
 
 void relay::handle(relay_message& message)
 {
-    if (auto const* decision = std::get_if<decide::decision>(&message)) {
-        carry_out(*decision);
-    } else if (auto* lists = std::get_if<use_lists>(&message)) {
-        m_front.use(std::move(lists->catalogue));
-    } else if (auto const* listed = std::get_if<use_upstreams>(&message)) {
-        m_addresses.clear();
-        for (model::engine const& engine : listed->upstreams.engines) {
-            m_addresses[engine.name] = engine.address;
-        }
-        for (auto const& service : listed->upstreams.services) {
-            m_addresses[service.name] = service.address;
-        }
-    } else if (auto const* answer = std::get_if<answer_again>(&message)) {
-        answer_stored(*answer);
-    } else {
-        m_stopping = true;
-        m_front.stop_accepting();
+    std::visit(overloaded{[this](decide::decision& made) {
+                              carry_out(made);
+                          },
+                          [this](use_lists& lists) {
+                              m_front.use(std::move(lists.catalogue));
+                          },
+                          [this](use_upstreams& listed) {
+                              use(listed.upstreams);
+                          },
+                          [this](dispatch_booking& booking) {
+                              start_booking(booking);
+                          },
+                          [this](answer_again& answer) {
+                              answer_stored(answer);
+                          },
+                          [this](serve_handed_over& given) {
+                              serve(given);
+                          },
+                          [this](take_part& part) {
+                              take(part);
+                          },
+                          [this](take_end& end) {
+                              take(end);
+                          },
+                          [this](cancel_handed_over& over) {
+                              cancel(over);
+                          },
+                          [this](lose_host& lost) {
+                              lose(lost);
+                          },
+                          [this](stop_accepting&) {
+                              m_stopping = true;
+                              m_front.stop_accepting();
+                          }},
+               message);
+}
+
+void relay::use(model::upstreams const& upstreams)
+{
+    m_addresses.clear();
+    for (model::engine const& engine : upstreams.engines) {
+        m_addresses[engine.name] = engine.address;
+    }
+    for (model::service_instance const& service : upstreams.services) {
+        m_addresses[service.name] = service.address;
     }
 }
 
@@ -80,24 +113,49 @@
     return found == m_exchanges.end() ? nullptr : found->second.get();
 }
 
-void relay::tell(decide::event event)
+// What is reported must arrive, and in order, or the decision logic would
+// count work that has ended; what finds no room waits for the next turn.
+void relay::report(relay_report report)
+{
+    if (m_backlog.empty() && m_report(report)) {
+        return;
+    }
+    m_backlog.push_back(std::move(report));
+    if (m_backlog.size() == 1) {
+        m_loop.after(backlog_retry, [this] {
+            send_backlog();
+        });
+    }
+}
+
+void relay::send_backlog()
 {
-    // What is told here must arrive, or the decision logic would count work
-    // that has ended; it is sent again at the next chance.
-    if (!m_tell(event)) {
-        m_loop.defer([this, event = std::move(event)]() mutable {
-            tell(std::move(event));
+    while (!m_backlog.empty() && m_report(m_backlog.front())) {
+        m_backlog.pop_front();
+    }
+    if (!m_backlog.empty()) {
+        m_loop.after(backlog_retry, [this] {
+            send_backlog();
         });
     }
 }
 
+void relay::tell(decide::event event)
+{
+    report(std::move(event));
+}
+
 bool relay::take(std::unique_ptr<exchange> arrived)
 {
-    if (m_exchanges.size() >= m_settings.max_exchanges) {
+    if (m_exchanges.size() >= m_settings.max_exchanges || !m_backlog.empty()) {
         return false;
     }
-    decide::event event = decide::request_arrived{arrived->request};
-    if (!m_tell(event)) {
+    relay_report arrival =
+        decide::event(decide::request_arrived{arrived->request});
+    if (!arrived->request.repeatable) {
+        arrival = booking_arrived{arrived->request, arrived->idempotency_key};
+    }
+    if (!m_report(arrival)) {
         return false;
     }
     model::request_id const id = arrived->request.id;
@@ -111,15 +169,22 @@
     if (held == nullptr) {
         return;
     }
-    held->caller = nullptr;
-    tell(decide::request_cancelled{id});
-    if (!held->request.repeatable) {
-        // It may be running, and a resend will ask for its answer: it goes
-        // on to its end.
+    held->caller.reset();
+    bool const running = static_cast<bool>(held->call);
+    if (!held->request.repeatable && running) {
+        // It may have run, and a resend will ask for its answer: it goes on
+        // to its end.
         return;
     }
+    if (!held->to_host.empty()) {
+        report(hand_over_cancelled{held->to_host, id});
+    }
+    tell(decide::request_cancelled{id});
     m_client.cancel(held->call);
-    finish(*held, model::outcome::unknown, "hung_up");
+    bool const clean = !running && !held->begun && held->to_host.empty();
+    finish(*held,
+           clean ? model::outcome::not_run : model::outcome::unknown,
+           "hung_up");
 }
 
 void relay::carry_out(decide::decision const& decision)
@@ -132,234 +197,10 @@
                    std::get_if<decide::cancel_attempt>(&decision)) {
         cancel_attempt(*end);
     } else if (auto const* other = std::get_if<decide::hand_over>(&decision)) {
-        tell(decide::hand_over_refused{other->id, other->host});
-    }
-}
-
-upstream_call relay::make_call(exchange const& held, decide::dispatch const& to)
-{
-    upstream_call call;
-    call.to = m_addresses[to.upstream];
-    call.method = held.method;
-    call.path = held.path;
-    call.body = held.body;
-    call.fresh = !held.request.repeatable;
-    call.headers = {{"Content-Type", held.content_type},
-                    {"caperjunction-request-id", to_string(held.request.id)},
-                    {"caperjunction-priority", std::to_string(to.priority)}};
-    if (to.resume_offset > 0) {
-        call.headers.push_back(
-            {"caperjunction-resume-offset", std::to_string(to.resume_offset)});
-    }
-    if (!held.idempotency_key.empty()) {
-        call.headers.push_back({"Idempotency-Key", held.idempotency_key});
-    }
-    return call;
-}
-
-void relay::start_attempt(decide::dispatch const& to)
-{
-    exchange* const held = find(to.id);
-    if (held == nullptr) {
-        return;
-    }
-    held->upstream = to.upstream;
-    held->status = 0;
-    held->done_seen = false;
-    held->upstream_not_run = false;
-    held->scanner = {};
-    held->collected.clear();
-    if (m_addresses.count(to.upstream) == 0) {
-        tell(decide::attempt_ended{to.id,
-                                   to.upstream,
-                                   decide::attempt_end::unreachable,
-                                   held->relayed_tokens,
-                                   0});
-        return;
-    }
-    model::request_id const id = to.id;
-    held->call = m_client.start(make_call(*held, to),
-                                {[this, id](call_head const& head) {
-                                     take_head(id, head);
-                                 },
-                                 [this, id](std::string_view bytes) {
-                                     take_bytes(id, bytes);
-                                 },
-                                 [this, id](call_end end) {
-                                     end_attempt(id, end);
-                                 }});
-}
-
-void relay::cancel_attempt(decide::cancel_attempt const& cancel)
-{
-    exchange* const held = find(cancel.id);
-    if (held == nullptr || held->upstream != cancel.upstream) {
-        return;
-    }
-    m_client.cancel(held->call);
-    held->call = {};
-    tell(decide::attempt_ended{cancel.id,
-                               cancel.upstream,
-                               decide::attempt_end::cancelled,
-                               held->relayed_tokens,
-                               0});
-}
-
-void relay::take_head(model::request_id id, call_head const& head)
-{
-    if (exchange* const held = find(id)) {
-        held->status = head.status;
-        held->answer_type = head.content_type;
-        held->upstream_not_run = head.not_run;
-    }
-}
-
-void relay::take_bytes(model::request_id id, std::string_view bytes)
-{
-    exchange* const held = find(id);
-    if (held == nullptr) {
-        return;
-    }
-    if (held->mode != reply_mode::collected && held->status == status_ok) {
-        take_stream(*held, bytes);
-        return;
-    }
-    held->collected.append(bytes);
-    if (held->collected.size() > m_settings.max_body_bytes) {
-        m_client.cancel(held->call);
-        end_attempt(id, call_end::broken);
-    }
-}
-
-void relay::take_stream(exchange& held, std::string_view bytes)
-{
-    std::string events;
-    sse_found const found = held.scanner.feed(bytes, events);
-    held.done_seen = held.done_seen || found.done;
-    held.relayed_tokens += found.tokens;
-    held.untold_tokens += found.tokens;
-    if (!held.first_told && found.tokens > 0) {
-        held.first_told = true;
-        held.first_byte = m_loop.now();
-        tell(decide::tokens_relayed{held.request.id, held.untold_tokens});
-        held.untold_tokens = 0;
-    }
-    bool const sound =
-        held.mode == reply_mode::events || held.assembler.add(events);
-    if (found.overlong || !sound) {
-        m_client.cancel(held.call);
-        end_attempt(held.request.id, call_end::broken);
-        return;
-    }
-    if (held.mode == reply_mode::events && !events.empty()) {
-        pass_events(held, events);
-    }
-}
-
-void relay::pass_events(exchange& held, std::string const& events)
-{
-    if (held.caller == nullptr) {
-        return;
-    }
-    if (!held.begun) {
-        held.begun = true;
-        begin_events(held.caller, held.request.id);
-    }
-    send_events(held.caller, events);
-}
-
-decide::attempt_end relay::judge(exchange const& held, call_end end) const
-{
-    constexpr int too_many_requests = 429;
-    constexpr int service_unavailable = 503;
-    constexpr int first_server_error = 500;
-    using decide::attempt_end;
-    if (end == call_end::unreachable) {
-        return attempt_end::unreachable;
-    }
-    if (end == call_end::broken) {
-        return attempt_end::broken;
-    }
-    if (held.upstream_not_run) {
-        return attempt_end::refused;
-    }
-    if (held.mode == reply_mode::collected) {
-        return attempt_end::complete;
-    }
-    if (held.status == status_ok) {
-        // A stream that ends without its closing event was cut short.
-        return held.done_seen ? attempt_end::complete : attempt_end::broken;
-    }
-    if (held.status == too_many_requests
-        || held.status == service_unavailable) {
-        return attempt_end::refused;
-    }
-    return held.status >= first_server_error ? attempt_end::broken
-                                             : attempt_end::failed;
-}
-
-void relay::end_attempt(model::request_id id, call_end end)
-{
-    exchange* const held = find(id);
-    if (held == nullptr) {
-        return;
-    }
-    held->call = {};
-    decide::attempt_end const judged = judge(*held, end);
-    if (held->untold_tokens > 0) {
-        tell(decide::tokens_relayed{id, held->untold_tokens});
-        held->untold_tokens = 0;
-    }
-    tell(decide::attempt_ended{
-        id, held->upstream, judged, held->relayed_tokens, 0});
-    if (judged == decide::attempt_end::complete) {
-        answer_whole(*held);
-    } else if (judged == decide::attempt_end::failed) {
-        answer_failed(*held);
+        hand_over(*other);
     }
 }
 
-void relay::answer_whole(exchange& held)
-{
-    model::outcome const outcome = model::outcome::ran;
-    if (held.caller != nullptr) {
-        m_front.release(held.caller);
-        if (held.mode == reply_mode::events) {
-            pass_events(held, closing_events(outcome));
-            end_events(held.caller);
-        } else if (held.mode == reply_mode::assembled) {
-            send_whole(held.caller,
-                       status_ok,
-                       "application/json",
-                       held.assembler.finish(),
-                       {held.request.id, outcome});
-        } else {
-            held.first_byte = m_loop.now();
-            send_whole(held.caller,
-                       held.status,
-                       held.answer_type,
-                       held.collected,
-                       {held.request.id, outcome});
-        }
-    }
-    finish(held, outcome, "");
-}
-
-// The engine found fault with the request itself; its own words say more
-// than any of the router's.
-void relay::answer_failed(exchange& held)
-{
-    if (held.caller != nullptr && !held.begun) {
-        m_front.release(held.caller);
-        send_whole(held.caller,
-                   held.status,
-                   held.answer_type,
-                   held.collected,
-                   {held.request.id, model::outcome::unknown});
-    }
-    finish(held, model::outcome::unknown, "upstream_refused_request");
-}
-
 void relay::refuse(decide::refuse const& no)
 {
     exchange* const held = find(no.id);
@@ -373,17 +214,20 @@
         no.remedy,
         no.retry_after};
     reply_facts const facts{no.id, no.outcome};
-    if (held->caller != nullptr) {
-        m_front.release(held->caller);
-        if (held->begun) {
-            send_events(held->caller,
-                        fmt::format("data: {}\n\n{}",
-                                    error_body(error, facts),
-                                    closing_events(model::outcome::unknown)));
-            end_events(held->caller);
-        } else {
-            send_error(held->caller, error, facts);
-        }
+    bool const give_back = !held->from_host.empty() && !held->begun
+                           && no.outcome == model::outcome::not_run;
+    if (give_back) {
+        report(hand_over_over{
+            held->from_host,
+            {no.id, fleet::handover_result::refused, no.outcome, no.reason}});
+    } else if (held->caller && held->begun) {
+        held->caller->events(
+            fmt::format("data: {}\n\n{}",
+                        error_body(error, facts),
+                        closing_events(model::outcome::unknown)));
+        held->caller->end(model::outcome::unknown);
+    } else if (held->caller) {
+        send_error(*held->caller, error, facts);
     }
     finish(*held, no.outcome, no.reason);
 }
@@ -394,13 +238,11 @@
     if (held == nullptr) {
         return;
     }
-    if (held->caller != nullptr) {
-        m_front.release(held->caller);
-        send_whole(held->caller,
-                   answer.status,
-                   answer.content_type,
-                   answer.body,
-                   {answer.id, model::outcome::ran});
+    if (held->caller) {
+        held->caller->whole({answer.status,
+                             answer.content_type,
+                             answer.body,
+                             {answer.id, model::outcome::ran}});
     }
     finish(*held, model::outcome::ran, "");
 }
@@ -408,22 +250,19 @@
 void relay::finish(exchange& held, model::outcome outcome, std::string error)
 {
     model::time_point const now = m_loop.now();
-    exchange_ended report;
-    report.id = held.request.id;
-    report.customer = held.request.customer;
-    report.service_class = held.request.service_class;
-    report.outcome = outcome;
-    report.error = std::move(error);
-    report.tokens = held.relayed_tokens;
-    report.whole = since(held.request.arrived, now);
+    exchange_ended ended;
+    ended.id = held.request.id;
+    ended.customer = held.request.customer;
+    ended.service_class = held.request.service_class;
+    ended.outcome = outcome;
+    ended.error = std::move(error);
+    ended.tokens = held.relayed_tokens;
+    ended.whole = since(held.request.arrived, now);
     if (held.first_byte != model::time_point{}) {
-        report.first_byte = since(held.request.arrived, held.first_byte);
-    }
-    m_exchanges.erase(report.id);
-    ended.emit(report);
-    if (m_stopping && m_exchanges.empty()) {
-        idle.emit();
+        ended.first_byte = since(held.request.arrived, held.first_byte);
     }
+    m_exchanges.erase(ended.id);
+    report(std::move(ended));
 }
 
 void relay::account()
@@ -433,17 +272,18 @@
             tell(decide::tokens_relayed{id, held->untold_tokens});
             held->untold_tokens = 0;
         }
-        if (held->call && held->begun && held->caller != nullptr) {
-            std::size_t const waiting = unsent_bytes(held->caller);
-            if (waiting > hold_above) {
-                m_client.hold(held->call, true);
-            } else if (waiting < release_below) {
-                m_client.hold(held->call, false);
-            }
+        if (!held->call || !held->begun || !held->caller) {
+            continue;
+        }
+        std::size_t const waiting = held->caller->unsent();
+        if (waiting > hold_above) {
+            m_client.hold(held->call, true);
+        } else if (waiting < release_below) {
+            m_client.hold(held->call, false);
         }
     }
     if (m_stopping && m_exchanges.empty()) {
-        idle.emit();
+        report(relay_idle{});
     }
 }
 
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -4,36 +4,22 @@
 #include "decide/event.hpp"
 #include "net/front.hpp"
 #include "net/relay_message.hpp"
+#include "net/relay_report.hpp"
 #include "net/relay_settings.hpp"
 #include "net/upstream_client.hpp"
 #include "runtime/event_loop.hpp"
 
-#include <sigc++/sigc++.h>
-
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 
 namespace caperjunction::net {
 
-/// How one exchange ended, for the log and the metrics.
-struct exchange_ended
-{
-    model::request_id id;
-    std::string customer;
-    std::string service_class;
-    model::outcome outcome = model::outcome::unknown;
-    /// Empty, or the kind of error that the caller was told.
-    std::string error;
-    std::uint32_t tokens = 0;
-    /// From arrival; zero if no byte was sent.
-    model::milliseconds first_byte{0};
-    model::milliseconds whole{0};
-};
-
 /// Stands between callers and upstreams: carries out the decisions, relays
-/// the answers, and tells the decision logic what happens.
+/// the answers, and tells the task that decides what happens.
 ///
 /// Thread safety: none; owned by one task.
 class relay
@@ -42,12 +28,15 @@
     /// How often relayed tokens are told, and buffers looked at.
     static constexpr model::milliseconds account_period{50};
 
-    /// `tell` passes events to the task that decides; false if it is full.
-    using tell_hook = std::function<bool(decide::event&)>;
+    /// Until reports that found no room are offered again.
+    static constexpr model::milliseconds backlog_retry{1};
+
+    /// Passes reports to the task that decides; false if it is full.
+    using report_hook = std::function<bool(relay_report&)>;
 
     relay(runtime::event_loop& loop,
           relay_settings const& settings,
-          tell_hook tell);
+          report_hook report);
     ~relay();
     relay(relay const&) = delete;
     relay& operator=(relay const&) = delete;
@@ -64,20 +53,22 @@
         return m_exchanges.size();
     }
 
-    /// Emitted for every exchange, by this task.
-    sigc::signal<void(exchange_ended const&)> ended;
-    /// Emitted when no exchange is left after `stop_accepting`.
-    sigc::signal<void()> idle;
-
 private:
+    // Exchanges: begin and end.
     bool take(std::unique_ptr<exchange> arrived);
     void forget_caller(model::request_id id);
-    void carry_out(decide::decision const& decision);
-    void start_attempt(decide::dispatch const& dispatch);
-    void cancel_attempt(decide::cancel_attempt const& cancel);
+    void finish(exchange& held, model::outcome outcome, std::string error);
     void refuse(decide::refuse const& refuse);
     void answer_stored(answer_again const& answer);
+    void account();
+    void use(model::upstreams const& upstreams);
+    exchange* find(model::request_id id);
 
+    // Attempts at upstreams.
+    void carry_out(decide::decision const& decision);
+    void start_attempt(decide::dispatch const& to);
+    void start_booking(dispatch_booking const& booking);
+    void cancel_attempt(decide::cancel_attempt const& cancel);
     upstream_call make_call(exchange const& held, decide::dispatch const& to);
     void take_head(model::request_id id, call_head const& head);
     void take_bytes(model::request_id id, std::string_view bytes);
@@ -87,20 +78,32 @@
     void answer_whole(exchange& held);
     void answer_failed(exchange& held);
     void pass_events(exchange& held, std::string const& events);
-    void finish(exchange& held, model::outcome outcome, std::string error);
-    void account();
+
+    // Requests that go to or come from another host.
+    void hand_over(decide::hand_over const& decision);
+    void serve(serve_handed_over const& given);
+    caller_sink make_peer_sink(std::string const& host, model::request_id id);
+    void take(take_part const& part);
+    void take(take_end const& end);
+    void take_broken_end(exchange& held, fleet::handover_end const& end);
+    void cancel(cancel_handed_over const& cancel);
+    void lose(lose_host const& lost);
+
+    void report(relay_report report);
+    void send_backlog();
     void tell(decide::event event);
-    exchange* find(model::request_id id);
 
     runtime::event_loop& m_loop;
     relay_settings m_settings;
-    tell_hook m_tell;
+    report_hook m_report;
     upstream_client m_client;
     front m_front;
     std::unordered_map<model::request_id, std::unique_ptr<exchange>>
         m_exchanges;
     std::unordered_map<std::string, model::endpoint> m_addresses;
     runtime::timer_handle m_account;
+    // Reports that the other task had no room for.
+    std::deque<relay_report> m_backlog;
     bool m_stopping = false;
 };
 
--- a/src/net/relay_message.hpp
+++ b/src/net/relay_message.hpp
@@ -2,7 +2,9 @@
 #define CAPERJUNCTION_NET_RELAY_MESSAGE_HPP
 
 #include "decide/decision.hpp"
+#include "fleet/hand_over_message.hpp"
 #include "lists/catalogue.hpp"
+#include "model/time.hpp"
 #include "model/upstreams.hpp"
 
 #include <memory>
@@ -23,6 +25,13 @@
     model::upstreams upstreams;
 };
 
+/// Dispatch a call that may run only once; not after `until`.
+struct dispatch_booking
+{
+    decide::dispatch to;
+    model::time_point until{};
+};
+
 /// Answer a caller with what an earlier run of its call was answered.
 struct answer_again
 {
@@ -32,6 +41,40 @@
     std::string body;
 };
 
+/// Serve a request that another host handed over.
+struct serve_handed_over
+{
+    std::string from;
+    fleet::handover_request request;
+};
+
+/// Part of an answer that another host gives for this one.
+struct take_part
+{
+    std::string from;
+    fleet::handover_chunk chunk;
+};
+
+/// The end of such an answer.
+struct take_end
+{
+    std::string from;
+    fleet::handover_end end;
+};
+
+/// The other host's caller hung up.
+struct cancel_handed_over
+{
+    std::string from;
+    model::request_id id;
+};
+
+/// This host serves nothing for us any more.
+struct lose_host
+{
+    std::string host;
+};
+
 /// Take no new connections; end when the last answer is out.
 struct stop_accepting
 {
@@ -41,7 +84,13 @@
 using relay_message = std::variant<decide::decision,
                                    use_lists,
                                    use_upstreams,
+                                   dispatch_booking,
                                    answer_again,
+                                   serve_handed_over,
+                                   take_part,
+                                   take_end,
+                                   cancel_handed_over,
+                                   lose_host,
                                    stop_accepting>;
 
 } // namespace caperjunction::net
--- /dev/null
+++ b/src/program/bookings.cpp
@@ -0,0 +1,287 @@
+#include "program/bookings.hpp"
+
+#include "net/caller_reply.hpp"
+#include "runtime/log_line.hpp"
+
+#include <utility>
+
+namespace caperjunction::program {
+namespace {
+
+// The relay gets a confirmed call within microseconds; if not, it slept.
+constexpr model::milliseconds relay_limit{2'000};
+
+fleet::witness_settings witness_settings_of(booking_settings const& settings)
+{
+    fleet::witness_settings made;
+    made.host = settings.host;
+    made.generation = settings.generation;
+    made.claims = settings.claims;
+    made.first_fleet = settings.first_fleet;
+    return made;
+}
+
+} // namespace
+
+bookings::bookings(booking_settings settings, booking_hooks hooks)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_claimant(m_settings.host, m_settings.generation, m_settings.claims)
+    , m_witness(witness_settings_of(m_settings))
+    , m_answers(m_settings.answer_bytes, m_settings.claims.horizon)
+{
+}
+
+void bookings::tell_claimant(fleet::claimant_event const& event,
+                             model::time_point now)
+{
+    std::vector<fleet::claim_decision> decisions;
+    m_claimant.handle(event, now, decisions);
+    for (fleet::claim_decision const& made : decisions) {
+        carry_out(made, now);
+    }
+}
+
+void bookings::tell_witness(fleet::witness_event const& event,
+                            model::time_point now)
+{
+    std::vector<fleet::claim_send> messages;
+    m_witness.handle(event, now, messages);
+    for (fleet::claim_send const& message : messages) {
+        deliver(message.to, message.message, now);
+    }
+}
+
+// A host is often a witness of its own calls.
+void bookings::deliver(std::string const& to,
+                       fleet::claim_message const& message,
+                       model::time_point now)
+{
+    if (to == m_settings.host) {
+        receive(m_settings.host, message, now);
+    } else {
+        m_hooks.send(to, message);
+    }
+}
+
+void bookings::list(model::hosts const& hosts, model::time_point now)
+{
+    auto const view =
+        std::make_shared<fleet::claim_view const>(hosts, m_settings.claims);
+    tell_claimant(fleet::claim_view_listed{view}, now);
+    tell_witness(fleet::claim_view_listed{view}, now);
+}
+
+void bookings::confirm(model::time_point as_of, model::time_point now)
+{
+    tell_claimant(fleet::claim_view_confirmed{as_of}, now);
+    tell_witness(fleet::claim_view_confirmed{as_of}, now);
+}
+
+void bookings::arrive(net::booking_arrived const& arrived,
+                      model::time_point now)
+{
+    decide::request const& request = arrived.request;
+    fleet::claim_key const key =
+        fleet::make_claim_key(request.customer, arrived.idempotency_key);
+    m_waiting[request.id] = {request, key};
+    tell_claimant(
+        fleet::claim_started{key, request.fingerprint, request.id.value}, now);
+}
+
+void bookings::receive(std::string const& from,
+                       fleet::claim_message const& message,
+                       model::time_point now)
+{
+    if (auto const* query = std::get_if<fleet::answer_query>(&message)) {
+        give_answer(from, *query, now);
+    } else if (auto const* reply = std::get_if<fleet::answer_reply>(&message)) {
+        take_answer(*reply);
+    } else {
+        tell_claimant(fleet::claim_received{from, message}, now);
+        tell_witness(fleet::claim_received{from, message}, now);
+    }
+}
+
+void bookings::tick(model::time_point now)
+{
+    tell_claimant(fleet::claim_tick{}, now);
+    tell_witness(fleet::claim_tick{}, now);
+    m_answers.expire(now);
+    for (auto const& [id, call] : m_waiting) {
+        if (call.fetch_until != model::time_point{} && call.fetch_until < now) {
+            refuse_unknown(
+                id.value, fetch_retry, "the first run's host doesn't answer");
+        }
+    }
+}
+
+std::optional<model::time_point> bookings::begin_dispatch(model::request_id id,
+                                                          model::time_point now)
+{
+    auto const found = m_waiting.find(id);
+    if (found == m_waiting.end()
+        || !m_claimant.begin_dispatch(found->second.key, now)) {
+        return std::nullopt;
+    }
+    return now + relay_limit;
+}
+
+void bookings::keep_answer(net::booking_answered const& answer,
+                           model::time_point now)
+{
+    auto const found = m_waiting.find(answer.id);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    fleet::claim_key const key = found->second.key;
+    auto const attempt = m_claimant.running_attempt(key);
+    if (attempt) {
+        m_answers.put(key,
+                      *attempt,
+                      {answer.status, answer.content_type, answer.body},
+                      now);
+    }
+}
+
+void bookings::end(model::request_id id,
+                   model::outcome outcome,
+                   model::time_point now)
+{
+    auto const found = m_waiting.find(id);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    waiting_call const call = found->second;
+    m_waiting.erase(found);
+    // A resend that was answered from an earlier run is no end of that run.
+    if (call.admitted) {
+        tell_claimant(fleet::claim_ended{call.key, outcome}, now);
+    }
+}
+
+void bookings::plan_stop(model::time_point now)
+{
+    tell_witness(fleet::claim_stop_planned{}, now);
+}
+
+void bookings::carry_out(fleet::claim_decision const& made,
+                         model::time_point now)
+{
+    if (auto const* message = std::get_if<fleet::claim_send>(&made)) {
+        deliver(message->to, message->message, now);
+    } else if (auto const* go = std::get_if<fleet::claim_proceed>(&made)) {
+        auto const found = m_waiting.find({go->ticket});
+        if (found != m_waiting.end()) {
+            found->second.admitted = true;
+            m_hooks.admit(found->second.request);
+        }
+    } else if (auto const* no = std::get_if<fleet::claim_not_run>(&made)) {
+        refuse(no->ticket,
+               {model::error_kind::unavailable,
+                no->reason,
+                "send it again with the same Idempotency-Key",
+                no->retry_after},
+               model::outcome::not_run);
+    } else if (auto const* open = std::get_if<fleet::claim_unknown>(&made)) {
+        refuse_unknown(open->ticket, open->retry_after, open->reason);
+    } else if (auto const* wanted =
+                   std::get_if<fleet::claim_fetch_answer>(&made)) {
+        fetch(*wanted, now);
+    } else if (auto const* other = std::get_if<fleet::claim_mismatch>(&made)) {
+        refuse(other->ticket,
+               {model::error_kind::bad_request,
+                "this Idempotency-Key was used for another request",
+                "choose a new key for a new request",
+                model::milliseconds{0}},
+               model::outcome::not_run);
+    }
+}
+
+void bookings::fetch(fleet::claim_fetch_answer const& wanted,
+                     model::time_point now)
+{
+    auto const found = m_waiting.find({wanted.ticket});
+    if (found == m_waiting.end()) {
+        return;
+    }
+    found->second.fetch_until = now + fetch_limit;
+    deliver(wanted.host,
+            fleet::answer_query{wanted.key, wanted.attempt, wanted.ticket},
+            now);
+}
+
+void bookings::give_answer(std::string const& to,
+                           fleet::answer_query const& query,
+                           model::time_point now)
+{
+    fleet::answer_reply reply;
+    reply.key = query.key;
+    reply.ticket = query.ticket;
+    auto const* const kept = m_answers.find(query.key, query.attempt);
+    if (kept != nullptr) {
+        reply.found = true;
+        reply.status = kept->status;
+        reply.content_type = kept->content_type;
+        reply.body = kept->body;
+    }
+    deliver(to, reply, now);
+}
+
+void bookings::take_answer(fleet::answer_reply const& reply)
+{
+    if (!reply.found) {
+        refuse_unknown(
+            reply.ticket, fetch_retry, "the first run's answer is not kept");
+        return;
+    }
+    auto const found = m_waiting.find({reply.ticket});
+    if (found == m_waiting.end()) {
+        return;
+    }
+    found->second.fetch_until = {};
+    runtime::log_line("booking_answered_again")
+        .field("request", net::to_string({reply.ticket}));
+    m_hooks.answer(net::answer_again{{reply.ticket},
+                                     static_cast<int>(reply.status),
+                                     reply.content_type,
+                                     reply.body});
+}
+
+void bookings::refuse(std::uint64_t ticket,
+                      net::error_reply const& error,
+                      model::outcome outcome)
+{
+    auto const found = m_waiting.find({ticket});
+    if (found == m_waiting.end() || found->second.answered) {
+        return;
+    }
+    found->second.answered = true;
+    decide::refuse no;
+    no.id = {ticket};
+    no.kind = error.kind;
+    no.outcome = outcome;
+    no.retry_after = error.retry_after;
+    no.reason = error.message;
+    no.remedy = error.remedy;
+    runtime::log_line("booking_refused")
+        .field("request", net::to_string(no.id))
+        .field("outcome", model::to_string(outcome))
+        .field("reason", no.reason);
+    m_hooks.answer(decide::decision(no));
+}
+
+void bookings::refuse_unknown(std::uint64_t ticket,
+                              model::milliseconds retry_after,
+                              std::string const& reason)
+{
+    refuse(ticket,
+           {model::error_kind::unavailable,
+            reason,
+            "send it again with the same Idempotency-Key, which is safe, or "
+            "ask the service whether it was booked",
+            retry_after},
+           model::outcome::unknown);
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/bookings.hpp
@@ -0,0 +1,138 @@
+#ifndef CAPERJUNCTION_PROGRAM_BOOKINGS_HPP
+#define CAPERJUNCTION_PROGRAM_BOOKINGS_HPP
+
+#include "decide/request.hpp"
+#include "fleet/claim_answers.hpp"
+#include "fleet/claimant.hpp"
+#include "fleet/witness.hpp"
+#include "model/hosts.hpp"
+#include "model/outcome.hpp"
+#include "model/time.hpp"
+#include "net/caller_reply.hpp"
+#include "net/relay_message.hpp"
+#include "net/relay_report.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace caperjunction::program {
+
+/// What the keeper of bookings asks its owner to do.
+struct booking_hooks
+{
+    std::function<void(std::string const& to, fleet::claim_message const&)>
+        send;
+    /// The claim stands: let the decision logic place the call.
+    std::function<void(decide::request const&)> admit;
+    /// Answer the caller now; the call won't be placed.
+    std::function<void(net::relay_message)> answer;
+};
+
+struct booking_settings
+{
+    std::string host;
+    std::uint64_t generation = 0;
+    bool first_fleet = false;
+    fleet::claim_settings claims;
+    /// Memory for the answers that resends may ask for.
+    std::size_t answer_bytes = std::size_t{32} * 1024 * 1024;
+};
+
+/// Sees to it that a call which may not be repeated runs at most once: this
+/// host's claims, its votes as a witness, and the answers it keeps.
+///
+/// Thread safety: none; owned by one task.
+class bookings
+{
+public:
+    bookings(booking_settings settings, booking_hooks hooks);
+
+    void list(model::hosts const& hosts, model::time_point now);
+    void confirm(model::time_point as_of, model::time_point now);
+    void arrive(net::booking_arrived const& arrived, model::time_point now);
+    void receive(std::string const& from,
+                 fleet::claim_message const& message,
+                 model::time_point now);
+    void tick(model::time_point now);
+
+    /// To be asked right before a call is passed to the relay; empty if the
+    /// call is not to be dispatched (any more), else the time after which
+    /// the relay may not begin with it.
+    std::optional<model::time_point> begin_dispatch(model::request_id id,
+                                                    model::time_point now);
+
+    /// Whether this request is a call that may run only once.
+    bool holds(model::request_id id) const
+    {
+        return m_waiting.count(id) > 0;
+    }
+
+    void keep_answer(net::booking_answered const& answer,
+                     model::time_point now);
+    void
+    end(model::request_id id, model::outcome outcome, model::time_point now);
+
+    void plan_stop(model::time_point now);
+
+    /// At a planned stop: whether all votes have found a new host.
+    bool handed_over() const
+    {
+        return m_witness.handed_over();
+    }
+
+    std::size_t claims() const
+    {
+        return m_witness.claims();
+    }
+
+private:
+    struct waiting_call
+    {
+        decide::request request;
+        fleet::claim_key key;
+        /// The claim stands, and the decision logic has the request.
+        bool admitted = false;
+        /// A refusal has been sent; the exchange's end follows.
+        bool answered = false;
+        /// Zero unless the first run's answer has been asked for.
+        model::time_point fetch_until{};
+    };
+
+    /// How long the host of the first run has to answer.
+    static constexpr model::milliseconds fetch_limit{2'000};
+    static constexpr model::milliseconds fetch_retry{5'000};
+
+    void tell_claimant(fleet::claimant_event const& event,
+                       model::time_point now);
+    void tell_witness(fleet::witness_event const& event, model::time_point now);
+    void carry_out(fleet::claim_decision const& made, model::time_point now);
+    void fetch(fleet::claim_fetch_answer const& wanted, model::time_point now);
+    void give_answer(std::string const& to,
+                     fleet::answer_query const& query,
+                     model::time_point now);
+    void take_answer(fleet::answer_reply const& reply);
+    void deliver(std::string const& to,
+                 fleet::claim_message const& message,
+                 model::time_point now);
+    void refuse(std::uint64_t ticket,
+                net::error_reply const& error,
+                model::outcome outcome);
+    void refuse_unknown(std::uint64_t ticket,
+                        model::milliseconds retry_after,
+                        std::string const& reason);
+
+    booking_settings m_settings;
+    booking_hooks m_hooks;
+    fleet::claimant m_claimant;
+    fleet::witness m_witness;
+    fleet::claim_answers m_answers;
+    std::unordered_map<model::request_id, waiting_call> m_waiting;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- a/src/program/control.cpp
+++ b/src/program/control.cpp
@@ -1,28 +1,29 @@
 #include "program/control.hpp"
 
-#include "lists/check.hpp"
-#include "lists/parse.hpp"
-#include "lists/parse_upstreams.hpp"
-#include "net/caller_reply.hpp"
-#include "program/report.hpp"
+#include "fleet/generation.hpp"
 #include "runtime/log_line.hpp"
 
+#include <chrono>
+#include <random>
 #include <utility>
 
 namespace caperjunction::program {
 namespace {
 
-constexpr model::milliseconds watch_retry{500};
+std::uint64_t own_generation()
+{
+    return fleet::make_generation(std::chrono::system_clock::now(),
+                                  std::random_device{}());
+}
 
-void log_faults(std::vector<lists::fault> const& faults)
+booking_settings booking_settings_of(settings const& settings,
+                                     std::uint64_t generation)
 {
-    for (lists::fault const& item : faults) {
-        runtime::log_line("list_fault")
-            .field("file", item.file)
-            .field("path", item.path)
-            .field("message", item.message)
-            .field("remedy", item.remedy);
-    }
+    booking_settings made;
+    made.host = settings.host_name;
+    made.generation = generation;
+    made.first_fleet = settings.first_fleet;
+    return made;
 }
 
 } // namespace
@@ -33,122 +34,234 @@
                  relay_hook to_relay)
     : m_loop(loop)
     , m_settings(settings)
+    , m_generation(own_generation())
     , m_metrics(metrics)
     , m_to_relay(std::move(to_relay))
-    , m_policy({settings.host_name, settings.region, settings.data_centre, 1},
+    , m_policy({settings.host_name,
+                settings.region,
+                settings.data_centre,
+                m_generation},
                loop.clock(),
-               [this](decide::decision const& decision) {
-                   m_metrics.count_decision(decision);
-                   m_to_relay(decision);
+               [this](decide::decision const& made) {
+                   carry_out(made);
                })
-    , m_reader(loop, settings.platform, settings.watch_wait)
+    , m_bookings(booking_settings_of(settings, m_generation),
+                 make_booking_hooks())
+    , m_node(loop, settings, m_generation)
+    , m_engines(loop)
     , m_admin(loop, settings.admin_listen)
 {
-    m_reader.arrived.connect([this](fleet::value_read const& read) {
-        take_value(read);
+    connect_node();
+    add_routes();
+    start_timers();
+    m_node.start();
+}
+
+booking_hooks control::make_booking_hooks()
+{
+    booking_hooks hooks;
+    hooks.send = [this](std::string const& to,
+                        fleet::claim_message const& message) {
+        m_node.send(to, message);
+    };
+    hooks.admit = [this](decide::request const& request) {
+        decide_on(decide::request_arrived{request});
+    };
+    hooks.answer = [this](net::relay_message message) {
+        m_to_relay(std::move(message));
+    };
+    return hooks;
+}
+
+void control::connect_node()
+{
+    m_node.lists_changed.connect(
+        [this](std::shared_ptr<lists::catalogue const> const& catalogue) {
+            take_lists(catalogue);
+        });
+    m_node.upstreams_changed.connect([this](model::upstreams const& upstreams) {
+        take_upstreams(upstreams);
     });
-    m_reader.ended.connect([this](fleet::read_ended const& end) {
-        watch_again(end.value, end.failed);
+    m_node.hosts_changed.connect([this](model::hosts const& hosts) {
+        m_bookings.list(hosts, m_loop.now());
     });
-    for (std::size_t place = 0; place < m_values.size(); ++place) {
-        m_values[place].value = static_cast<fleet::published_value>(place);
-        m_reader.read(m_values[place].value);
-    }
+    m_node.list_confirmed.connect([this](model::time_point as_of) {
+        m_bookings.confirm(as_of, m_loop.now());
+    });
+    m_node.value_checked.connect([this](bool accepted) {
+        m_metrics.count_list(accepted);
+    });
+    m_node.host_changed.connect([this](fleet::host_changed const& change) {
+        take_host_change(change);
+    });
+    m_node.digest_arrived.connect([this](fleet::digest_arrived const& digest) {
+        decide_on(decide::digest_received{digest.host, digest.bytes});
+    });
+    m_node.message_received.connect(
+        [this](std::string const& from, fleet::peer_message const& message) {
+            take_message(from, message);
+        });
+    m_node.outdated.connect([this] {
+        m_holding = true;
+        m_hold_until = m_loop.now() + refresh_limit;
+        m_node.confirm_hosts();
+    });
+    m_node.refreshed.connect([this] {
+        flush_held();
+    });
+    m_engines.reported.connect([this](decide::engine_report const& report) {
+        decide_on(report);
+    });
+    m_engines.cache_changed.connect(
+        [this](decide::cache_changed const& change) {
+            decide_on(change);
+        });
+}
+
+void control::start_timers()
+{
     m_loop.every(decide::router::tick_period, [this] {
-        m_policy.handle(decide::tick{});
+        decide_on(decide::tick{});
+        m_bookings.tick(m_loop.now());
+        if (m_holding && m_loop.now() >= m_hold_until) {
+            flush_held();
+        }
+        finish_stop();
+    });
+    m_loop.every(digest_period, [this] {
+        m_node.publish_digest(m_policy.digest());
+    });
+    m_loop.every(confirm_period, [this] {
+        m_node.confirm_hosts();
     });
-    add_routes();
 }
 
-void control::handle(control_message& message)
+// After a pause this host still believes what it knew before. Decisions wait
+// until its view has been refreshed; but not for ever, since with the service
+// down and all peers cut off it has to go on by what it knows.
+void control::decide_on(decide::event const& event)
 {
-    if (auto const* event = std::get_if<decide::event>(&message)) {
-        m_policy.handle(*event);
-    } else if (auto const* ended = std::get_if<net::exchange_ended>(&message)) {
-        m_policy.finish(*ended);
-        m_metrics.count_ended(*ended);
+    if (!m_holding) {
+        m_policy.handle(event);
+    } else if (!std::holds_alternative<decide::tick>(event)) {
+        m_held.push_back(event);
     }
 }
 
-void control::watch_again(fleet::published_value value, bool failed)
+void control::flush_held()
 {
-    if (!failed) {
-        m_reader.watch(value, m_values[fleet::index_of(value)].revision);
-        return;
+    m_holding = false;
+    for (decide::event const& event : std::exchange(m_held, {})) {
+        m_policy.handle(event);
     }
-    runtime::log_line("platform_unreachable")
-        .field("value", fleet::to_string(value))
-        .field("remedy",
-               "check --platform and the service; the last lists "
-               "stay in force");
-    m_loop.after(watch_retry, [this, value] {
-        m_reader.watch(value, m_values[fleet::index_of(value)].revision);
-    });
 }
 
-void control::take_value(fleet::value_read const& read)
+void control::handle(net::relay_report& report)
 {
-    fleet::value_read& held = m_values[fleet::index_of(read.value)];
-    if (read.revision > held.revision) {
-        held = read;
-        if (read.value == fleet::published_value::upstreams) {
-            take_upstreams(*read.body);
-        } else if (read.value != fleet::published_value::hosts) {
-            take_lists();
+    model::time_point const now = m_loop.now();
+    if (auto const* event = std::get_if<decide::event>(&report)) {
+        decide_on(*event);
+    } else if (auto const* booking =
+                   std::get_if<net::booking_arrived>(&report)) {
+        m_bookings.arrive(*booking, now);
+    } else if (auto const* kept = std::get_if<net::booking_answered>(&report)) {
+        m_bookings.keep_answer(*kept, now);
+    } else if (auto const* ended = std::get_if<net::exchange_ended>(&report)) {
+        end_exchange(*ended);
+    } else if (auto const* give = std::get_if<net::hand_over_wanted>(&report)) {
+        if (!m_node.send(give->host, give->request)) {
+            decide_on(decide::hand_over_refused{give->request.id, give->host});
         }
+    } else if (auto const* part = std::get_if<net::hand_over_part>(&report)) {
+        m_node.send(part->host, part->chunk);
+    } else if (auto const* over = std::get_if<net::hand_over_over>(&report)) {
+        m_node.send(over->host, over->end);
+    } else if (auto const* no =
+                   std::get_if<net::hand_over_cancelled>(&report)) {
+        m_node.send(no->host, fleet::handover_cancel{no->id});
+    } else {
+        m_relay_idle = true;
     }
-    m_reader.watch(read.value, held.revision);
 }
 
-void control::take_lists()
+void control::end_exchange(net::exchange_ended const& ended)
 {
-    fleet::value_read const& plans =
-        m_values[fleet::index_of(fleet::published_value::plans)];
-    fleet::value_read const& entitlements =
-        m_values[fleet::index_of(fleet::published_value::entitlements)];
-    if (plans.body == nullptr || entitlements.body == nullptr) {
-        return;
-    }
-    std::vector<lists::fault> faults;
-    auto parsed_plans = lists::parse_plans(*plans.body, "plans", faults);
-    auto parsed_entitlements =
-        lists::parse_entitlements(*entitlements.body, "entitlements", faults);
-    if (faults.empty()) {
-        faults = lists::check(parsed_plans, parsed_entitlements);
+    m_bookings.end(ended.id, ended.outcome, m_loop.now());
+    m_policy.finish(ended);
+    m_metrics.count_ended(ended);
+}
+
+void control::carry_out(decide::decision const& made)
+{
+    m_metrics.count_decision(made);
+    auto const* to = std::get_if<decide::dispatch>(&made);
+    if (to != nullptr && m_bookings.holds(to->id)) {
+        start_booking(*to);
+    } else {
+        m_to_relay(made);
     }
-    m_metrics.count_list(faults.empty());
-    if (!faults.empty()) {
-        log_faults(faults);
+}
+
+void control::start_booking(decide::dispatch const& to)
+{
+    model::time_point const now = m_loop.now();
+    auto const until = m_bookings.begin_dispatch(to.id, now);
+    if (until) {
+        m_to_relay(net::dispatch_booking{to, *until});
         return;
     }
-    parsed_plans.revision = plans.revision;
-    parsed_entitlements.revision = entitlements.revision;
-    auto const catalogue = std::make_shared<lists::catalogue const>(
-        std::move(parsed_plans), std::move(parsed_entitlements));
-    m_policy.note_revision(plans.revision);
-    m_metrics.set_revision(plans.revision);
+    // Not inside the decision logic's own call, which led here.
+    m_loop.defer([this, to] {
+        decide_on(decide::request_cancelled{to.id});
+        m_bookings.end(to.id, model::outcome::not_run, m_loop.now());
+    });
+}
+
+void control::take_lists(
+    std::shared_ptr<lists::catalogue const> const& catalogue)
+{
+    std::uint64_t const revision = catalogue->plans().revision;
+    m_policy.note_revision(revision);
+    m_metrics.set_revision(revision);
     m_policy.handle(decide::lists_changed{catalogue});
     m_to_relay(net::use_lists{catalogue});
-    runtime::log_line("lists_in_force")
-        .field("plans_revision", plans.revision)
-        .field("entitlements_revision", entitlements.revision);
-    m_ready = true;
 }
 
-void control::take_upstreams(std::string const& body)
+void control::take_upstreams(model::upstreams const& upstreams)
 {
-    std::vector<lists::fault> faults;
-    model::upstreams const parsed =
-        lists::parse_upstreams(body, "upstreams", faults);
-    if (!faults.empty()) {
-        log_faults(faults);
+    m_to_relay(net::use_upstreams{upstreams});
+    m_policy.handle(decide::upstreams_changed{upstreams});
+    m_engines.use(upstreams.engines);
+}
+
+void control::take_host_change(fleet::host_changed const& change)
+{
+    if (change.change == fleet::host_change::returned) {
         return;
     }
-    m_to_relay(net::use_upstreams{parsed});
-    m_policy.handle(decide::upstreams_changed{parsed});
-    runtime::log_line("upstreams_in_force")
-        .field("engines", parsed.engines.size())
-        .field("services", parsed.services.size());
+    decide_on(decide::host_lost{change.host});
+    // A host that leaves still finishes what it serves for this one.
+    if (change.change != fleet::host_change::leaving) {
+        m_to_relay(net::lose_host{change.host});
+    }
+}
+
+void control::take_message(std::string const& from,
+                           fleet::peer_message const& message)
+{
+    if (auto const* claim = std::get_if<fleet::claim_message>(&message)) {
+        m_bookings.receive(from, *claim, m_loop.now());
+    } else if (auto const* give =
+                   std::get_if<fleet::handover_request>(&message)) {
+        m_to_relay(net::serve_handed_over{from, *give});
+    } else if (auto const* part =
+                   std::get_if<fleet::handover_chunk>(&message)) {
+        m_to_relay(net::take_part{from, *part});
+    } else if (auto const* end = std::get_if<fleet::handover_end>(&message)) {
+        m_to_relay(net::take_end{from, *end});
+    } else if (auto const* no = std::get_if<fleet::handover_cancel>(&message)) {
+        m_to_relay(net::cancel_handed_over{from, no->id});
+    }
 }
 
 void control::plan_stop()
@@ -159,13 +272,43 @@
     m_stopping = true;
     runtime::log_line("stop_planned")
         .field("drain_delay_ms", m_settings.drain_delay.count());
+    m_node.plan_stop();
     m_loop.after(m_settings.drain_delay, [this] {
         runtime::log_line("accepting_stopped")
             .field("running", m_policy.ledger().known());
+        m_bookings.plan_stop(m_loop.now());
         m_to_relay(net::stop_accepting{});
     });
 }
 
+void control::finish_stop()
+{
+    if (m_relay_idle && m_stopped && m_bookings.handed_over()) {
+        std::exchange(m_stopped, nullptr)();
+    }
+}
+
+host_status control::status() const
+{
+    host_status made;
+    made.host = m_settings.host_name;
+    made.region = m_settings.region;
+    made.data_centre = m_settings.data_centre;
+    made.ready = m_node.ready();
+    made.stopping = m_stopping;
+    made.claims = m_bookings.claims();
+    auto const in_force = m_node.in_force();
+    for (std::size_t place = 0; place < fleet::published_value_count; ++place) {
+        auto const value = static_cast<fleet::published_value>(place);
+        made.revisions[std::string(fleet::to_string(value))] = in_force[value];
+    }
+    for (fleet::viewed_host const& other : m_node.view()->hosts) {
+        made.hosts[other.host.name] =
+            std::string(fleet::to_string(other.state));
+    }
+    return made;
+}
+
 void control::add_routes()
 {
     m_admin.serve("/livez", [](std::string const& /*id*/) {
@@ -183,17 +326,7 @@
         return explain_answer(m_policy.trail(), id);
     });
     m_admin.serve("/status", [this](std::string const& /*id*/) {
-        host_status status;
-        status.host = m_settings.host_name;
-        status.region = m_settings.region;
-        status.data_centre = m_settings.data_centre;
-        status.ready = m_ready;
-        status.stopping = m_stopping;
-        for (fleet::value_read const& value : m_values) {
-            status.revisions[std::string(fleet::to_string(value.value))] =
-                value.revision;
-        }
-        return status_answer(status, m_policy.ledger());
+        return status_answer(status(), m_policy.ledger());
     });
 }
 
--- a/src/program/control.hpp
+++ b/src/program/control.hpp
@@ -1,29 +1,41 @@
 #ifndef CAPERJUNCTION_PROGRAM_CONTROL_HPP
 #define CAPERJUNCTION_PROGRAM_CONTROL_HPP
 
-#include "fleet/agent_event.hpp"
 #include "net/admin_server.hpp"
-#include "net/platform_reader.hpp"
-#include "program/control_message.hpp"
+#include "net/engine_reader.hpp"
+#include "net/relay_message.hpp"
+#include "net/relay_report.hpp"
+#include "program/bookings.hpp"
+#include "program/fleet_node.hpp"
 #include "program/metrics.hpp"
 #include "program/policy.hpp"
+#include "program/report.hpp"
 #include "program/settings.hpp"
 #include "runtime/event_loop.hpp"
 
-#include <array>
+#include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
+#include <vector>
 
 namespace caperjunction::program {
 
-/// The task that decides: it owns the decision logic, the configuration and
-/// the admin address, and tells the relay what to do.
+/// The task that decides: it owns the decision logic, the claims, this
+/// host's place in the fleet and the admin address, and tells the relay what
+/// to do.
 ///
 /// Thread safety: none; owned by one task.
 class control
 {
 public:
+    /// Between two load digests to the peers.
+    static constexpr model::milliseconds digest_period{250};
+    /// Between two reads that confirm the list of hosts.
+    static constexpr model::milliseconds confirm_period{60'000};
+    /// Longest time that decisions wait for a view after a pause. Claims
+    /// wait by rules of their own, for as long as it takes.
+    static constexpr model::milliseconds refresh_limit{3'000};
+
     using relay_hook = std::function<void(net::relay_message)>;
 
     control(runtime::event_loop& loop,
@@ -31,15 +43,21 @@
             metrics& metrics,
             relay_hook to_relay);
 
-    void handle(control_message& message);
+    void handle(net::relay_report& report);
 
     /// Begins a planned stop: readiness goes first, work goes on.
     void plan_stop();
 
-    /// The lists are in force and no stop is planned.
+    /// Called when the relay is idle and all votes have a new host.
+    void on_stopped(std::function<void()> stopped)
+    {
+        m_stopped = std::move(stopped);
+    }
+
+    /// The configuration is in force and no stop is planned.
     bool ready() const
     {
-        return m_ready && !m_stopping;
+        return m_node.ready() && !m_stopping;
     }
 
     std::uint16_t admin_port() const
@@ -47,23 +65,51 @@
         return m_admin.port();
     }
 
+    std::uint16_t peer_port() const
+    {
+        return m_node.peer_port();
+    }
+
+    fleet::host_view const& view() const
+    {
+        return *m_node.view();
+    }
+
 private:
-    void take_value(fleet::value_read const& read);
-    void take_lists();
-    void take_upstreams(std::string const& body);
-    void watch_again(fleet::published_value value, bool failed);
+    void connect_node();
+    void start_timers();
+    void decide_on(decide::event const& event);
+    void flush_held();
+    void carry_out(decide::decision const& made);
+    void start_booking(decide::dispatch const& to);
+    void take_lists(std::shared_ptr<lists::catalogue const> const& catalogue);
+    void take_upstreams(model::upstreams const& upstreams);
+    void take_host_change(fleet::host_changed const& change);
+    void take_message(std::string const& from,
+                      fleet::peer_message const& message);
+    void end_exchange(net::exchange_ended const& ended);
+    void finish_stop();
     void add_routes();
+    host_status status() const;
+    booking_hooks make_booking_hooks();
 
     runtime::event_loop& m_loop;
     settings m_settings;
+    std::uint64_t m_generation;
     metrics& m_metrics;
     relay_hook m_to_relay;
+    std::function<void()> m_stopped;
     policy m_policy;
-    net::platform_reader m_reader;
+    bookings m_bookings;
+    fleet_node m_node;
+    net::engine_reader m_engines;
     net::admin_server m_admin;
-    std::array<fleet::value_read, fleet::published_value_count> m_values;
-    bool m_ready = false;
+    // Events that came while the view was outdated.
+    std::vector<decide::event> m_held;
+    model::time_point m_hold_until{};
+    bool m_holding = false;
     bool m_stopping = false;
+    bool m_relay_idle = false;
 };
 
 } // namespace caperjunction::program
--- a/src/program/flags.cpp
+++ b/src/program/flags.cpp
@@ -37,6 +37,13 @@
           "",
           "Secret shared by all hosts; better set in the environment, since a "
           "command line can be read by other users of the machine");
+ABSL_FLAG(
+    bool,
+    first_fleet,
+    false,
+    "Set only at the first start of the whole fleet, when no booking of an "
+    "earlier one can be sent again; without it, bookings wait until the "
+    "hosts' memory is known to be complete");
 ABSL_FLAG(std::uint32_t,
           max_requests,
           20'000,
@@ -146,6 +153,7 @@
     loaded.platform = absl::GetFlag(FLAGS_platform).value;
     need_text(loaded.platform.address, "platform");
     loaded.peer_secret = absl::GetFlag(FLAGS_peer_secret);
+    loaded.first_fleet = absl::GetFlag(FLAGS_first_fleet);
     loaded.relay = load_relay();
     loaded.drain_delay =
         positive(absl::GetFlag(FLAGS_drain_delay), "drain_delay");
--- /dev/null
+++ b/src/program/fleet_node.hpp
@@ -0,0 +1,111 @@
+#ifndef CAPERJUNCTION_PROGRAM_FLEET_NODE_HPP
+#define CAPERJUNCTION_PROGRAM_FLEET_NODE_HPP
+
+#include "fleet/agent.hpp"
+#include "lists/catalogue.hpp"
+#include "model/hosts.hpp"
+#include "model/upstreams.hpp"
+#include "net/peer_link.hpp"
+#include "net/platform_reader.hpp"
+#include "program/settings.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperjunction::program {
+
+/// This host's place in the fleet: feeds membership, configuration and
+/// digests with what the platform and the peers say, and carries out what
+/// they ask for.
+///
+/// Thread safety: none; owned by one task.
+class fleet_node
+{
+public:
+    fleet_node(runtime::event_loop& loop,
+               settings const& settings,
+               std::uint64_t generation);
+
+    /// Begins to read; connect the signals first.
+    void start();
+
+    /// False if the host isn't listed or its queue is full.
+    bool send(std::string const& host, fleet::peer_message const& message);
+
+    void publish_digest(std::vector<std::uint8_t> bytes);
+
+    /// Tells everyone that this host leaves.
+    void plan_stop();
+
+    /// Reads the list of hosts from the service itself; `list_confirmed`
+    /// follows if that works.
+    void confirm_hosts();
+
+    bool ready() const
+    {
+        return m_agent.ready();
+    }
+
+    /// False after a pause, until the view has been refreshed.
+    bool fresh() const
+    {
+        return m_agent.fresh();
+    }
+
+    std::shared_ptr<fleet::host_view const> view() const
+    {
+        return m_agent.view();
+    }
+
+    fleet::value_revisions in_force() const
+    {
+        return m_agent.in_force();
+    }
+
+    /// 0 if peers are not spoken to.
+    std::uint16_t peer_port() const;
+
+    /// Zeros if peers are not spoken to.
+    net::peer_link_counters link_counters() const;
+
+    sigc::signal<void(std::shared_ptr<lists::catalogue const>)> lists_changed;
+    sigc::signal<void(model::upstreams const&)> upstreams_changed;
+    sigc::signal<void(model::hosts const&)> hosts_changed;
+    /// A published value was checked, and is in force if `accepted`.
+    sigc::signal<void(bool accepted)> value_checked;
+    sigc::signal<void(fleet::host_changed const&)> host_changed;
+    sigc::signal<void(fleet::digest_arrived const&)> digest_arrived;
+    /// Messages that are not for membership, configuration or digests.
+    sigc::signal<void(std::string const&, fleet::peer_message const&)>
+        message_received;
+    /// The list of hosts in force was the service's newest at that time.
+    sigc::signal<void(model::time_point)> list_confirmed;
+    sigc::signal<void()> outdated;
+    sigc::signal<void()> refreshed;
+
+private:
+    void tell(fleet::agent_event const& event);
+    void carry_out(fleet::agent_output const& output);
+    void receive(std::string const& from, fleet::peer_message const& message);
+    void put_lists_in_force(fleet::lists_in_force const& lists);
+    void put_value_in_force(fleet::value_in_force const& value);
+    void note_confirmed(fleet::published_value value,
+                        std::uint64_t revision,
+                        model::time_point started);
+    void connect_reader();
+    void connect_link();
+
+    runtime::event_loop& m_loop;
+    fleet::agent m_agent;
+    net::platform_reader m_reader;
+    std::unique_ptr<net::peer_link> m_link;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- a/src/program/metrics.hpp
+++ b/src/program/metrics.hpp
@@ -2,7 +2,7 @@
 #define CAPERJUNCTION_PROGRAM_METRICS_HPP
 
 #include "decide/decision.hpp"
-#include "net/relay.hpp"
+#include "net/relay_report.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
--- a/src/program/policy.hpp
+++ b/src/program/policy.hpp
@@ -4,7 +4,7 @@
 #include "decide/event.hpp"
 #include "decide/router.hpp"
 #include "model/time.hpp"
-#include "net/relay.hpp"
+#include "net/relay_report.hpp"
 #include "program/load_ledger.hpp"
 #include "program/trail.hpp"
 #include "runtime/clock.hpp"
--- a/src/program/report.cpp
+++ b/src/program/report.cpp
@@ -81,6 +81,8 @@
                         {"ready", status.ready},
                         {"stopping", status.stopping},
                         {"revisions", status.revisions},
+                        {"hosts", status.hosts},
+                        {"claims", status.claims},
                         {"running_by_upstream", ledger.running_by_upstream()},
                         {"waiting_by_class", ledger.waiting_by_class()},
                         {"refused_by_reason", ledger.refused_by_reason()}});
@@ -120,6 +122,7 @@
                                    : body["ready"].get<bool>()  ? "ready"
                                                                 : "not ready");
     append_rows(text, "revisions", body["revisions"]);
+    append_rows(text, "hosts", body["hosts"]);
     append_rows(text, "running by upstream", body["running_by_upstream"]);
     append_rows(text, "waiting by class", body["waiting_by_class"]);
     append_rows(text, "refused by reason", body["refused_by_reason"]);
--- a/src/program/report.hpp
+++ b/src/program/report.hpp
@@ -20,6 +20,10 @@
     bool ready = false;
     bool stopping = false;
     std::map<std::string, std::uint64_t> revisions;
+    /// State of each listed host, as this one sees it.
+    std::map<std::string, std::string> hosts;
+    /// Claims that this host remembers as a witness.
+    std::uint64_t claims = 0;
 };
 
 /// The trail of the request with this id (hex), as JSON.
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -22,8 +22,8 @@
         : m_settings(with_prefix(settings))
         , m_relay(m_relay_task.loop(),
                   m_settings.relay,
-                  [this](decide::event& event) {
-                      return tell(event);
+                  [this](net::relay_report& report) {
+                      return m_control_task.post(report);
                   })
         , m_control(m_control_task.loop(),
                     m_settings,
@@ -35,18 +35,11 @@
         m_relay_task.on_message([this](net::relay_message& message) {
             m_relay.handle(message);
         });
-        m_control_task.on_message([this](control_message& message) {
-            if (std::holds_alternative<relay_idle>(message)) {
-                m_control_task.loop().stop();
-            } else {
-                m_control.handle(message);
-            }
+        m_control_task.on_message([this](net::relay_report& report) {
+            m_control.handle(report);
         });
-        m_relay.ended.connect([this](net::exchange_ended const& ended) {
-            post(ended);
-        });
-        m_relay.idle.connect([this] {
-            post(relay_idle{});
+        m_control.on_stopped([this] {
+            m_control_task.loop().stop();
         });
     }
 
@@ -55,7 +48,8 @@
         runtime::log_line("listening")
             .field("host", m_settings.host_name)
             .field("callers_port", m_relay.port())
-            .field("admin_port", m_control.admin_port());
+            .field("admin_port", m_control.admin_port())
+            .field("peer_port", m_control.peer_port());
         std::signal(SIGPIPE, SIG_IGN);
         event* const term = watch_signal(SIGTERM);
         event* const interrupt = watch_signal(SIGINT);
@@ -76,27 +70,6 @@
         return given;
     }
 
-    bool tell(decide::event& event)
-    {
-        control_message message = std::move(event);
-        if (m_control_task.post(message)) {
-            return true;
-        }
-        event = std::move(std::get<decide::event>(message));
-        return false;
-    }
-
-    // The relay must never wait for the control task, which may be waiting
-    // for the relay's mailbox; a report that finds no room is put off.
-    void post(control_message message)
-    {
-        if (!m_control_task.post(message)) {
-            m_relay_task.loop().defer([this, message] {
-                post(message);
-            });
-        }
-    }
-
     event* watch_signal(int number)
     {
         event* const watch = evsignal_new(
@@ -122,7 +95,7 @@
     settings m_settings;
     metrics m_metrics;
     runtime::task<net::relay_message> m_relay_task;
-    runtime::task<control_message> m_control_task;
+    runtime::task<net::relay_report> m_control_task;
     net::relay m_relay;
     control m_control;
 };
--- a/src/program/settings.hpp
+++ b/src/program/settings.hpp
@@ -20,6 +20,9 @@
     model::endpoint platform;
     /// Shared by all hosts; empty means that no peer is spoken to.
     std::string peer_secret;
+    /// This is the first start of all: no call of an earlier fleet can be
+    /// sent again.
+    bool first_fleet = false;
     net::relay_settings relay;
     /// From readiness false to the last connection taken.
     model::milliseconds drain_delay{5'000};
--- a/tests/program/site.cpp
+++ b/tests/program/site.cpp
@@ -40,6 +40,11 @@
     "entitlements":[{"plan":"gold","models":["drafter","absent"],
                      "services":["ledger"]}]})";
 
+constexpr char const* hosts_text =
+    R"({"hosts":[{"name":"host-1","region":"west","data_centre":"west-a",
+    "callers":{"address":"127.0.0.1","port":1},
+    "peers":{"address":"127.0.0.1","port":2}}]})";
+
 std::string upstreams_text(site const& made)
 {
     nlohmann::json engines = nlohmann::json::array();
@@ -84,7 +89,7 @@
     stand_ins::platform_settings published;
     published.values = {{"plans", plans_text()},
                         {"entitlements", entitlements_text},
-                        {"hosts", R"({"hosts":[]})"},
+                        {"hosts", hosts_text},
                         {"upstreams", upstreams_text(*this)}};
     platform = std::make_unique<stand_ins::platform>(loop.base(), published);
 
@@ -96,11 +101,11 @@
     settings.platform = platform->address();
     settings.relay.upstreams = options.timeouts;
     settings.relay.max_body_bytes = options.max_body_bytes;
+    settings.first_fleet = true;
     relay = std::make_unique<net::relay>(
-        loop, settings.relay, [this](decide::event& event) {
-            loop.defer([this, event]() mutable {
-                program::control_message message = std::move(event);
-                control->handle(message);
+        loop, settings.relay, [this](net::relay_report& report) {
+            loop.defer([this, report]() mutable {
+                control->handle(report);
             });
             return true;
         });
@@ -110,13 +115,11 @@
                 relay->handle(message);
             });
         });
-    relay->ended.connect([this](net::exchange_ended const& ended) {
-        program::control_message message = ended;
-        control->handle(message);
-    });
-    run_until([this] {
-        return control->ready();
-    });
+    if (!run_until([this] {
+            return control->ready();
+        })) {
+        throw std::runtime_error("the site's lists were not accepted");
+    }
     // One more turn, in which the relay gets the lists too.
     run_for(std::chrono::milliseconds(5));
 }
--- a/tests/program/site.hpp
+++ b/tests/program/site.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_TESTS_PROGRAM_SITE_HPP
 #define CAPERJUNCTION_TESTS_PROGRAM_SITE_HPP
 
+#include "net/relay.hpp"
 #include "net/upstream_client.hpp"
 #include "program/control.hpp"
 #include "program/metrics.hpp"
