--- a/src/program/bookings.cpp
+++ b/src/program/bookings.cpp
@@ -3,6 +3,7 @@
 #include "net/caller_reply.hpp"
 #include "runtime/log_line.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace caperjunction::program {
@@ -11,6 +12,15 @@
 // The relay gets a confirmed call within microseconds; if not, it slept.
 constexpr model::milliseconds relay_limit{2'000};
 
+bool names(model::hosts const& hosts, std::string const& name)
+{
+    return std::any_of(hosts.members.begin(),
+                       hosts.members.end(),
+                       [&name](model::host const& host) {
+                           return host.name == name;
+                       });
+}
+
 fleet::witness_settings witness_settings_of(booking_settings const& settings)
 {
     fleet::witness_settings made;
@@ -66,6 +76,13 @@
 
 void bookings::list(model::hosts const& hosts, model::time_point now)
 {
+    // A host may start before the platform lists it. By a list without
+    // itself it would take the votes of the first fleet for given out, and
+    // no booking would find a quorum until its memory has matured.
+    m_listed = m_listed || names(hosts, m_settings.host);
+    if (!m_listed) {
+        return;
+    }
     auto const view =
         std::make_shared<fleet::claim_view const>(hosts, m_settings.claims);
     tell_claimant(fleet::claim_view_listed{view}, now);
--- a/src/program/bookings.hpp
+++ b/src/program/bookings.hpp
@@ -131,6 +131,8 @@
     fleet::witness m_witness;
     fleet::claim_answers m_answers;
     std::unordered_map<model::request_id, waiting_call> m_waiting;
+    // A list with this host on it has come.
+    bool m_listed = false;
 };
 
 } // namespace caperjunction::program
