--- a/src/net/http_sink.cpp
+++ b/src/net/http_sink.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 caller_sink make_http_sink(evhttp_request* caller,
-                           std::function<void()> before_end)
+                           std::function<void()> const& before_end)
 {
     caller_sink sink;
     sink.whole = [caller, before_end](whole_answer const& answer) {
--- a/src/net/http_sink.hpp
+++ b/src/net/http_sink.hpp
@@ -12,7 +12,7 @@
 /// A sink to a caller's connection. `before_end` is called right before an
 /// answer's end is sent: after it the connection goes on to its next request.
 caller_sink make_http_sink(evhttp_request* caller,
-                           std::function<void()> before_end);
+                           std::function<void()> const& before_end);
 
 } // namespace caperjunction::net
 
