Run hosts as processes under test

Cause: several hosts had only been seen in the quickstart; killing, freezing and replacing them had no harness. Change: child_process and process_fleet start hosts as processes beside stand-ins on the test's loop; site_lists makes the published values once for tests and benches; a host that hears the list of hosts from peers reads it once itself.

--- a/src/program/control.cpp
+++ b/src/program/control.cpp
@@ -84,8 +84,14 @@
     });
     m_node.hosts_changed.connect([this](model::hosts const& hosts) {
         m_bookings.list(hosts, m_loop.now());
+        // A host that hears the list from peers has never read it itself;
+        // until it has, it gives no vote.
+        if (!m_confirmed) {
+            m_node.confirm_hosts();
+        }
     });
     m_node.list_confirmed.connect([this](model::time_point as_of) {
+        m_confirmed = true;
         m_bookings.confirm(as_of, m_loop.now());
     });
     m_node.value_checked.connect([this](bool accepted) {
--- a/src/program/control.hpp
+++ b/src/program/control.hpp
@@ -108,6 +108,8 @@
     std::vector<decide::event> m_held;
     model::time_point m_hold_until{};
     bool m_holding = false;
+    // The list of hosts has been read from the service at least once.
+    bool m_confirmed = false;
     bool m_stopping = false;
     bool m_relay_idle = false;
 };
--- a/src/program/fleet_node.cpp
+++ b/src/program/fleet_node.cpp
@@ -226,7 +226,7 @@
                    "until the view is refreshed");
         outdated.emit();
     } else if (std::holds_alternative<fleet::view_refreshed>(output)) {
-        runtime::log_line("view_refreshed");
+        runtime::log_line const line("view_refreshed");
         refreshed.emit();
     }
 }
--- /dev/null
+++ b/stand_ins/process_fleet.cpp
@@ -0,0 +1,207 @@
+#include "stand_ins/process_fleet.hpp"
+
+#include "stand_ins/site_lists.hpp"
+
+#include <event2/event.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace caperjunction::stand_ins {
+namespace {
+
+constexpr std::chrono::seconds patience{30};
+constexpr char const* secret = "only-for-tests-0123456789-0123456789";
+
+net::upstream_timeouts caller_timeouts()
+{
+    net::upstream_timeouts timeouts;
+    timeouts.first_byte = std::chrono::milliseconds(60'000);
+    timeouts.progress = std::chrono::milliseconds(60'000);
+    return timeouts;
+}
+
+} // namespace
+
+process_fleet::process_fleet(runtime::event_loop& loop,
+                             process_fleet_options options)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_hosts(m_options.hosts)
+    , m_client(loop, caller_timeouts())
+{
+    std::vector<site_member> listed;
+    for (std::size_t place = 0; place < m_options.engines; ++place) {
+        engine_settings own = m_options.engine;
+        own.name = fmt::format("engine-{}", place);
+        engines.push_back(std::make_unique<engine>(loop.base(), own));
+        listed.push_back({own.name, engines.back()->address(), {}});
+    }
+    service =
+        std::make_unique<stand_ins::service>(loop.base(), m_options.service);
+    platform_settings published;
+    published.values = {
+        {"plans", site_plans()},
+        {"entitlements", site_entitlements()},
+        {"hosts", site_hosts({})},
+        {"upstreams",
+         site_upstreams(listed, {{"ledger-1", service->address(), {}}})}};
+    platform = std::make_unique<stand_ins::platform>(loop.base(), published);
+    for (std::size_t place = 0; place < m_hosts.size(); ++place) {
+        m_hosts[place].name = fmt::format("host-{}", place);
+        m_options.flags.push_back("--first_fleet");
+        start(place);
+        m_options.flags.pop_back();
+    }
+    publish_hosts();
+}
+
+process_fleet::~process_fleet() = default;
+
+void process_fleet::start(std::size_t place)
+{
+    host_process& own = m_hosts[place];
+    std::vector<std::string> words{
+        "serve",
+        "--host_name=" + own.name,
+        "--region=west",
+        "--data_centre=west-a",
+        "--listen=127.0.0.1:0",
+        "--admin_listen=127.0.0.1:0",
+        "--peer_listen=127.0.0.1:0",
+        fmt::format("--platform=127.0.0.1:{}", platform->port()),
+        fmt::format("--peer_secret={}", secret)};
+    words.insert(words.end(), m_options.flags.begin(), m_options.flags.end());
+    bool const replaced = own.process != nullptr;
+    own.process = std::make_unique<child_process>(m_options.program, words);
+    own.callers = {"127.0.0.1", own.process->port("callers_port")};
+    own.admin = {"127.0.0.1", own.process->port("admin_port")};
+    own.peers = {"127.0.0.1", own.process->port("peer_port")};
+    if (replaced) {
+        publish_hosts();
+    }
+}
+
+void process_fleet::publish_hosts()
+{
+    std::vector<site_member> listed;
+    for (host_process const& own : m_hosts) {
+        listed.push_back({own.name, own.callers, own.peers});
+    }
+    platform->publish("hosts", site_hosts(listed));
+}
+
+bool process_fleet::run_until(std::function<bool()> const& done)
+{
+    auto const limit = std::chrono::steady_clock::now() + patience;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+        m_loop.after(std::chrono::milliseconds(2), [] {});
+        event_base_loop(m_loop.base(), EVLOOP_ONCE);
+    }
+    return done();
+}
+
+void process_fleet::run_for(model::milliseconds time)
+{
+    bool over = false;
+    m_loop.after(time, [&over] {
+        over = true;
+    });
+    run_until([&over] {
+        return over;
+    });
+}
+
+bool process_fleet::is_joined(std::size_t place)
+{
+    auto const ready = admin(place, "/readyz");
+    auto const status = admin(place, "/status");
+    if (!wait(ready) || !wait(status) || ready->status != 200) {
+        return false;
+    }
+    auto const body = nlohmann::json::parse(status->body, nullptr, false);
+    std::size_t alive = 0;
+    for (auto const& [name, state] : body["hosts"].items()) {
+        alive += state == "alive" ? 1 : 0;
+    }
+    return alive == m_hosts.size();
+}
+
+bool process_fleet::wait_until_joined()
+{
+    for (std::size_t place = 0; place < m_hosts.size(); ++place) {
+        if (!run_until([this, place] {
+                return is_joined(place);
+            })) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::shared_ptr<caller_answer>
+process_fleet::call(net::upstream_call const& call)
+{
+    auto made = std::make_shared<caller_answer>();
+    m_client.start(call,
+                   {[made](net::call_head const& head) {
+                        made->status = head.status;
+                    },
+                    [made](std::string_view bytes) {
+                        made->body.append(bytes);
+                    },
+                    [made](net::call_end end) {
+                        made->ended = true;
+                        made->end = end;
+                    }});
+    return made;
+}
+
+std::shared_ptr<caller_answer>
+process_fleet::chat(std::size_t place, std::string const& prompt, int tokens)
+{
+    nlohmann::json const body{
+        {"model", site_model},
+        {"stream", true},
+        {"max_tokens", tokens},
+        {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    net::upstream_call made;
+    made.to = m_hosts[place].callers;
+    made.path = "/v1/chat/completions";
+    made.body = body.dump();
+    made.headers = {{"Authorization", std::string("Bearer ") + site_key}};
+    return call(made);
+}
+
+std::shared_ptr<caller_answer>
+process_fleet::book(std::size_t place, std::string const& idempotency_key)
+{
+    net::upstream_call made;
+    made.to = m_hosts[place].callers;
+    made.path = "/services/ledger/reserve";
+    made.body = R"({"case":1})";
+    made.headers = {{"Authorization", std::string("Bearer ") + site_key},
+                    {"Idempotency-Key", idempotency_key}};
+    return call(made);
+}
+
+std::shared_ptr<caller_answer> process_fleet::admin(std::size_t place,
+                                                    std::string const& path)
+{
+    net::upstream_call made;
+    made.to = m_hosts[place].admin;
+    made.path = path;
+    made.method = "GET";
+    return call(made);
+}
+
+bool process_fleet::wait(std::shared_ptr<caller_answer> const& pending)
+{
+    return run_until([&pending] {
+        return pending->ended;
+    });
+}
+
+} // namespace caperjunction::stand_ins
--- a/tests/program/site.cpp
+++ b/tests/program/site.cpp
@@ -1,7 +1,7 @@
 #include "site.hpp"
 
-#include "lists/key_hash.hpp"
 #include "runtime/log_line.hpp"
+#include "stand_ins/site_lists.hpp"
 
 #include <event2/event.h>
 #include <fmt/format.h>
@@ -13,61 +13,17 @@
 namespace {
 
 constexpr std::chrono::seconds patience{20};
-constexpr char const* salt = "0123456789abcdef0123456789abcdef";
-
-std::string plans_text()
-{
-    return fmt::format(
-        R"({{"tiers":[{{"name":"top","rank":0,"guaranteed_share":0.5}}],
-        "classes":[{{"name":"questions","tier":"top","max_wait_ms":3000,
-        "first_token_ms":2000,"retry_ratio":1.0}}],
-        "plans":[{{"name":"gold","classes":["questions"]}},
-                 {{"name":"poor","classes":["questions"]}}],
-        "customers":[{{"name":"cellar","teams":[
-        {{"name":"desk","plan":"gold","keys":[
-            {{"id":"desk","salt":"0123456789abcdef0123456789abcdef","sha256":"{}"}}]}},
-        {{"name":"poor","plan":"poor","keys":[
-            {{"id":"poor","salt":"0123456789abcdef0123456789abcdef","sha256":"{}"}}]}}]}}]}})",
-        lists::hash_key(salt, site::key),
-        lists::hash_key(salt, "poor.secret"));
-}
-
-constexpr char const* entitlements_text =
-    R"({"models":[{"name":"drafter"},{"name":"absent"}],
-    "services":[{"name":"ledger","home_region":"west","calls":[
-      {"method":"POST","path_prefix":"/reserve","repeatable":false},
-      {"method":"GET","path_prefix":"/","repeatable":true}]}],
-    "entitlements":[{"plan":"gold","models":["drafter","absent"],
-                     "services":["ledger"]}]})";
-
-constexpr char const* hosts_text =
-    R"({"hosts":[{"name":"host-1","region":"west","data_centre":"west-a",
-    "callers":{"address":"127.0.0.1","port":1},
-    "peers":{"address":"127.0.0.1","port":2}}]})";
 
 std::string upstreams_text(site const& made)
 {
-    nlohmann::json engines = nlohmann::json::array();
+    std::vector<stand_ins::site_member> engines;
     for (std::size_t place = 0; place < made.engines.size(); ++place) {
-        engines.push_back({{"name", fmt::format("engine-{}", place)},
-                           {"region", "west"},
-                           {"data_centre", "west-a"},
-                           {"address",
-                            {{"address", "127.0.0.1"},
-                             {"port", made.engines[place]->port()}}},
-                           {"models", {"drafter"}},
-                           {"slots", 8}});
+        engines.push_back({fmt::format("engine-{}", place),
+                           made.engines[place]->address(),
+                           {}});
     }
-    nlohmann::json const all{
-        {"engines", engines},
-        {"services",
-         {{{"service", "ledger"},
-           {"name", "ledger-1"},
-           {"region", "west"},
-           {"data_centre", "west-a"},
-           {"address",
-            {{"address", "127.0.0.1"}, {"port", made.service->port()}}}}}}};
-    return all.dump();
+    return stand_ins::site_upstreams(
+        engines, {{"ledger-1", made.service->address(), {}}});
 }
 
 } // namespace
@@ -87,9 +43,11 @@
     service = std::make_unique<stand_ins::service>(
         loop.base(), stand_ins::service_settings{});
     stand_ins::platform_settings published;
-    published.values = {{"plans", plans_text()},
-                        {"entitlements", entitlements_text},
-                        {"hosts", hosts_text},
+    published.values = {{"plans", stand_ins::site_plans()},
+                        {"entitlements", stand_ins::site_entitlements()},
+                        {"hosts",
+                         stand_ins::site_hosts(
+                             {{"host-1", {"127.0.0.1", 1}, {"127.0.0.1", 2}}})},
                         {"upstreams", upstreams_text(*this)}};
     platform = std::make_unique<stand_ins::platform>(loop.base(), published);
 
@@ -159,7 +117,8 @@
     call.body = body;
     call.method = body.empty() ? "GET" : "POST";
     call.headers = std::move(headers);
-    call.headers.push_back({"Authorization", std::string("Bearer ") + key});
+    call.headers.push_back(
+        {"Authorization", std::string("Bearer ") + stand_ins::site_key});
     m_latest = m_client.start(call,
                               {[made](net::call_head const& head) {
                                    made->status = head.status;
--- a/tests/program/site.hpp
+++ b/tests/program/site.hpp
@@ -40,8 +40,6 @@
 class site
 {
 public:
-    static constexpr char const* key = "desk.secret";
-
     explicit site(site_options options = {});
     ~site();
 
