--- a/src/net/peer_read_claims.cpp
+++ b/src/net/peer_read_claims.cpp
@@ -40,6 +40,7 @@
     value.status = enumerator(
         table.status(), fleet::claim_status::refused, "status of a claim");
     value.vote = table.vote();
+    value.vote_origin = table.vote_origin();
     value.voters = table.voters();
     value.refusal = enumerator(
         table.refusal(), fleet::claim_refusal::full, "refusal of a claim");
@@ -70,7 +71,8 @@
     value.to_generation = table.to_generation();
     if (table.votes() != nullptr) {
         for (wire::Vote const* const vote : *table.votes()) {
-            value.votes.push_back({vote->bucket(), vote->voters()});
+            value.votes.push_back(
+                {vote->bucket(), vote->voters(), vote->origin()});
         }
     }
     if (table.claims() != nullptr) {
--- a/src/net/peer_write_claims.cpp
+++ b/src/net/peer_write_claims.cpp
@@ -59,7 +59,8 @@
                                message.list_revision,
                                holder,
                                static_cast<std::uint8_t>(message.holder_state),
-                               message.holder_fingerprint));
+                               message.holder_fingerprint,
+                               message.vote_origin));
 }
 
 written_body peer_writer::operator()(fleet::claim_release const& message)
@@ -106,7 +107,7 @@
 {
     std::vector<wire::Vote> votes;
     for (fleet::claim_vote const& vote : message.votes) {
-        votes.emplace_back(vote.bucket, vote.voters);
+        votes.emplace_back(vote.bucket, vote.voters, vote.origin);
     }
     std::vector<flatbuffers::Offset<wire::ClaimRecord>> claims;
     for (fleet::claim_record const& claim : message.claims) {
--- a/src/net/wire/peer_generated.h
+++ b/src/net/wire/peer_generated.h
@@ -423,20 +423,23 @@
   using type = Key;
 };
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Vote FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Vote FLATBUFFERS_FINAL_CLASS {
  private:
   uint32_t bucket_;
   uint32_t voters_;
+  uint64_t origin_;
 
  public:
   struct Traits;
   Vote()
       : bucket_(0),
-        voters_(0) {
+        voters_(0),
+        origin_(0) {
   }
-  Vote(uint32_t _bucket, uint32_t _voters)
+  Vote(uint32_t _bucket, uint32_t _voters, uint64_t _origin)
       : bucket_(flatbuffers::EndianScalar(_bucket)),
-        voters_(flatbuffers::EndianScalar(_voters)) {
+        voters_(flatbuffers::EndianScalar(_voters)),
+        origin_(flatbuffers::EndianScalar(_origin)) {
   }
   uint32_t bucket() const {
     return flatbuffers::EndianScalar(bucket_);
@@ -444,8 +447,11 @@
   uint32_t voters() const {
     return flatbuffers::EndianScalar(voters_);
   }
+  uint64_t origin() const {
+    return flatbuffers::EndianScalar(origin_);
+  }
 };
-FLATBUFFERS_STRUCT_END(Vote, 8);
+FLATBUFFERS_STRUCT_END(Vote, 16);
 
 struct Vote::Traits {
   using type = Vote;
@@ -2192,7 +2198,8 @@
     VT_LIST_REVISION = 16,
     VT_HOLDER = 18,
     VT_HOLDER_STATE = 20,
-    VT_HOLDER_FINGERPRINT = 22
+    VT_HOLDER_FINGERPRINT = 22,
+    VT_VOTE_ORIGIN = 24
   };
   const caperjunction::net::wire::Key *key() const {
     return GetStruct<const caperjunction::net::wire::Key *>(VT_KEY);
@@ -2224,6 +2231,9 @@
   uint64_t holder_fingerprint() const {
     return GetField<uint64_t>(VT_HOLDER_FINGERPRINT, 0);
   }
+  uint64_t vote_origin() const {
+    return GetField<uint64_t>(VT_VOTE_ORIGIN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<caperjunction::net::wire::Key>(verifier, VT_KEY, 8) &&
@@ -2238,6 +2248,7 @@
            verifier.VerifyTable(holder()) &&
            VerifyField<uint8_t>(verifier, VT_HOLDER_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_HOLDER_FINGERPRINT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VOTE_ORIGIN, 8) &&
            verifier.EndTable();
   }
 };
@@ -2276,6 +2287,9 @@
   void add_holder_fingerprint(uint64_t holder_fingerprint) {
     fbb_.AddElement<uint64_t>(ClaimReply::VT_HOLDER_FINGERPRINT, holder_fingerprint, 0);
   }
+  void add_vote_origin(uint64_t vote_origin) {
+    fbb_.AddElement<uint64_t>(ClaimReply::VT_VOTE_ORIGIN, vote_origin, 0);
+  }
   explicit ClaimReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2298,8 +2312,10 @@
     uint64_t list_revision = 0,
     flatbuffers::Offset<caperjunction::net::wire::Attempt> holder = 0,
     uint8_t holder_state = 0,
-    uint64_t holder_fingerprint = 0) {
+    uint64_t holder_fingerprint = 0,
+    uint64_t vote_origin = 0) {
   ClaimReplyBuilder builder_(_fbb);
+  builder_.add_vote_origin(vote_origin);
   builder_.add_holder_fingerprint(holder_fingerprint);
   builder_.add_list_revision(list_revision);
   builder_.add_holder(holder);
--- a/tests/net/peer_codec_test.cpp
+++ b/tests/net/peer_codec_test.cpp
@@ -30,7 +30,7 @@
     host_rumour const rumour{"otaru-1", 9, 2, rumour_kind::leaving};
     auto const body = std::make_shared<std::string const>("{}");
     std::vector<header_field> const fields{{"host", "a"}, {"x", ""}};
-    claim_reply reply{key, attempt, claim_status::held, true, 5};
+    claim_reply reply{key, attempt, claim_status::held, true, 45, 5};
     reply.refusal = claim_refusal::full;
     reply.list_revision = 3;
     reply.holder = attempt;
@@ -73,7 +73,7 @@
         peer_message(claim_message(claim_offer{33, 34})),
         peer_message(claim_message(claim_accept{35, 36, 37})),
         peer_message(claim_message(
-            claim_transfer{38, 39, 40, {{41, 42}}, {record, record}})),
+            claim_transfer{38, 39, 40, {{41, 42, 46}}, {record, record}})),
         peer_message(claim_message(claim_transfer_ack{43, 44})),
         peer_message(claim_message(answer_query{key, attempt, 45})),
         peer_message(claim_message(
@@ -110,6 +110,57 @@
     CHECK(read.splices[0] == fleet::splice{18, 21, 22, "text"});
 }
 
+// A field was added to a vote and left out of the frame. Both ends agreed on
+// what they sent, so that reading and writing back showed nothing; but no
+// vote counted, and every booking of the fleet was refused.
+TEST_CASE("a claim's reply and its votes arrive with every field")
+{
+    fleet::claim_reply sent{key, attempt, fleet::claim_status::granted};
+    sent.vote = true;
+    sent.vote_origin = 77;
+    sent.voters = 5;
+    auto const reply =
+        read_back(net::encode(fleet::peer_message(fleet::claim_message(sent))));
+    auto const& read = std::get<fleet::claim_reply>(
+        std::get<fleet::claim_message>(std::get<fleet::peer_message>(reply)));
+    // Naming all fields ends the build when there is one more.
+    auto const& [read_key,
+                 read_attempt,
+                 status,
+                 vote,
+                 origin,
+                 voters,
+                 refusal,
+                 revision,
+                 holder,
+                 state,
+                 fingerprint] = read;
+    CHECK(read_key == key);
+    CHECK(read_attempt == attempt);
+    CHECK(status == fleet::claim_status::granted);
+    CHECK(vote);
+    CHECK(origin == 77);
+    CHECK(voters == 5);
+    CHECK(refusal == fleet::claim_refusal::none);
+    CHECK(revision == 0);
+    CHECK(holder == fleet::claim_attempt{});
+    CHECK(state == fleet::claim_state::running);
+    CHECK(fingerprint == 0);
+
+    fleet::claim_transfer given;
+    given.votes = {{1, 2, 3}};
+    auto const transfer = read_back(
+        net::encode(fleet::peer_message(fleet::claim_message(given))));
+    auto const& taken =
+        std::get<fleet::claim_transfer>(std::get<fleet::claim_message>(
+            std::get<fleet::peer_message>(transfer)));
+    REQUIRE(taken.votes.size() == 1);
+    auto const& [bucket, count, vote_origin] = taken.votes[0];
+    CHECK(bucket == 1);
+    CHECK(count == 2);
+    CHECK(vote_origin == 3);
+}
+
 TEST_CASE("revisions that are all in force are sent once")
 {
     fleet::heartbeat beat;
