Give votes back to a host that restarts in place

Cause: a planned stop hands votes to the next host in rank. When the host starts again under its name before the list has changed, entry hosts ask it and not the keeper; a new revision of the list with the same hosts then dropped the kept votes, since nobody had entered the witness set. Change: a keeper holds such a vote over new lists, and hands it back by the usual transfer when membership tells that a new process runs there. Ruled out: asking keepers from entry hosts (two views of who keeps what).

--- a/src/fleet/claim_event.hpp
+++ b/src/fleet/claim_event.hpp
@@ -50,6 +50,12 @@
     claim_message message;
 };
 
+/// A new process runs under the name of another host.
+struct claim_host_restarted
+{
+    std::string host;
+};
+
 /// This host is about to stop: it votes no more and hands its votes over.
 struct claim_stop_planned
 {
@@ -72,6 +78,7 @@
 using witness_event = std::variant<claim_view_listed,
                                    claim_view_confirmed,
                                    claim_received,
+                                   claim_host_restarted,
                                    claim_stop_planned,
                                    claim_tick>;
 
--- a/src/fleet/witness.hpp
+++ b/src/fleet/witness.hpp
@@ -90,9 +90,13 @@
                   messages& out);
     void
     on_event(claim_received const& event, model::time_point now, messages& out);
+    void on_event(claim_host_restarted const& event,
+                  model::time_point now,
+                  messages& out);
     void on_event(claim_stop_planned const& event,
                   model::time_point now,
                   messages& out);
+    bool keeps_for(std::size_t bucket, claim_view const& view) const;
     void
     on_event(claim_tick const& event, model::time_point now, messages& out);
 
--- a/src/fleet/witness_leave.cpp
+++ b/src/fleet/witness_leave.cpp
@@ -30,6 +30,37 @@
     hand_over(to, now, out);
 }
 
+// A host that restarts in place stays on the list, and entry hosts ask it
+// again; its new process has no vote, and the one that its old process gave
+// away is asked by nobody. Bookings of these buckets would lack a vote until
+// the new process has matured, and those of three such hosts a quorum. So
+// whoever keeps a vote for that host gives it back.
+void witness::on_event(claim_host_restarted const& event,
+                       model::time_point now,
+                       messages& out)
+{
+    if (m_leaving || m_view == nullptr) {
+        return;
+    }
+    std::map<std::string, std::vector<std::size_t>> to;
+    for (std::size_t bucket = 0; bucket < m_buckets.size(); ++bucket) {
+        if (seat(bucket) == event.host && keeps_for(bucket, *m_view)) {
+            to[event.host].push_back(bucket);
+        }
+    }
+    hand_over(to, now, out);
+}
+
+// Whether a vote is held here only until a host that is a witness by `view`
+// runs again.
+bool witness::keeps_for(std::size_t bucket, claim_view const& view) const
+{
+    auto const& state = m_buckets[bucket];
+    return state.vote && !state.seat.empty()
+           && !view.is_witness(m_settings.host, bucket)
+           && view.is_witness(state.seat, bucket);
+}
+
 std::string const& witness::seat(std::size_t bucket) const
 {
     auto const& state = m_buckets[bucket];
--- a/src/fleet/witness_votes.cpp
+++ b/src/fleet/witness_votes.cpp
@@ -20,7 +20,7 @@
         auto& state = m_buckets[bucket];
         bool const member =
             !m_leaving && view->is_witness(m_settings.host, bucket);
-        if (state.vote && !member) {
+        if (state.vote && !member && !keeps_for(bucket, *view)) {
             // A host that leaves gives its vote to the next in rank, which
             // may not be the one that the next list puts in its place.
             auto const name = m_view->successor(seat(bucket), bucket, *view);
--- a/src/program/bookings.cpp
+++ b/src/program/bookings.cpp
@@ -120,6 +120,11 @@
     }
 }
 
+void bookings::note_restart(std::string const& host, model::time_point now)
+{
+    tell_witness(fleet::claim_host_restarted{host}, now);
+}
+
 void bookings::tick(model::time_point now)
 {
     tell_claimant(fleet::claim_tick{}, now);
--- a/src/program/bookings.hpp
+++ b/src/program/bookings.hpp
@@ -57,6 +57,8 @@
     void receive(std::string const& from,
                  fleet::claim_message const& message,
                  model::time_point now);
+    /// A new process runs under the name of another host.
+    void note_restart(std::string const& host, model::time_point now);
     void tick(model::time_point now);
 
     /// To be asked right before a call is passed to the relay; empty if the
--- a/src/program/control.cpp
+++ b/src/program/control.cpp
@@ -246,6 +246,9 @@
         return;
     }
     decide_on(decide::host_lost{change.host});
+    if (change.change == fleet::host_change::restarted) {
+        m_bookings.note_restart(change.host, m_loop.now());
+    }
     // A host that leaves still finishes what it serves for this one.
     if (change.change != fleet::host_change::leaving) {
         m_to_relay(net::lose_host{change.host});
--- a/tests/fleet/claim_fleet.hpp
+++ b/tests/fleet/claim_fleet.hpp
@@ -104,6 +104,28 @@
         adopt(host);
     }
 
+    /// All others hear that a new process runs under that name.
+    void note_restart(std::string const& host)
+    {
+        for (auto const& name : names()) {
+            if (name != host) {
+                fleet::claim_host_restarted const event{host};
+                tell(name, fleet::witness_event(event));
+            }
+        }
+        settle();
+    }
+
+    /// Whether a call that nobody has sent yet finds a quorum.
+    bool could_book_other(std::string const& host)
+    {
+        fleet::claim_started const event{
+            key("another booking"), 1, ++m_tickets};
+        tell(host, fleet::claimant_event(event));
+        settle();
+        return last<fleet::claim_proceed>(host) != nullptr;
+    }
+
     void stop(std::string const& host)
     {
         tell(host, fleet::witness_event(fleet::claim_stop_planned{}));
--- a/tests/fleet/claim_fleet_test.cpp
+++ b/tests/fleet/claim_fleet_test.cpp
@@ -219,6 +219,29 @@
     CHECK(hosts.runs() == 1);
 }
 
+TEST_CASE("every host restarts in place, one after the other")
+{
+    // An upgrade: each host stops as planned and starts again under its name,
+    // too fast for the platform's list to tell. Its votes had been handed
+    // over; were they not given back, every booking would find too few
+    // witnesses for hours, though all hosts run.
+    claim_fleet hosts(7);
+    CHECK(hosts.book("host-0"));
+    for (auto const& name : hosts.names()) {
+        hosts.stop(name);
+        hosts.kill(name);
+        hosts.run(name);
+        hosts.note_restart(name);
+        hosts.list(hosts.listed());
+        hosts.adopt_all();
+        hosts.pass(1s);
+        CHECK(hosts.votes() == 5);
+        CHECK_FALSE(hosts.book(name));
+    }
+    CHECK(hosts.runs() == 1);
+    CHECK(hosts.could_book_other("host-1"));
+}
+
 TEST_CASE("lists lag differently on each host")
 {
     // Two hosts take places of two others; each host hears of it at another
