--- a/src/net/http_sink.cpp
+++ b/src/net/http_sink.cpp
@@ -49,6 +49,7 @@
     evbuffer* const chunk = evbuffer_new();
     evbuffer_add(chunk, events.data(), events.size());
     evhttp_send_reply_chunk(caller, chunk);
+    write_now(caller);
     evbuffer_free(chunk);
 }
 
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -25,8 +25,10 @@
 class relay
 {
 public:
-    /// How often relayed tokens are told, and buffers looked at.
-    static constexpr model::milliseconds account_period{50};
+    /// How often relayed tokens are told, and buffers looked at. Several
+    /// tokens of a stream come in that time; telling each alone would cost
+    /// the task that decides as much as relaying it.
+    static constexpr model::milliseconds account_period{200};
 
     /// Until reports that found no room are offered again.
     static constexpr model::milliseconds backlog_retry{1};
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -32,6 +33,23 @@
            == 0;
 }
 
+void write_now(evhttp_request* request)
+{
+    evhttp_connection* const connection =
+        evhttp_request_get_connection(request);
+    bufferevent* const stream = evhttp_connection_get_bufferevent(connection);
+    evbuffer* const output = bufferevent_get_output(stream);
+    // A bufferevent keeps its output from being drained by others; this is
+    // its own thread, between two of its own writes.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, socket_of(connection));
+    evbuffer_freeze(output, 1);
+    if (evbuffer_get_length(output) == 0) {
+        // Nothing is left for the loop; the next write enables it again.
+        bufferevent_disable(stream, EV_WRITE);
+    }
+}
+
 std::size_t unsent_bytes(evhttp_request* request)
 {
     return evbuffer_get_length(
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -15,6 +15,11 @@
 /// Whether the connection has come about.
 bool is_connected(evhttp_connection* connection);
 
+/// Writes what can be written of an answer right now, without waiting for
+/// the loop to find the socket writable: one call of the system for a token
+/// in place of four.
+void write_now(evhttp_request* request);
+
 /// Bytes of an answer that wait for its receiver.
 std::size_t unsent_bytes(evhttp_request* request);
 
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -15,7 +15,12 @@
 {
     // Wake-ups come from other threads, so libevent has to lock.
     static bool const s_locks = evthread_use_pthreads() == 0;
-    event_base* const base = s_locks ? event_base_new() : nullptr;
+    event_config* const config = event_config_new();
+    // A socket that is watched and let go within one turn costs nothing.
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_base* const base =
+        s_locks ? event_base_new_with_config(config) : nullptr;
+    event_config_free(config);
     if (base == nullptr) {
         throw model::error(model::error_kind::unavailable,
                            "no event loop could be made",
--- a/stand_ins/child_process.cpp
+++ b/stand_ins/child_process.cpp
@@ -50,6 +50,7 @@
 {
     words.insert(words.begin(), program);
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words) {
         arguments.push_back(word.data());
     }
