--- a/src/program/fleet_node.cpp
+++ b/src/program/fleet_node.cpp
@@ -1,9 +1,7 @@
 #include "program/fleet_node.hpp"
 
-#include "lists/parse.hpp"
 #include "lists/parse_hosts.hpp"
 #include "lists/parse_upstreams.hpp"
-#include "program/body_check.hpp"
 #include "runtime/log_line.hpp"
 
 #include <utility>
@@ -12,7 +10,8 @@
 namespace {
 
 fleet::agent_settings agent_settings_of(settings const& own,
-                                        std::uint64_t generation)
+                                        std::uint64_t generation,
+                                        list_checker& checker)
 {
     fleet::agent_settings made;
     made.membership.self.name = own.host_name;
@@ -20,7 +19,9 @@
     made.membership.self.data_centre = own.data_centre;
     made.membership.generation = generation;
     made.configuration.seed = generation;
-    made.configuration.check = check_published;
+    made.configuration.check = [&checker](fleet::value_bodies const& bodies) {
+        return checker.check(bodies);
+    };
     return made;
 }
 
@@ -57,7 +58,7 @@
                        settings const& settings,
                        std::uint64_t generation)
     : m_loop(loop)
-    , m_agent(agent_settings_of(settings, generation))
+    , m_agent(agent_settings_of(settings, generation, m_checker))
     , m_reader(loop, settings.platform, settings.watch_wait)
 {
     connect_reader();
@@ -233,10 +234,8 @@
 
 void fleet_node::put_lists_in_force(fleet::lists_in_force const& pair)
 {
-    std::vector<lists::fault> faults;
-    auto plans = lists::parse_plans(*pair.plans.body, "plans", faults);
-    auto entitlements = lists::parse_entitlements(
-        *pair.entitlements.body, "entitlements", faults);
+    auto [plans, entitlements] =
+        m_checker.take(*pair.plans.body, *pair.entitlements.body);
     plans.revision = pair.plans.revision;
     entitlements.revision = pair.entitlements.revision;
     runtime::log_line("lists_in_force")
--- a/src/program/fleet_node.hpp
+++ b/src/program/fleet_node.hpp
@@ -7,6 +7,7 @@
 #include "model/upstreams.hpp"
 #include "net/peer_link.hpp"
 #include "net/platform_reader.hpp"
+#include "program/list_checker.hpp"
 #include "program/settings.hpp"
 #include "runtime/event_loop.hpp"
 
@@ -101,6 +102,7 @@
     void connect_link();
 
     runtime::event_loop& m_loop;
+    list_checker m_checker;
     fleet::agent m_agent;
     net::platform_reader m_reader;
     std::unique_ptr<net::peer_link> m_link;
