--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -1,9 +1,9 @@
 #include "net/front.hpp"
 
 #include "model/error.hpp"
-#include "net/caller_request.hpp"
 #include "net/http_input.hpp"
 #include "net/http_sink.hpp"
+#include "net/paths.hpp"
 #include "net/read_ahead.hpp"
 #include "net/sockets.hpp"
 
@@ -11,20 +11,12 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace caperjunction::net {
 namespace {
 
-constexpr std::string_view chat_path = "/v1/chat/completions";
-constexpr std::string_view completion_path = "/v1/completions";
-constexpr std::string_view models_path = "/v1/models";
-constexpr std::string_view services_path = "/services/";
-
 // libevent answers a longer body by itself, with a page instead of JSON;
 // twice the limit lets this code answer whatever is a little too long.
 constexpr std::size_t body_slack = 2;
@@ -37,11 +29,6 @@
     return {time.count() / 1000, (time.count() % 1000) * 1000};
 }
 
-bool contains(std::vector<std::string> const& names, std::string const& name)
-{
-    return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 } // namespace
 
 front::front(runtime::event_loop& loop,
@@ -127,11 +114,11 @@
     }
     std::string const path = path_of(caller);
     lists::identity const who = authenticate(caller);
-    if (path == chat_path || path == completion_path) {
-        serve_text(caller, id, who, path == chat_path);
-    } else if (path == models_path) {
+    if (path == paths::chat || path == paths::completion) {
+        serve_text(caller, id, who, path == paths::chat);
+    } else if (path == paths::models) {
         serve_models(caller, id, who);
-    } else if (path.rfind(services_path, 0) == 0) {
+    } else if (path.rfind(paths::services, 0) == 0) {
         serve_service(caller, id, who);
     } else {
         throw model::error(
@@ -142,129 +129,6 @@
     }
 }
 
-lists::identity front::authenticate(evhttp_request* caller) const
-{
-    constexpr std::string_view scheme = "Bearer ";
-    std::string const given = header_of(caller, "Authorization");
-    lists::identity who;
-    if (given.rfind(scheme, 0) == 0) {
-        who = m_catalogue->identify(given.substr(scheme.size()));
-    }
-    if (who.team == nullptr) {
-        throw model::error(
-            model::error_kind::unauthenticated,
-            "the API key is missing or unknown",
-            "send it as 'Authorization: Bearer KEY'; ask your operator for "
-            "a key");
-    }
-    return who;
-}
-
-std::unique_ptr<exchange> front::make_exchange(evhttp_request* caller,
-                                               model::request_id id,
-                                               lists::identity const& who)
-{
-    auto made = std::make_unique<exchange>();
-    made->caller = make_http_sink(caller, [this, caller] {
-        release(caller);
-    });
-    made->request.id = id;
-    made->request.customer = who.customer->name;
-    made->request.team = who.team->name;
-    made->request.plan = who.plan->name;
-    made->request.arrived = m_loop.now();
-    made->idempotency_key = header_of(caller, "Idempotency-Key");
-    made->body = body_of(caller, m_settings.max_body_bytes);
-    std::string const wished = header_of(caller, "caperjunction-class");
-    if (!wished.empty() && !contains(who.plan->classes, wished)) {
-        throw model::error(
-            model::error_kind::not_entitled,
-            "the plan has no class of this name",
-            "leave out caperjunction-class, or name one of the plan's "
-            "classes");
-    }
-    made->request.service_class =
-        wished.empty() ? who.plan->classes.front() : wished;
-    return made;
-}
-
-void front::serve_text(evhttp_request* caller,
-                       model::request_id id,
-                       lists::identity const& who,
-                       bool chat)
-{
-    if (evhttp_request_get_command(caller) != EVHTTP_REQ_POST) {
-        throw model::error(model::error_kind::bad_request,
-                           "this path takes POST only",
-                           "send the request as POST");
-    }
-    auto made = make_exchange(caller, id, who);
-    auto const* const kind =
-        m_catalogue->find_class(made->request.service_class);
-    caller_request parsed = parse_caller_request(
-        made->body,
-        chat ? text_interface::chat : text_interface::completion,
-        kind->max_output_tokens);
-    if (m_catalogue->find_model(parsed.model) == nullptr) {
-        throw model::error(model::error_kind::not_found,
-                           "there is no model of this name",
-                           "name one that /v1/models lists");
-    }
-    if (who.entitlement == nullptr
-        || !contains(who.entitlement->models, parsed.model)) {
-        throw model::error(
-            model::error_kind::not_entitled,
-            "the plan does not include this model",
-            "name one that /v1/models lists, or ask for another plan");
-    }
-    decide::request& request = made->request;
-    request.model = parsed.model;
-    request.prompt_tokens = parsed.prompt_tokens;
-    request.max_output_tokens = parsed.max_output_tokens;
-    request.prefix_blocks = std::move(parsed.prefix_blocks);
-    request.fingerprint = XXH3_64bits_withSeed(
-        request.customer.data(), request.customer.size(), parsed.fingerprint);
-    made->mode = parsed.stream ? reply_mode::events : reply_mode::assembled;
-    made->path = chat ? chat_path : completion_path;
-    made->body = std::move(parsed.upstream_body);
-    pass_on(caller, std::move(made));
-}
-
-void front::serve_models(evhttp_request* caller,
-                         model::request_id id,
-                         lists::identity const& who)
-{
-    nlohmann::json data = nlohmann::json::array();
-    if (who.entitlement != nullptr) {
-        for (std::string const& name : who.entitlement->models) {
-            data.push_back(
-                {{"id", name}, {"object", "model"}, {"owned_by", "operator"}});
-        }
-    }
-    nlohmann::json const body{{"object", "list"}, {"data", data}};
-    std::string const text = body.dump();
-    make_http_sink(caller, [] {
-    }).whole({200, "application/json", text, {id, model::outcome::ran}});
-}
-
-void front::serve_service(evhttp_request* caller,
-                          model::request_id id,
-                          lists::identity const& who)
-{
-    auto made = make_exchange(caller, id, who);
-    service_path const target = split_service_path(uri_of(caller));
-    made->request.service = target.service;
-    made->method = method_of(caller);
-    made->path = target.rest;
-    made->mode = reply_mode::collected;
-    std::string const type = header_of(caller, "Content-Type");
-    if (!type.empty()) {
-        made->content_type = type;
-    }
-    check_service_call(*m_catalogue, who, *made);
-    pass_on(caller, std::move(made));
-}
-
 void front::pass_on(evhttp_request* caller, std::unique_ptr<exchange> made)
 {
     model::request_id const id = made->request.id;
--- a/src/net/http_input.cpp
+++ b/src/net/http_input.cpp
@@ -2,6 +2,7 @@
 
 #include "model/error.hpp"
 #include "model/limits.hpp"
+#include "net/paths.hpp"
 
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -15,8 +16,6 @@
 namespace caperjunction::net {
 namespace {
 
-constexpr std::string_view services_path = "/services/";
-
 struct method_name
 {
     evhttp_cmd_type type;
@@ -120,7 +119,7 @@
 
 service_path split_service_path(std::string_view uri)
 {
-    std::string_view const after = uri.substr(services_path.size());
+    std::string_view const after = uri.substr(paths::services.size());
     std::size_t const end = after.find_first_of("/?");
     service_path path;
     path.service = after.substr(0, end);
--- /dev/null
+++ b/src/program/bookings_answer.cpp
@@ -0,0 +1,93 @@
+#include "program/bookings.hpp"
+
+#include "runtime/log_line.hpp"
+
+namespace caperjunction::program {
+
+void bookings::fetch(fleet::claim_fetch_answer const& wanted,
+                     model::time_point now)
+{
+    auto const found = m_waiting.find({wanted.ticket});
+    if (found == m_waiting.end()) {
+        return;
+    }
+    found->second.fetch_until = now + fetch_limit;
+    deliver(wanted.host,
+            fleet::answer_query{wanted.key, wanted.attempt, wanted.ticket},
+            now);
+}
+
+void bookings::give_answer(std::string const& to,
+                           fleet::answer_query const& query,
+                           model::time_point now)
+{
+    fleet::answer_reply reply;
+    reply.key = query.key;
+    reply.ticket = query.ticket;
+    auto const* const kept = m_answers.find(query.key, query.attempt);
+    if (kept != nullptr) {
+        reply.found = true;
+        reply.status = kept->status;
+        reply.content_type = kept->content_type;
+        reply.body = kept->body;
+    }
+    deliver(to, reply, now);
+}
+
+void bookings::take_answer(fleet::answer_reply const& reply)
+{
+    if (!reply.found) {
+        refuse_unknown(
+            reply.ticket, fetch_retry, "the first run's answer is not kept");
+        return;
+    }
+    auto const found = m_waiting.find({reply.ticket});
+    if (found == m_waiting.end()) {
+        return;
+    }
+    found->second.fetch_until = {};
+    runtime::log_line("booking_answered_again")
+        .field("request", net::to_string({reply.ticket}));
+    m_hooks.answer(net::answer_again{{reply.ticket},
+                                     static_cast<int>(reply.status),
+                                     reply.content_type,
+                                     reply.body});
+}
+
+void bookings::refuse(std::uint64_t ticket,
+                      net::error_reply const& error,
+                      model::outcome outcome)
+{
+    auto const found = m_waiting.find({ticket});
+    if (found == m_waiting.end() || found->second.answered) {
+        return;
+    }
+    found->second.answered = true;
+    decide::refuse no;
+    no.id = {ticket};
+    no.kind = error.kind;
+    no.outcome = outcome;
+    no.retry_after = error.retry_after;
+    no.reason = error.message;
+    no.remedy = error.remedy;
+    runtime::log_line("booking_refused")
+        .field("request", net::to_string(no.id))
+        .field("outcome", model::to_string(outcome))
+        .field("reason", no.reason);
+    m_hooks.answer(decide::decision(no));
+}
+
+void bookings::refuse_unknown(std::uint64_t ticket,
+                              model::milliseconds retry_after,
+                              std::string const& reason)
+{
+    refuse(ticket,
+           {model::error_kind::unavailable,
+            reason,
+            "send it again with the same Idempotency-Key, which is safe, or "
+            "ask the service whether it was booked",
+            retry_after},
+           model::outcome::unknown);
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/control_pages.cpp
@@ -0,0 +1,51 @@
+#include "program/control.hpp"
+
+#include "program/report.hpp"
+
+#include <string>
+
+namespace caperjunction::program {
+
+host_status control::status() const
+{
+    host_status made;
+    made.host = m_settings.host_name;
+    made.region = m_settings.region;
+    made.data_centre = m_settings.data_centre;
+    made.ready = m_node.ready();
+    made.stopping = m_stopping;
+    made.claims = m_bookings.claims();
+    auto const in_force = m_node.in_force();
+    for (std::size_t place = 0; place < fleet::published_value_count; ++place) {
+        auto const value = static_cast<fleet::published_value>(place);
+        made.revisions[std::string(fleet::to_string(value))] = in_force[value];
+    }
+    for (fleet::viewed_host const& other : m_node.view()->hosts) {
+        made.hosts[other.host.name] =
+            std::string(fleet::to_string(other.state));
+    }
+    return made;
+}
+
+void control::add_routes()
+{
+    m_admin.serve("/livez", [](std::string const& /*id*/) {
+        return net::admin_answer{200, "text/plain", "alive\n"};
+    });
+    m_admin.serve("/readyz", [this](std::string const& /*id*/) {
+        return ready() ? net::admin_answer{200, "text/plain", "ready\n"}
+                       : net::admin_answer{503, "text/plain", "not ready\n"};
+    });
+    m_admin.serve("/metrics", [this](std::string const& /*id*/) {
+        return net::admin_answer{
+            200, "text/plain; version=0.0.4", m_metrics.text()};
+    });
+    m_admin.serve("/explain", [this](std::string const& id) {
+        return explain_answer(m_policy.trail(), id);
+    });
+    m_admin.serve("/status", [this](std::string const& /*id*/) {
+        return status_answer(status(), m_policy.ledger());
+    });
+}
+
+} // namespace caperjunction::program
--- a/tests/house/layout_test.cpp
+++ b/tests/house/layout_test.cpp
@@ -109,3 +109,14 @@
     }
     CHECK(!taken.empty());
 }
+
+TEST_CASE("no file is longer than 300 lines")
+{
+    constexpr std::ptrdiff_t most = 300;
+    for (char const* const root : {"src", "stand_ins", "bench"}) {
+        for (house::source_file const& file : house::read_sources(root)) {
+            CAPTURE(file.path);
+            CHECK(std::count(file.text.begin(), file.text.end(), '\n') <= most);
+        }
+    }
+}
