Order engines from the program, and confirm the list without its body

Cause: wishes to shift a model were logged and went nowhere. And each minute's confirming read of the list of hosts was told to the agent as the end of a watch of its own, which then began one more. Change: engine_orders drives the orderer: wishes go to the engine's one orderer over the peer link, orders carry list revision and start as one number, leave only while may_send holds, and are logged. Confirming has a reader of its own that asks for a change and takes 'none' for an answer, every 5 s, since engines that ignore fencing numbers need that. Conclusion: orders run end to end against the stand-in; shifting under real load is not measured.

--- a/src/fleet/peer_message.hpp
+++ b/src/fleet/peer_message.hpp
@@ -6,6 +6,7 @@
 #include "fleet/hand_over_message.hpp"
 #include "fleet/load_digest.hpp"
 #include "fleet/membership_message.hpp"
+#include "fleet/order.hpp"
 
 #include <variant>
 
@@ -24,7 +25,8 @@
                                   handover_chunk,
                                   handover_end,
                                   handover_cancel,
-                                  claim_message>;
+                                  claim_message,
+                                  order_wish>;
 
 } // namespace caperjunction::fleet
 
--- a/src/net/peer_read.cpp
+++ b/src/net/peer_read.cpp
@@ -150,6 +150,10 @@
         return take(*frame.body_as_HandoverEnd());
     case wire::Body::HandoverCancel:
         return fleet::handover_cancel{{frame.body_as_HandoverCancel()->id()}};
+    case wire::Body::OrderWish: {
+        auto const& table = *frame.body_as_OrderWish();
+        return fleet::order_wish{text(table.engine()), text(table.model())};
+    }
     default:
         return claim_message(frame);
     }
--- a/src/net/peer_write.cpp
+++ b/src/net/peer_write.cpp
@@ -254,6 +254,14 @@
                                 reason));
 }
 
+written_body peer_writer::operator()(fleet::order_wish const& message)
+{
+    auto const engine = text(message.engine);
+    auto const model = text(message.model);
+    return finish(wire::Body::OrderWish,
+                  wire::CreateOrderWish(m_builder, engine, model));
+}
+
 written_body peer_writer::operator()(fleet::handover_cancel const& message)
 {
     return finish(wire::Body::HandoverCancel,
--- a/src/net/peer_write.hpp
+++ b/src/net/peer_write.hpp
@@ -48,6 +48,7 @@
     written_body operator()(fleet::handover_chunk const& message);
     written_body operator()(fleet::handover_end const& message);
     written_body operator()(fleet::handover_cancel const& message);
+    written_body operator()(fleet::order_wish const& message);
 
     // peer_write_claims.cpp
     written_body operator()(fleet::claim_message const& message);
--- a/src/net/wire/peer_generated.h
+++ b/src/net/wire/peer_generated.h
@@ -79,6 +79,9 @@
 struct HandoverCancel;
 struct HandoverCancelBuilder;
 
+struct OrderWish;
+struct OrderWishBuilder;
+
 struct Key;
 
 struct Attempt;
@@ -155,11 +158,12 @@
   ClaimTransferAck = 26,
   AnswerQuery = 27,
   AnswerReply = 28,
+  OrderWish = 29,
   MIN = NONE,
-  MAX = AnswerReply
+  MAX = OrderWish
 };
 
-inline const Body (&EnumValuesBody())[29] {
+inline const Body (&EnumValuesBody())[30] {
   static const Body values[] = {
     Body::NONE,
     Body::Challenge,
@@ -189,13 +193,14 @@
     Body::ClaimTransfer,
     Body::ClaimTransferAck,
     Body::AnswerQuery,
-    Body::AnswerReply
+    Body::AnswerReply,
+    Body::OrderWish
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[30] = {
+  static const char * const names[31] = {
     "NONE",
     "Challenge",
     "Hello",
@@ -225,13 +230,14 @@
     "ClaimTransferAck",
     "AnswerQuery",
     "AnswerReply",
+    "OrderWish",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::AnswerReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OrderWish)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -352,6 +358,10 @@
   static const Body enum_value = Body::AnswerReply;
 };
 
+template<> struct BodyTraits<caperjunction::net::wire::OrderWish> {
+  static const Body enum_value = Body::OrderWish;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2026,6 +2036,77 @@
   static auto constexpr Create = CreateHandoverCancel;
 };
 
+struct OrderWish FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrderWishBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_MODEL = 6
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyOffset(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           verifier.EndTable();
+  }
+};
+
+struct OrderWishBuilder {
+  typedef OrderWish Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(OrderWish::VT_ENGINE, engine);
+  }
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(OrderWish::VT_MODEL, model);
+  }
+  explicit OrderWishBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrderWish> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrderWish>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrderWish> CreateOrderWish(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    flatbuffers::Offset<flatbuffers::String> model = 0) {
+  OrderWishBuilder builder_(_fbb);
+  builder_.add_model(model);
+  builder_.add_engine(engine);
+  return builder_.Finish();
+}
+
+struct OrderWish::Traits {
+  using type = OrderWish;
+  static auto constexpr Create = CreateOrderWish;
+};
+
+inline flatbuffers::Offset<OrderWish> CreateOrderWishDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    const char *model = nullptr) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  return caperjunction::net::wire::CreateOrderWish(
+      _fbb,
+      engine__,
+      model__);
+}
+
 struct Attempt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AttemptBuilder Builder;
   struct Traits;
@@ -3170,6 +3251,9 @@
   const caperjunction::net::wire::AnswerReply *body_as_AnswerReply() const {
     return body_type() == caperjunction::net::wire::Body::AnswerReply ? static_cast<const caperjunction::net::wire::AnswerReply *>(body()) : nullptr;
   }
+  const caperjunction::net::wire::OrderWish *body_as_OrderWish() const {
+    return body_type() == caperjunction::net::wire::Body::OrderWish ? static_cast<const caperjunction::net::wire::OrderWish *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3291,6 +3375,10 @@
   return body_as_AnswerReply();
 }
 
+template<> inline const caperjunction::net::wire::OrderWish *Frame::body_as<caperjunction::net::wire::OrderWish>() const {
+  return body_as_OrderWish();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3444,6 +3532,10 @@
       auto ptr = reinterpret_cast<const caperjunction::net::wire::AnswerReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::OrderWish: {
+      auto ptr = reinterpret_cast<const caperjunction::net::wire::OrderWish *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/program/control.cpp
+++ b/src/program/control.cpp
@@ -48,6 +48,12 @@
     , m_bookings(booking_settings_of(settings, m_generation),
                  make_booking_hooks())
     , m_node(loop, settings, m_generation)
+    , m_orders(loop,
+               settings.host_name,
+               m_generation,
+               [this](std::string const& to, fleet::order_wish const& wish) {
+                   m_node.send(to, wish);
+               })
     , m_engines(loop)
     , m_admin(loop, settings.admin_listen)
 {
@@ -84,6 +90,7 @@
     });
     m_node.hosts_changed.connect([this](model::hosts const& hosts) {
         m_bookings.list(hosts, m_loop.now());
+        m_orders.list(hosts);
         // A host that hears the list from peers has never read it itself;
         // until it has, it gives no vote.
         if (!m_confirmed) {
@@ -93,6 +100,7 @@
     m_node.list_confirmed.connect([this](model::time_point as_of) {
         m_confirmed = true;
         m_bookings.confirm(as_of, m_loop.now());
+        m_orders.confirm(as_of);
     });
     m_node.value_checked.connect([this](bool accepted) {
         m_metrics.count_list(accepted);
@@ -116,6 +124,7 @@
         flush_held();
     });
     m_engines.reported.connect([this](decide::engine_report const& report) {
+        m_orders.report(report);
         decide_on(report);
     });
     m_engines.cache_changed.connect(
@@ -129,6 +138,7 @@
     m_loop.every(decide::router::tick_period, [this] {
         decide_on(decide::tick{});
         m_bookings.tick(m_loop.now());
+        m_orders.tick();
         if (m_holding && m_loop.now() >= m_hold_until) {
             flush_held();
         }
@@ -200,6 +210,10 @@
 void control::carry_out(decide::decision const& made)
 {
     m_metrics.count_decision(made);
+    if (auto const* shift = std::get_if<decide::shift_model>(&made)) {
+        m_orders.wish({shift->engine, shift->model}, false);
+        return;
+    }
     auto const* to = std::get_if<decide::dispatch>(&made);
     if (to != nullptr && m_bookings.holds(to->id)) {
         start_booking(*to);
@@ -238,39 +252,7 @@
     m_to_relay(net::use_upstreams{upstreams});
     m_policy.handle(decide::upstreams_changed{upstreams});
     m_engines.use(upstreams.engines);
-}
-
-void control::take_host_change(fleet::host_changed const& change)
-{
-    if (change.change == fleet::host_change::returned) {
-        return;
-    }
-    decide_on(decide::host_lost{change.host});
-    if (change.change == fleet::host_change::restarted) {
-        m_bookings.note_restart(change.host, m_loop.now());
-    }
-    // A host that leaves still finishes what it serves for this one.
-    if (change.change != fleet::host_change::leaving) {
-        m_to_relay(net::lose_host{change.host});
-    }
-}
-
-void control::take_message(std::string const& from,
-                           fleet::peer_message const& message)
-{
-    if (auto const* claim = std::get_if<fleet::claim_message>(&message)) {
-        m_bookings.receive(from, *claim, m_loop.now());
-    } else if (auto const* give =
-                   std::get_if<fleet::handover_request>(&message)) {
-        m_to_relay(net::serve_handed_over{from, *give});
-    } else if (auto const* part =
-                   std::get_if<fleet::handover_chunk>(&message)) {
-        m_to_relay(net::take_part{from, *part});
-    } else if (auto const* end = std::get_if<fleet::handover_end>(&message)) {
-        m_to_relay(net::take_end{from, *end});
-    } else if (auto const* no = std::get_if<fleet::handover_cancel>(&message)) {
-        m_to_relay(net::cancel_handed_over{from, no->id});
-    }
+    m_orders.use(upstreams);
 }
 
 void control::plan_stop()
@@ -282,6 +264,7 @@
     runtime::log_line("stop_planned")
         .field("drain_delay_ms", m_settings.drain_delay.count());
     m_node.plan_stop();
+    m_orders.plan_stop();
     m_loop.after(m_settings.drain_delay, [this] {
         runtime::log_line("accepting_stopped")
             .field("running", m_policy.ledger().known());
--- a/src/program/control.hpp
+++ b/src/program/control.hpp
@@ -6,6 +6,7 @@
 #include "net/relay_message.hpp"
 #include "net/relay_report.hpp"
 #include "program/bookings.hpp"
+#include "program/engine_orders.hpp"
 #include "program/fleet_node.hpp"
 #include "program/metrics.hpp"
 #include "program/policy.hpp"
@@ -30,8 +31,10 @@
 public:
     /// Between two load digests to the peers.
     static constexpr model::milliseconds digest_period{250};
-    /// Between two reads that confirm the list of hosts.
-    static constexpr model::milliseconds confirm_period{60'000};
+    /// Between two reads that confirm the list of hosts. Orders to engines
+    /// that ignore fencing numbers need one within 10 s; an answer without a
+    /// body costs some 200 bytes.
+    static constexpr model::milliseconds confirm_period{5'000};
     /// Longest time that decisions wait for a view after a pause. Claims
     /// wait by rules of their own, for as long as it takes.
     static constexpr model::milliseconds refresh_limit{3'000};
@@ -102,6 +105,7 @@
     policy m_policy;
     bookings m_bookings;
     fleet_node m_node;
+    engine_orders m_orders;
     net::engine_reader m_engines;
     net::admin_server m_admin;
     // Events that came while the view was outdated.
--- /dev/null
+++ b/src/program/control_peers.cpp
@@ -0,0 +1,40 @@
+#include "program/control.hpp"
+
+namespace caperjunction::program {
+
+void control::take_host_change(fleet::host_changed const& change)
+{
+    if (change.change == fleet::host_change::returned) {
+        return;
+    }
+    decide_on(decide::host_lost{change.host});
+    if (change.change == fleet::host_change::restarted) {
+        m_bookings.note_restart(change.host, m_loop.now());
+    }
+    // A host that leaves still finishes what it serves for this one.
+    if (change.change != fleet::host_change::leaving) {
+        m_to_relay(net::lose_host{change.host});
+    }
+}
+
+void control::take_message(std::string const& from,
+                           fleet::peer_message const& message)
+{
+    if (auto const* claim = std::get_if<fleet::claim_message>(&message)) {
+        m_bookings.receive(from, *claim, m_loop.now());
+    } else if (auto const* give =
+                   std::get_if<fleet::handover_request>(&message)) {
+        m_to_relay(net::serve_handed_over{from, *give});
+    } else if (auto const* part =
+                   std::get_if<fleet::handover_chunk>(&message)) {
+        m_to_relay(net::take_part{from, *part});
+    } else if (auto const* end = std::get_if<fleet::handover_end>(&message)) {
+        m_to_relay(net::take_end{from, *end});
+    } else if (auto const* wish = std::get_if<fleet::order_wish>(&message)) {
+        m_orders.wish(*wish, true);
+    } else if (auto const* no = std::get_if<fleet::handover_cancel>(&message)) {
+        m_to_relay(net::cancel_handed_over{from, no->id});
+    }
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/engine_orders.hpp
@@ -0,0 +1,66 @@
+#ifndef CAPERJUNCTION_PROGRAM_ENGINE_ORDERS_HPP
+#define CAPERJUNCTION_PROGRAM_ENGINE_ORDERS_HPP
+
+#include "decide/event.hpp"
+#include "fleet/orderer.hpp"
+#include "model/hosts.hpp"
+#include "model/time.hpp"
+#include "model/upstreams.hpp"
+#include "net/upstream_client.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace caperjunction::program {
+
+/// Turns the decision logic's wishes into orders to engines: forwards each to
+/// the engine's one orderer, and hands over the orders that are this host's.
+///
+/// Thread safety: none; owned by one task.
+class engine_orders
+{
+public:
+    /// Passes a wish to the host that orders the engine.
+    using forward_hook =
+        std::function<void(std::string const& to, fleet::order_wish const&)>;
+
+    engine_orders(runtime::event_loop& loop,
+                  std::string const& host,
+                  std::uint64_t generation,
+                  forward_hook forward);
+
+    void list(model::hosts const& hosts);
+    void confirm(model::time_point as_of);
+    void use(model::upstreams const& upstreams);
+
+    /// What an engine itself says of the models that it serves.
+    void report(decide::engine_report const& report);
+
+    void wish(fleet::order_wish const& wish, bool forwarded);
+    void tick();
+    void plan_stop();
+
+private:
+    struct known_engine
+    {
+        model::endpoint address;
+        fleet::ordered_engine facts;
+    };
+
+    void tell(fleet::order_event const& event);
+    void tell_engines();
+    void send(fleet::order const& order);
+
+    runtime::event_loop& m_loop;
+    fleet::orderer m_orderer;
+    forward_hook m_forward;
+    net::upstream_client m_client;
+    std::map<std::string, known_engine> m_engines;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- a/src/program/fleet_node.cpp
+++ b/src/program/fleet_node.cpp
@@ -60,6 +60,7 @@
     : m_loop(loop)
     , m_agent(agent_settings_of(settings, generation, m_checker))
     , m_reader(loop, settings.platform, settings.watch_wait)
+    , m_confirmer(loop, settings.platform, settings.watch_wait)
 {
     connect_reader();
     if (!settings.peer_secret.empty()) {
@@ -94,6 +95,14 @@
                 note_confirmed(end.value, held[end.value], started);
             }
         });
+    // A newer list comes by the agent's own reads; the answer that there is
+    // none is what confirms.
+    m_confirmer.ended.connect([this](fleet::read_ended const& end,
+                                     model::time_point started) {
+        if (!end.failed) {
+            note_confirmed(end.value, m_agent.in_force()[end.value], started);
+        }
+    });
 }
 
 void fleet_node::connect_link()
@@ -145,7 +154,8 @@
 
 void fleet_node::confirm_hosts()
 {
-    m_reader.read(fleet::published_value::hosts);
+    auto const hosts = fleet::published_value::hosts;
+    m_confirmer.watch(hosts, m_agent.in_force()[hosts], model::milliseconds{0});
 }
 
 std::uint16_t fleet_node::peer_port() const
@@ -178,7 +188,8 @@
         || std::holds_alternative<fleet::handover_request>(message)
         || std::holds_alternative<fleet::handover_chunk>(message)
         || std::holds_alternative<fleet::handover_end>(message)
-        || std::holds_alternative<fleet::handover_cancel>(message);
+        || std::holds_alternative<fleet::handover_cancel>(message)
+        || std::holds_alternative<fleet::order_wish>(message);
     if (others) {
         message_received.emit(from, message);
     } else {
--- a/src/program/fleet_node.hpp
+++ b/src/program/fleet_node.hpp
@@ -43,8 +43,8 @@
     /// Tells everyone that this host leaves.
     void plan_stop();
 
-    /// Reads the list of hosts from the service itself; `list_confirmed`
-    /// follows if that works.
+    /// Asks the service itself whether the list in force is its newest;
+    /// `list_confirmed` follows if that works.
     void confirm_hosts();
 
     bool ready() const
@@ -105,6 +105,8 @@
     list_checker m_checker;
     fleet::agent m_agent;
     net::platform_reader m_reader;
+    // Reads that only confirm: the agent counts the ends of its own.
+    net::platform_reader m_confirmer;
     std::unique_ptr<net::peer_link> m_link;
 };
 
--- a/tests/net/peer_codec_test.cpp
+++ b/tests/net/peer_codec_test.cpp
@@ -78,6 +78,7 @@
         peer_message(claim_message(answer_query{key, attempt, 45})),
         peer_message(claim_message(
             answer_reply{key, 46, true, 200, "text/plain", "answer"})),
+        peer_message(order_wish{"engine-1", "drafter"}),
     };
 }
 
--- /dev/null
+++ b/tests/program/engine_orders_test.cpp
@@ -0,0 +1,110 @@
+#include "program/engine_orders.hpp"
+
+#include "runtime/log_line.hpp"
+#include "runtime/manual_clock.hpp"
+#include "stand_ins/engine.hpp"
+
+#include <doctest/doctest.h>
+#include <event2/event.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace caperjunction;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One host's orders, before one engine that checks fencing numbers.
+struct ordering_host
+{
+    explicit ordering_host(std::vector<std::string> const& names)
+        : loop(time.view())
+        , engine(loop.base(), checking())
+        , orders(loop,
+                 "host-1",
+                 std::uint64_t{7} << 32U,
+                 [this](std::string const& to, fleet::order_wish const& wish) {
+                     forwarded.push_back(to + " " + wish.model);
+                 })
+    {
+        runtime::log_to([](std::string_view /*line*/) {});
+        model::hosts hosts;
+        hosts.revision = 3;
+        for (std::string const& name : names) {
+            hosts.members.push_back({name, "west", "west-a", {}, {}, false});
+        }
+        orders.list(hosts);
+        orders.confirm(loop.now());
+        model::upstreams upstreams;
+        upstreams.engines.push_back(
+            {"engine-1", "west", "west-a", engine.address(), {"drafter"}});
+        upstreams.engines[0].checks_fencing = true;
+        orders.use(upstreams);
+    }
+
+    static stand_ins::engine_settings checking()
+    {
+        stand_ins::engine_settings settings;
+        settings.checks_fencing = true;
+        return settings;
+    }
+
+    /// Ten seconds a host must pass before the first load: the store of
+    /// weights is shared.
+    bool run_until_ordered()
+    {
+        for (int step = 0; step < 1000; ++step) {
+            time.advance(100ms);
+            orders.confirm(loop.now());
+            orders.tick();
+            loop.poll();
+        }
+        auto const limit = std::chrono::steady_clock::now() + 10s;
+        while (engine.counters().orders_taken == 0
+               && std::chrono::steady_clock::now() < limit) {
+            event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+        }
+        return engine.counters().orders_taken == 1;
+    }
+
+    runtime::manual_clock time;
+    runtime::event_loop loop;
+    stand_ins::engine engine;
+    std::vector<std::string> forwarded;
+    program::engine_orders orders;
+};
+
+} // namespace
+
+TEST_CASE("a wish becomes one order that the engine takes")
+{
+    ordering_host host({"host-1"});
+    host.orders.wish({"engine-1", "reader"}, false);
+    CHECK(host.run_until_ordered());
+    CHECK(host.forwarded.empty());
+    host.orders.wish({"engine-1", "reader"}, false);
+    host.orders.tick();
+    CHECK(host.engine.counters().orders_refused == 0);
+}
+
+// Every host sees the same load and wishes the same. Were each to order by
+// itself, an engine would load models to and fro.
+TEST_CASE("a wish goes to the engine's one orderer")
+{
+    std::vector<std::string> names;
+    for (int number = 1; number <= 7; ++number) {
+        names.push_back("host-" + std::to_string(number));
+    }
+    ordering_host host(names);
+    host.orders.wish({"engine-1", "reader"}, false);
+    bool const own = host.forwarded.empty();
+    if (own) {
+        CHECK(host.run_until_ordered());
+    } else {
+        REQUIRE(host.forwarded.size() == 1);
+        CHECK(host.forwarded[0] != "host-1 reader");
+        CHECK(host.engine.counters().orders_taken == 0);
+    }
+}
