--- a/stand_ins/process_fleet.cpp
+++ b/stand_ins/process_fleet.cpp
@@ -1,8 +1,8 @@
 #include "stand_ins/process_fleet.hpp"
 
+#include "stand_ins/run_loop.hpp"
 #include "stand_ins/site_lists.hpp"
 
-#include <event2/event.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -12,7 +12,6 @@
 namespace caperjunction::stand_ins {
 namespace {
 
-constexpr std::chrono::seconds patience{30};
 constexpr char const* secret = "only-for-tests-0123456789-0123456789";
 
 net::upstream_timeouts caller_timeouts()
@@ -95,23 +94,12 @@
 
 bool process_fleet::run_until(std::function<bool()> const& done)
 {
-    auto const limit = std::chrono::steady_clock::now() + patience;
-    while (!done() && std::chrono::steady_clock::now() < limit) {
-        m_loop.after(std::chrono::milliseconds(2), [] {});
-        event_base_loop(m_loop.base(), EVLOOP_ONCE);
-    }
-    return done();
+    return stand_ins::run_until(m_loop, done);
 }
 
 void process_fleet::run_for(model::milliseconds time)
 {
-    bool over = false;
-    m_loop.after(time, [&over] {
-        over = true;
-    });
-    run_until([&over] {
-        return over;
-    });
+    stand_ins::run_for(m_loop, time);
 }
 
 bool process_fleet::is_joined(std::size_t place)
--- a/tests/net/hand_over_test.cpp
+++ b/tests/net/hand_over_test.cpp
@@ -3,10 +3,10 @@
 #include "lists/parse.hpp"
 #include "runtime/event_loop.hpp"
 #include "stand_ins/engine.hpp"
+#include "stand_ins/run_loop.hpp"
 #include "stand_ins/site_lists.hpp"
 
 #include <doctest/doctest.h>
-#include <event2/event.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -91,15 +91,12 @@
 
     bool run_until(std::function<bool()> const& done)
     {
-        auto const limit = std::chrono::steady_clock::now() + 10s;
-        while (!done() && std::chrono::steady_clock::now() < limit) {
-            loop.after(2ms, [] {});
-            event_base_loop(loop.base(), EVLOOP_ONCE);
+        return stand_ins::run_until(loop, [this, &done] {
             if (on_turn) {
                 on_turn();
             }
-        }
-        return done();
+            return done();
+        });
     }
 
     void tell(std::size_t place, net::relay_message message)
--- a/tests/program/site.cpp
+++ b/tests/program/site.cpp
@@ -1,9 +1,9 @@
 #include "site.hpp"
 
 #include "runtime/log_line.hpp"
+#include "stand_ins/run_loop.hpp"
 #include "stand_ins/site_lists.hpp"
 
-#include <event2/event.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -12,8 +12,6 @@
 namespace caperjunction::tests {
 namespace {
 
-constexpr std::chrono::seconds patience{20};
-
 std::string upstreams_text(site const& made)
 {
     std::vector<stand_ins::site_member> engines;
@@ -86,24 +84,12 @@
 
 bool site::run_until(std::function<bool()> const& done)
 {
-    auto const limit = std::chrono::steady_clock::now() + patience;
-    while (!done() && std::chrono::steady_clock::now() < limit) {
-        // Timers of the loop wake it, so that one turn never waits long.
-        loop.after(std::chrono::milliseconds(2), [] {});
-        event_base_loop(loop.base(), EVLOOP_ONCE);
-    }
-    return done();
+    return stand_ins::run_until(loop, done);
 }
 
 void site::run_for(model::milliseconds time)
 {
-    bool over = false;
-    loop.after(time, [&over] {
-        over = true;
-    });
-    run_until([&over] {
-        return over;
-    });
+    stand_ins::run_for(loop, time);
 }
 
 std::shared_ptr<answer> site::call(std::string const& path,
