Count answers within target, and trail bookings from their arrival

Cause: attainment against promise could not be read off the metrics, and a booking that waited for its claim had no beginning in explain. Change: targets, good tokens and the promise by class; a booking is noted before its claim. Conclusion: attainment and goodput by class can be plotted and alarmed on.

--- a/src/program/control.cpp
+++ b/src/program/control.cpp
@@ -179,6 +179,7 @@
         decide_on(*event);
     } else if (auto const* booking =
                    std::get_if<net::booking_arrived>(&report)) {
+        m_policy.note_arrival(booking->request);
         m_bookings.arrive(*booking, now);
     } else if (auto const* kept = std::get_if<net::booking_answered>(&report)) {
         m_bookings.keep_answer(*kept, now);
@@ -205,6 +206,9 @@
     m_bookings.end(ended.id, ended.outcome, m_loop.now());
     m_policy.finish(ended);
     m_metrics.count_ended(ended);
+    if (m_catalogue != nullptr) {
+        m_metrics.count_target(ended, *m_catalogue);
+    }
 }
 
 void control::carry_out(decide::decision const& made)
@@ -241,6 +245,7 @@
     std::shared_ptr<lists::catalogue const> const& catalogue)
 {
     std::uint64_t const revision = catalogue->plans().revision;
+    m_catalogue = catalogue;
     m_policy.note_revision(revision);
     m_metrics.set_revision(revision);
     m_policy.handle(decide::lists_changed{catalogue});
--- a/src/program/control.hpp
+++ b/src/program/control.hpp
@@ -110,6 +110,7 @@
     net::admin_server m_admin;
     // Events that came while the view was outdated.
     std::vector<decide::event> m_held;
+    std::shared_ptr<lists::catalogue const> m_catalogue;
     model::time_point m_hold_until{};
     bool m_holding = false;
     // The list of hosts has been read from the service at least once.
--- a/src/program/load_ledger.hpp
+++ b/src/program/load_ledger.hpp
@@ -37,6 +37,11 @@
     /// Empty facts if the request is not known.
     request_facts const& facts(model::request_id id) const;
 
+    bool knows(model::request_id id) const
+    {
+        return m_requests.count(id) > 0;
+    }
+
     std::size_t known() const
     {
         return m_requests.size();
--- a/src/program/metrics.cpp
+++ b/src/program/metrics.cpp
@@ -42,6 +42,16 @@
     , m_refusals(counter(*m_registry,
                          "caperjunction_refusals_total",
                          "Requests refused, by reason"))
+    , m_targets(counter(*m_registry,
+                        "caperjunction_targets_total",
+                        "Answers that ran, by class and whether within target"))
+    , m_good_tokens(counter(*m_registry,
+                            "caperjunction_good_tokens_total",
+                            "Output tokens of answers within target"))
+    , m_promises(prometheus::BuildGauge()
+                     .Name("caperjunction_promised_attainment_ratio")
+                     .Help("Share of answers within target that is promised")
+                     .Register(*m_registry))
     , m_lists(counter(*m_registry,
                       "caperjunction_lists_total",
                       "Published lists received, accepted or not"))
@@ -77,6 +87,25 @@
     }
 }
 
+void metrics::count_target(net::exchange_ended const& ended,
+                           lists::catalogue const& catalogue)
+{
+    auto const* const kind = catalogue.find_class(ended.service_class);
+    if (kind == nullptr || ended.outcome != model::outcome::ran) {
+        return;
+    }
+    auto const rest = ended.whole - ended.first_byte;
+    bool const steady =
+        ended.tokens < 2 || rest <= kind->between_tokens * (ended.tokens - 1);
+    bool const met = steady && ended.first_byte <= kind->first_token;
+    m_targets.Add({{"class", kind->name}, {"met", met ? "true" : "false"}})
+        .Increment();
+    if (met) {
+        m_good_tokens.Add({{"class", kind->name}}).Increment(ended.tokens);
+    }
+    m_promises.Add({{"class", kind->name}}).Set(kind->promised_attainment);
+}
+
 void metrics::count_list(bool accepted)
 {
     m_lists.Add({{"accepted", accepted ? "true" : "false"}}).Increment();
--- a/src/program/metrics.hpp
+++ b/src/program/metrics.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_PROGRAM_METRICS_HPP
 
 #include "decide/decision.hpp"
+#include "lists/catalogue.hpp"
 #include "net/relay_report.hpp"
 
 #include <prometheus/counter.h>
@@ -27,6 +28,9 @@
 
     void count_decision(decide::decision const& decision);
     void count_ended(net::exchange_ended const& ended);
+    /// Whether an answer that ran was within its class's targets.
+    void count_target(net::exchange_ended const& ended,
+                      lists::catalogue const& catalogue);
     void count_list(bool accepted);
     void set_revision(std::uint64_t revision);
 
@@ -40,6 +44,9 @@
     prometheus::Family<prometheus::Histogram>& m_first_byte;
     prometheus::Family<prometheus::Counter>& m_placements;
     prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_targets;
+    prometheus::Family<prometheus::Counter>& m_good_tokens;
+    prometheus::Family<prometheus::Gauge>& m_promises;
     prometheus::Family<prometheus::Counter>& m_lists;
     prometheus::Gauge& m_revision;
 };
--- a/src/program/policy.cpp
+++ b/src/program/policy.cpp
@@ -19,17 +19,10 @@
 
 void policy::handle(decide::event const& event)
 {
-    m_ledger.record(event);
     if (auto const* arrived = std::get_if<decide::request_arrived>(&event)) {
-        decide::request const& request = arrived->request;
-        m_trail.add(request.id,
-                    {m_clock.now(),
-                     "request_arrived",
-                     {{"customer", request.customer},
-                      {"team", request.team},
-                      {"class", request.service_class},
-                      {"model", request.model},
-                      {"service", request.service}}});
+        note_arrival(arrived->request);
+    } else {
+        m_ledger.record(event);
     }
     std::vector<decide::decision> decisions;
     m_router.handle(event, m_clock.now(), decisions);
@@ -39,6 +32,22 @@
     }
 }
 
+void policy::note_arrival(decide::request const& request)
+{
+    if (m_ledger.knows(request.id)) {
+        return;
+    }
+    m_ledger.record(decide::request_arrived{request});
+    m_trail.add(request.id,
+                {m_clock.now(),
+                 "request_arrived",
+                 {{"customer", request.customer},
+                  {"team", request.team},
+                  {"class", request.service_class},
+                  {"model", request.model},
+                  {"service", request.service}}});
+}
+
 void policy::finish(net::exchange_ended const& ended)
 {
     std::string const outcome(model::to_string(ended.outcome));
--- a/src/program/policy.hpp
+++ b/src/program/policy.hpp
@@ -29,6 +29,10 @@
 
     void handle(decide::event const& event);
 
+    /// Notes a request before the decision logic has it: one that waits for
+    /// its claim first. Noting it again does nothing.
+    void note_arrival(decide::request const& request);
+
     /// The exchange is over; it is logged and forgotten but for its trail.
     void finish(net::exchange_ended const& ended);
 
--- a/tests/program/input_test.cpp
+++ b/tests/program/input_test.cpp
@@ -131,6 +131,9 @@
     REQUIRE(site.wait(answer));
     CHECK(site.admin("/readyz") == "ready\n");
     CHECK(json::parse(site.admin("/status"))["host"] == "host-1");
+    CHECK(site.metrics.text().find(
+              R"(caperjunction_targets_total{class="questions",met="true"} 1)")
+          != std::string::npos);
     CHECK(json::parse(site.admin("/explain?id=zz")).contains("error"));
     CHECK(json::parse(site.admin("/explain?id=1234")).contains("error"));
 }
