--- a/src/fleet/claimant.hpp
+++ b/src/fleet/claimant.hpp
@@ -26,8 +26,8 @@
 ///
 /// Made for a caller that sends a booking again, here or elsewhere, while the
 /// first copy runs or after its host died: a second run would charge twice.
-/// `claims_granted_total` above the upstream's own count of bookings, or
-/// `held` replies for keys that nobody has, are the signs of trouble.
+/// One would notice it by the service's own count of bookings, which is then
+/// above the number of `request_placed` lines for keys of their own.
 ///
 /// Thread safety: none; owned by one task. Copyable, for exploration.
 class claimant
--- a/src/lists/entitlement_list.hpp
+++ b/src/lists/entitlement_list.hpp
@@ -30,7 +30,8 @@
 struct service_entry
 {
     std::string name;
-    /// Where its claims are kept; empty: anywhere in the fleet.
+    /// Where its instances stand. The lists' check reads it; claims are kept
+    /// all over the fleet, whatever it says.
     std::string home_region;
     std::vector<service_call> calls;
 
--- /dev/null
+++ b/tests/program/leaving_test.cpp
@@ -0,0 +1,58 @@
+#include "site.hpp"
+#include "stand_ins/site_lists.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+using namespace caperjunction;
+
+namespace {
+
+/// The site's upstreams, with the first engine marked as leaving.
+std::string first_engine_leaves(tests::site const& site)
+{
+    auto listed = nlohmann::json::parse(stand_ins::site_upstreams(
+        {{"engine-0", site.engines[0]->address(), {}},
+         {"engine-1", site.engines[1]->address(), {}}},
+        {{"ledger-1", site.service->address(), {}}}));
+    listed["engines"][0]["leaving"] = true;
+    return listed.dump();
+}
+
+} // namespace
+
+// The platform takes an engine away for an upgrade. What it runs must go on
+// to its end, and nothing new may reach it, or callers would be cut off when
+// it goes.
+TEST_CASE("a leaving engine finishes its work and gets no more")
+{
+    tests::site_options options;
+    options.tokens_per_second = 100.0;
+    tests::site site(options);
+    std::vector<std::shared_ptr<tests::answer>> running;
+    for (int call = 0; call < 8; ++call) {
+        running.push_back(site.chat("long", 60, true));
+    }
+    auto const& leaving = *site.engines[0];
+    REQUIRE(site.run_until([&leaving] {
+        return leaving.counters().begun > 0;
+    }));
+    site.platform->publish("upstreams", first_engine_leaves(site));
+    REQUIRE(site.run_until([&site] {
+        auto const status = nlohmann::json::parse(site.admin("/status"));
+        return status["revisions"]["upstreams"] == 2;
+    }));
+    std::uint64_t const begun = leaving.counters().begun;
+    for (int call = 0; call < 20; ++call) {
+        auto const answer = site.chat("short", 2, true);
+        REQUIRE(site.wait(answer));
+        CHECK(answer->status == 200);
+    }
+    CHECK(leaving.counters().begun == begun);
+    for (auto const& answer : running) {
+        REQUIRE(site.wait(answer));
+        CHECK(answer->body.find("data: [DONE]") != std::string::npos);
+    }
+}
