--- a/tests/program/leaving_test.cpp
+++ b/tests/program/leaving_test.cpp
@@ -31,8 +31,10 @@
     tests::site_options options;
     options.tokens_per_second = 100.0;
     tests::site site(options);
+    constexpr std::size_t streams = 8;
     std::vector<std::shared_ptr<tests::answer>> running;
-    for (int call = 0; call < 8; ++call) {
+    running.reserve(streams);
+    while (running.size() < streams) {
         running.push_back(site.chat("long", 60, true));
     }
     auto const& leaving = *site.engines[0];
