--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -1,8 +1,11 @@
 #include "program/command_line.hpp"
 
 #include "model/error.hpp"
+#include "program/flags.hpp"
+#include "program/settings_file.hpp"
 
 #include <absl/flags/commandlineflag.h>
+#include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
@@ -19,6 +22,7 @@
 constexpr char const* usage =
     "routes language-model traffic with service levels.\n\n"
     "  caperjunction serve                run one host\n"
+    "  caperjunction route                run one host for published routes\n"
     "  caperjunction check PLANS ENTITLEMENTS [HOSTS UPSTREAMS]\n"
     "                                     check the lists\n"
     "  caperjunction explain ID           show the trail of one request\n"
@@ -29,7 +33,8 @@
 
 bool is_own(absl::CommandLineFlag const& flag)
 {
-    return absl::StrContains(flag.Filename(), "program/flags.cpp");
+    return absl::StrContains(flag.Filename(), "program/flags.cpp")
+           || absl::StrContains(flag.Filename(), "program/routed_flags.cpp");
 }
 
 /// The name in `--name`, `--name=value` or `--noname`; empty for a word that
@@ -102,12 +107,31 @@
     }
 }
 
+// The file is named by the command line or the environment, and both go
+// before what it says.
+void read_settings_file(int count, char** words)
+{
+    constexpr std::string_view option = "--config=";
+    std::string path = absl::GetFlag(FLAGS_config);
+    for (int place = 1; place < count; ++place) {
+        std::string_view const word = words[place];
+        if (word.substr(0, option.size()) == option) {
+            path = word.substr(option.size());
+        }
+    }
+    if (!path.empty()) {
+        apply_settings_file(path);
+        read_environment();
+    }
+}
+
 void set_up_help()
 {
     absl::SetProgramUsageMessage(usage);
     absl::FlagsUsageConfig config;
     auto const own = [](absl::string_view file) {
-        return absl::StrContains(file, "program/flags.cpp");
+        return absl::StrContains(file, "program/flags.cpp")
+               || absl::StrContains(file, "program/routed_flags.cpp");
     };
     config.contains_helpshort_flags = own;
     config.contains_help_flags = own;
@@ -121,6 +145,7 @@
 {
     set_up_help();
     read_environment();
+    read_settings_file(count, words);
     check_names(count, words);
     std::vector<char*> const rest = absl::ParseCommandLine(count, words);
     command_line read;
--- a/src/program/commands.cpp
+++ b/src/program/commands.cpp
@@ -5,6 +5,8 @@
 #include "program/check_command.hpp"
 #include "program/flags.hpp"
 #include "program/report.hpp"
+#include "program/routed_flags.hpp"
+#include "program/routed_host.hpp"
 #include "program/serve.hpp"
 #include "runtime/event_loop.hpp"
 
@@ -98,6 +100,11 @@
     return serve(load_settings());
 }
 
+int run_route(command_line const& /*line*/)
+{
+    return serve_routes(load_routed_settings());
+}
+
 int run_version(command_line const& /*line*/)
 {
     fmt::print("caperjunction {}\n", version);
@@ -110,8 +117,9 @@
     int (*run)(command_line const&);
 };
 
-constexpr std::array<command, 5> commands{{
+constexpr std::array<command, 6> commands{{
     {"serve", run_serve},
+    {"route", run_route},
     {"check", run_check},
     {"explain", run_explain},
     {"status", run_status},
@@ -129,7 +137,7 @@
     }
     refuse(line.command.empty() ? "no command was given"
                                 : "there is no command " + line.command,
-           "use serve, check, explain, status or version; see --help");
+           "use serve, route, check, explain, status or version; see --help");
 }
 
 } // namespace caperjunction::program
--- a/src/program/flags.cpp
+++ b/src/program/flags.cpp
@@ -9,6 +9,11 @@
 
 using caperjunction::program::endpoint_flag;
 
+ABSL_FLAG(std::string,
+          config,
+          "",
+          "A file of flags, one --name=value a line; what the environment and "
+          "the command line say wins. Read anew on SIGHUP");
 ABSL_FLAG(std::string,
           host_name,
           "",
--- /dev/null
+++ b/src/program/routed_flags.cpp
@@ -0,0 +1,110 @@
+#include "program/routed_flags.hpp"
+
+#include "model/error.hpp"
+#include "program/flags.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/time/time.h>
+#include <nlohmann/json.hpp>
+
+ABSL_FLAG(std::string,
+          regions,
+          "{}",
+          "route: the region of each data centre, as a JSON object");
+ABSL_FLAG(caperjunction::program::endpoint_flag,
+          metrics_listen,
+          caperjunction::program::endpoint_flag{},
+          "route: where metrics are served beside the admin address");
+ABSL_FLAG(absl::Duration,
+          key_lifetime,
+          absl::Seconds(5),
+          "route: how long keys are accepted without word from the platform");
+ABSL_FLAG(double,
+          retry_ratio,
+          0.2,
+          "route: second sends that each request pays for, fleet-wide");
+ABSL_FLAG(double,
+          retry_extra,
+          50.0,
+          "route: second sends that the fleet may make beyond that");
+ABSL_FLAG(absl::Duration,
+          stop_limit,
+          absl::Seconds(8),
+          "route: time from the signal to stop until the process is killed");
+
+namespace caperjunction::program {
+namespace {
+
+[[noreturn]] void refuse(std::string const& message, std::string const& remedy)
+{
+    throw model::error(model::error_kind::bad_settings, message, remedy);
+}
+
+void need_text(std::string const& value, std::string const& flag)
+{
+    if (value.empty()) {
+        refuse("--" + flag + " is not set", "give it a value");
+    }
+}
+
+std::map<std::string, std::string> read_regions(std::string const& text)
+{
+    nlohmann::json const from = nlohmann::json::parse(text, nullptr, false);
+    std::map<std::string, std::string> regions;
+    if (!from.is_object()) {
+        refuse("--regions is no JSON object", "write {\"centre\":\"region\"}");
+    }
+    for (auto const& [centre, region] : from.items()) {
+        if (!region.is_string()) {
+            refuse("--regions names no region for " + centre,
+                   "write {\"centre\":\"region\"}");
+        }
+        regions.emplace(centre, region.get<std::string>());
+    }
+    return regions;
+}
+
+model::milliseconds
+within(absl::Duration value, absl::Duration least, std::string const& flag)
+{
+    if (value < least || value > absl::Hours(1)) {
+        refuse("--" + flag + " is out of range",
+               "choose a time from " + absl::FormatDuration(least) + " to 1h");
+    }
+    return absl::ToChronoMilliseconds(value);
+}
+
+} // namespace
+
+routed_settings load_routed_settings()
+{
+    routed_settings loaded;
+    loaded.host_name = absl::GetFlag(FLAGS_host_name);
+    loaded.region = absl::GetFlag(FLAGS_region);
+    loaded.data_centre = absl::GetFlag(FLAGS_data_centre);
+    need_text(loaded.host_name, "host_name");
+    need_text(loaded.region, "region");
+    need_text(loaded.data_centre, "data_centre");
+    loaded.regions = read_regions(absl::GetFlag(FLAGS_regions));
+    loaded.admin_listen = absl::GetFlag(FLAGS_admin_listen).value;
+    loaded.metrics_listen = absl::GetFlag(FLAGS_metrics_listen).value;
+    loaded.platform = absl::GetFlag(FLAGS_platform).value;
+    need_text(loaded.platform.address, "platform");
+    loaded.relay.listen = absl::GetFlag(FLAGS_listen).value;
+    // Below a second no confirmation of keys would come in time.
+    loaded.relay.key_lifetime = within(
+        absl::GetFlag(FLAGS_key_lifetime), absl::Seconds(1), "key_lifetime");
+    loaded.relay.stop_limit =
+        within(absl::GetFlag(FLAGS_stop_limit), absl::Seconds(1), "stop_limit");
+    loaded.relay.retry_ratio = absl::GetFlag(FLAGS_retry_ratio);
+    loaded.relay.retry_extra = absl::GetFlag(FLAGS_retry_extra);
+    if (!(loaded.relay.retry_ratio >= 0.0) || loaded.relay.retry_ratio > 1.0) {
+        refuse("--retry_ratio is out of range", "choose 0 to 1");
+    }
+    if (!(loaded.relay.retry_extra >= 0.0)) {
+        refuse("--retry_extra is negative", "choose 0 or more");
+    }
+    return loaded;
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/routed_host.cpp
@@ -0,0 +1,300 @@
+#include "program/routed_host.hpp"
+
+#include "model/error.hpp"
+#include "platform/platform.hpp"
+#include "program/flags.hpp"
+#include "program/routed_flags.hpp"
+#include "program/settings_file.hpp"
+#include "runtime/log_line.hpp"
+
+#include <absl/flags/flag.h>
+#include <event2/event.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <ctime>
+#include <utility>
+
+namespace caperjunction::program {
+namespace {
+
+/// Watches wait for this share of the keys' lifetime: after one that is lost
+/// there is time for a second and a third before keys are refused.
+constexpr double watch_share = 0.4;
+
+model::time_point boot_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return model::time_point(
+        std::chrono::duration_cast<model::time_point::duration>(
+            std::chrono::seconds(now.tv_sec)
+            + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+routing::upstream_directory::distance_of
+measure_from(routed_settings const& settings)
+{
+    return [settings](std::string const& centre) {
+        if (centre == settings.data_centre) {
+            return routing::distance::same_data_centre;
+        }
+        auto const region = settings.regions.find(centre);
+        return region != settings.regions.end()
+                       && region->second == settings.region
+                   ? routing::distance::same_region
+                   : routing::distance::other_region;
+    };
+}
+
+} // namespace
+
+routed_host::routed_host(routed_settings const& settings)
+    : m_settings(settings)
+    , m_log(m_loop, STDOUT_FILENO)
+    , m_names(platform::wire_names())
+    , m_codec(platform::store_codec())
+    , m_context(
+          m_loop, m_names, m_settings.relay, boot_now, measure_from(m_settings))
+    , m_relay(m_context)
+    , m_admin(m_loop, m_settings.admin_listen)
+{
+    m_context.on_ended = [this](proxy::exchange_report const& ended) {
+        log_ended(ended);
+        m_metrics.count(ended);
+    };
+    m_admin.serve(m_names.readiness_path, [this](std::string const&) {
+        return is_ready() ? net::admin_answer{200, "text/plain", "ready\n"}
+                          : net::admin_answer{503, "text/plain", "not ready\n"};
+    });
+    if (m_settings.metrics_listen.port != 0) {
+        m_metrics_server = std::make_unique<net::admin_server>(
+            m_loop, m_settings.metrics_listen);
+        m_metrics_server->serve("/metrics", [this](std::string const&) {
+            return net::admin_answer{
+                200, "text/plain; version=0.0.4", metrics_text()};
+        });
+    }
+    for (std::string const& prefix : m_codec.prefixes) {
+        proxy::store_hooks call;
+        call.on_item = [this](proxy::store_item const& item) {
+            apply(item);
+        };
+        call.on_all = [this](std::vector<std::string> const& keys) {
+            keep_only(keys);
+        };
+        call.on_confirmed = [this](model::time_point as_of) {
+            m_context.keys.confirm(as_of);
+        };
+        call.on_lost = [this](std::string_view why) {
+            runtime::log_line("store_lost")
+                .field("why", why)
+                .field("config_age_ms", m_context.keys.age(boot_now()).count());
+        };
+        call.on_regained = [this] {
+            m_context.directory.store_regained(m_loop.now());
+            runtime::log_line("store_regained")
+                .field("config_age_ms", m_context.keys.age(boot_now()).count());
+        };
+        m_readers.push_back(std::make_unique<proxy::store_reader>(
+            m_loop, m_settings.platform, m_codec, prefix, std::move(call)));
+    }
+}
+
+bool routed_host::is_ready() const
+{
+    return m_has_read && m_context.table && !m_relay.is_stopping();
+}
+
+int routed_host::run()
+{
+    runtime::log_line("started")
+        .field("host", m_settings.host_name)
+        .field("data_centre", m_settings.data_centre)
+        .field("callers_port", m_relay.port())
+        .field("key_lifetime_ms", m_settings.relay.key_lifetime.count())
+        .field("retry_ratio", m_settings.relay.retry_ratio)
+        .field("stop_limit_ms", m_settings.relay.stop_limit.count());
+    std::signal(SIGPIPE, SIG_IGN);
+    watch_signals();
+    auto const wait = std::chrono::duration_cast<model::milliseconds>(
+        m_settings.relay.key_lifetime * watch_share);
+    for (auto const& reader : m_readers) {
+        reader->start(wait, boot_now);
+    }
+    m_loop.run();
+    runtime::log_line("stopped").field("callers", m_relay.callers());
+    return 0;
+}
+
+void routed_host::watch_signals()
+{
+    event* const term = evsignal_new(
+        m_loop.base(),
+        SIGTERM,
+        [](int, short, void* self) {
+            static_cast<routed_host*>(self)->plan_stop();
+        },
+        this);
+    event_add(term, nullptr);
+    event* const hup = evsignal_new(
+        m_loop.base(),
+        SIGHUP,
+        [](int, short, void* self) {
+            static_cast<routed_host*>(self)->reload();
+        },
+        this);
+    event_add(hup, nullptr);
+}
+
+void routed_host::plan_stop()
+{
+    runtime::log_line("stopping").field("callers", m_relay.callers());
+    m_relay.plan_stop([this] {
+        m_loop.stop();
+    });
+}
+
+void routed_host::reload()
+{
+    try {
+        std::string const path = absl::GetFlag(FLAGS_config);
+        if (!path.empty()) {
+            apply_settings_file(path);
+        }
+        routed_settings const read = load_routed_settings();
+        m_context.settings.retry_ratio = read.relay.retry_ratio;
+        m_context.settings.retry_extra = read.relay.retry_extra;
+        m_context.settings.stop_limit = read.relay.stop_limit;
+        m_context.keys.lifetime(read.relay.key_lifetime);
+        runtime::log_line("reloaded")
+            .field("key_lifetime_ms", read.relay.key_lifetime.count());
+    } catch (model::error const& failure) {
+        // The settings in force stay.
+        runtime::log_line("reload_refused")
+            .field("message", failure.what())
+            .field("remedy", failure.remedy());
+    }
+}
+
+void routed_host::apply(proxy::store_item const& item)
+{
+    try {
+        proxy::store_record record = m_codec.decode(item);
+        if (auto* const read = std::get_if<routing::configuration>(&record)) {
+            apply_configuration(std::move(*read));
+        } else if (auto const* const described =
+                       std::get_if<routing::upstream>(&record)) {
+            apply_upstream(*described);
+        } else if (auto const* const broken =
+                       std::get_if<proxy::unreadable_upstream>(&record)) {
+            m_context.directory.put_unreadable(broken->id, m_loop.now());
+            runtime::log_line("upstream_unreadable")
+                .field("upstream", broken->id)
+                .field("revision", item.revision);
+        } else if (auto const* const removed =
+                       std::get_if<proxy::removed_upstream>(&record)) {
+            m_context.directory.remove(removed->id, m_loop.now());
+            runtime::log_line("upstream_removed")
+                .field("upstream", removed->id)
+                .field("revision", item.revision);
+        }
+    } catch (model::error const& failure) {
+        runtime::log_line("config_refused")
+            .field("revision", item.revision)
+            .field("message", failure.what())
+            .field("remedy", failure.remedy());
+    }
+}
+
+void routed_host::apply_configuration(routing::configuration read)
+{
+    std::uint64_t const before =
+        m_context.table ? m_context.table->lists().version : 0;
+    if (m_context.table && read.version <= before) {
+        return;
+    }
+    runtime::log_line("config_applied")
+        .field("version", read.version)
+        .field("before", before)
+        .field("routes", read.routes.size())
+        .field("teams", read.teams.size());
+    m_context.table =
+        std::make_shared<routing::route_table const>(std::move(read));
+}
+
+void routed_host::apply_upstream(routing::upstream const& described)
+{
+    auto const before = m_context.directory.find(described.id);
+    bool const is_news = !before || before->about.draining != described.draining
+                         || before->about.started != described.started
+                         || before->about.at != described.at;
+    m_context.directory.put(described);
+    if (is_news) {
+        runtime::log_line("upstream_changed")
+            .field("upstream", described.id)
+            .field("service", described.service)
+            .field("at", described.at.address)
+            .field("data_centre", described.data_centre)
+            .field("state", described.draining ? "draining" : "ready");
+    }
+}
+
+void routed_host::keep_only(std::vector<std::string> const& keys)
+{
+    std::vector<std::string> ids;
+    for (std::string const& key : keys) {
+        ids.push_back(m_codec.upstream_id(key));
+    }
+    m_context.directory.keep_only(ids, m_loop.now());
+    if (!std::exchange(m_has_read, true)) {
+        runtime::log_line("ready")
+            .field("upstreams", m_context.directory.size())
+            .field("config_version",
+                   m_context.table ? m_context.table->lists().version : 0);
+    }
+}
+
+void routed_host::log_ended(proxy::exchange_report const& ended)
+{
+    runtime::log_line line("request_ended");
+    line.field("id", ended.id)
+        .field("route", ended.route)
+        .field("service", ended.service)
+        .field("team", ended.team)
+        .field("status", ended.status)
+        .field("outcome", ended.outcome)
+        .field("reason", ended.reason)
+        .field("upstream", ended.upstream)
+        .field("sent", ended.sent)
+        .field("unreached", ended.unreached)
+        .field("candidates", ended.candidates)
+        .field("forecast_ms", ended.forecast.count())
+        .field("cold_tokens", ended.cold_tokens)
+        .field("first_byte_ms", ended.first_byte.count())
+        .field("total_ms", ended.total.count())
+        .field("events", ended.events)
+        .field("on_time", ended.on_time)
+        .field("config_version", ended.config_version)
+        .field("config_age_ms", ended.config_age.count());
+}
+
+std::string routed_host::metrics_text()
+{
+    m_metrics.set_beliefs(
+        m_context.table ? m_context.table->lists().version : 0,
+        model::seconds(m_context.keys.age(boot_now())).count(),
+        static_cast<double>(m_context.directory.size()));
+    m_metrics.set_work(static_cast<double>(m_relay.callers()),
+                       static_cast<double>(m_context.pool.opened()),
+                       static_cast<double>(m_log.dropped()));
+    return m_metrics.text();
+}
+
+int serve_routes(routed_settings const& settings)
+{
+    routed_host host(settings);
+    return host.run();
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/routed_host.hpp
@@ -0,0 +1,63 @@
+#ifndef CAPERJUNCTION_PROGRAM_ROUTED_HOST_HPP
+#define CAPERJUNCTION_PROGRAM_ROUTED_HOST_HPP
+
+#include "net/admin_server.hpp"
+#include "program/routed_metrics.hpp"
+#include "program/routed_settings.hpp"
+#include "proxy/relay.hpp"
+#include "proxy/relay_context.hpp"
+#include "proxy/store_reader.hpp"
+#include "runtime/event_loop.hpp"
+#include "runtime/log_output.hpp"
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace caperjunction::program {
+
+/// One process that serves published routes: one loop on one thread owns the
+/// callers, the upstreams, the store's reader and all beliefs.
+///
+/// Thread safety: none.
+class routed_host
+{
+public:
+    /// \throws model::error (bad_settings) if an address is not to be had.
+    explicit routed_host(routed_settings const& settings);
+
+    /// Runs until a planned stop is over.
+    int run();
+
+private:
+    void apply(proxy::store_item const& item);
+    void apply_configuration(routing::configuration read);
+    void apply_upstream(routing::upstream const& described);
+    void keep_only(std::vector<std::string> const& keys);
+    void log_ended(proxy::exchange_report const& ended);
+    void plan_stop();
+    void reload();
+    bool is_ready() const;
+    std::string metrics_text();
+    void watch_signals();
+
+    routed_settings m_settings;
+    runtime::event_loop m_loop;
+    runtime::log_output m_log;
+    proxy::wire_names m_names;
+    proxy::store_codec m_codec;
+    proxy::relay_context m_context;
+    routed_metrics m_metrics;
+    proxy::relay m_relay;
+    net::admin_server m_admin;
+    std::unique_ptr<net::admin_server> m_metrics_server;
+    std::vector<std::unique_ptr<proxy::store_reader>> m_readers;
+    bool m_has_read = false;
+};
+
+/// Runs a host until it is stopped; gives the process's exit status.
+int serve_routes(routed_settings const& settings);
+
+} // namespace caperjunction::program
+
+#endif
--- /dev/null
+++ b/src/program/routed_metrics.cpp
@@ -0,0 +1,90 @@
+#include "program/routed_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace caperjunction::program {
+namespace {
+
+// Seconds; around the latency targets and deadlines of usual routes.
+prometheus::Histogram::BucketBoundaries const& seconds_buckets()
+{
+    static prometheus::Histogram::BucketBoundaries const s_buckets{
+        0.01, 0.03, 0.06, 0.12, 0.25, 0.4, 0.6, 1.0, 1.5, 3.0, 6.0, 15.0};
+    return s_buckets;
+}
+
+} // namespace
+
+routed_metrics::routed_metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_requests(prometheus::BuildCounter()
+                     .Name("caperjunction_routed_requests_total")
+                     .Help("Requests that ended, by service, outcome, reason")
+                     .Register(*m_registry))
+    , m_sends(prometheus::BuildCounter()
+                  .Name("caperjunction_routed_sends_total")
+                  .Help("Sends to upstreams, first ones and second ones")
+                  .Register(*m_registry))
+    , m_first_byte(prometheus::BuildHistogram()
+                       .Name("caperjunction_routed_first_byte_seconds")
+                       .Help("From arrival to the first byte, by service")
+                       .Register(*m_registry))
+    , m_total(prometheus::BuildHistogram()
+                  .Name("caperjunction_routed_request_seconds")
+                  .Help("From arrival to the end, by service and outcome")
+                  .Register(*m_registry))
+    , m_gauges(prometheus::BuildGauge()
+                   .Name("caperjunction_routed_state")
+                   .Help("What this host believes and does, by part")
+                   .Register(*m_registry))
+{
+}
+
+void routed_metrics::count(proxy::exchange_report const& ended)
+{
+    std::string const service(ended.service);
+    m_requests
+        .Add({{"service", service},
+              {"outcome", std::string(ended.outcome)},
+              {"reason", std::string(ended.reason)}})
+        .Increment();
+    if (ended.sent > 0) {
+        m_sends.Add({{"service", service}, {"send", "first"}}).Increment();
+        m_sends.Add({{"service", service}, {"send", "second"}})
+            .Increment(ended.sent - 1);
+    }
+    if (ended.first_byte.count() >= 0) {
+        m_first_byte.Add({{"service", service}}, seconds_buckets())
+            .Observe(model::seconds(ended.first_byte).count());
+    }
+    m_total
+        .Add({{"service", service}, {"outcome", std::string(ended.outcome)}},
+             seconds_buckets())
+        .Observe(model::seconds(ended.total).count());
+}
+
+void routed_metrics::set_beliefs(std::uint64_t config_version,
+                                 double config_age_s,
+                                 double upstreams)
+{
+    m_gauges.Add({{"part", "config_version"}})
+        .Set(static_cast<double>(config_version));
+    m_gauges.Add({{"part", "config_age_seconds"}}).Set(config_age_s);
+    m_gauges.Add({{"part", "upstreams"}}).Set(upstreams);
+}
+
+void routed_metrics::set_work(double callers,
+                              double connections,
+                              double dropped_lines)
+{
+    m_gauges.Add({{"part", "callers"}}).Set(callers);
+    m_gauges.Add({{"part", "upstream_connections_opened"}}).Set(connections);
+    m_gauges.Add({{"part", "log_lines_dropped"}}).Set(dropped_lines);
+}
+
+std::string routed_metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/routed_metrics.hpp
@@ -0,0 +1,47 @@
+#ifndef CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
+#define CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
+
+#include "proxy/exchange_report.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace caperjunction::program {
+
+/// The metrics of a host that serves published routes. Labels take their
+/// values from the configuration or from a fixed set.
+///
+/// Thread safety: all methods may be called by any thread.
+class routed_metrics
+{
+public:
+    routed_metrics();
+
+    void count(proxy::exchange_report const& ended);
+    void set_beliefs(std::uint64_t config_version,
+                     double config_age_s,
+                     double upstreams);
+    void set_work(double callers, double connections, double dropped_lines);
+
+    /// In the text format that Prometheus reads.
+    std::string text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Counter>& m_sends;
+    prometheus::Family<prometheus::Histogram>& m_first_byte;
+    prometheus::Family<prometheus::Histogram>& m_total;
+    prometheus::Family<prometheus::Gauge>& m_gauges;
+};
+
+} // namespace caperjunction::program
+
+#endif
--- /dev/null
+++ b/src/proxy/answer_port.hpp
@@ -0,0 +1,25 @@
+#ifndef CAPERJUNCTION_PROXY_ANSWER_PORT_HPP
+#define CAPERJUNCTION_PROXY_ANSWER_PORT_HPP
+
+#include <cstddef>
+#include <functional>
+#include <string_view>
+
+namespace caperjunction::proxy {
+
+/// The way back to a caller, for one request.
+struct answer_port
+{
+    std::function<void(std::string_view)> write;
+    /// The answer is whole, or (false) will never be: the connection is cut,
+    /// so that it can't be taken for whole.
+    std::function<void(bool whole)> end;
+    /// Whether the connection can serve another request afterwards.
+    std::function<bool()> keeps_alive;
+    /// Bytes that the caller has not taken yet.
+    std::function<std::size_t()> unsent;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/caller.cpp
@@ -0,0 +1,262 @@
+#include "proxy/caller.hpp"
+
+#include "proxy/message_text.hpp"
+
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Bytes of a next request that are held while one is served.
+constexpr std::size_t most_pending = 65'536;
+
+} // namespace
+
+caller::caller(relay_context& context,
+               std::function<void(caller const*)> on_closed)
+    : m_context(context)
+    , m_on_closed(std::move(on_closed))
+    , m_reader(HTTP_REQUEST,
+               {[this](message_head&& head) {
+                    take_head(std::move(head));
+                },
+                [this](std::string_view bytes) {
+                    take_body(bytes);
+                },
+                [this] {
+                    begin_exchange();
+                }})
+{
+}
+
+routing::caller_limits const& caller::limits() const
+{
+    static routing::caller_limits const s_defaults;
+    return m_context.table ? m_context.table->lists().limits : s_defaults;
+}
+
+void caller::serve(int socket)
+{
+    m_since = m_context.loop.now();
+    // The hooks keep this caller alive until its connection is over.
+    auto const self = shared_from_this();
+    m_stream = stream::adopt(m_context.loop,
+                             socket,
+                             {nullptr,
+                              [self](std::string_view bytes) {
+                                  self->take(bytes);
+                              },
+                              [self](stream_end) {
+                                  self->connection_ended();
+                              },
+                              [self] {
+                                  if (self->m_exchange) {
+                                      self->m_exchange->drained();
+                                  }
+                              }});
+}
+
+void caller::take(std::string_view bytes)
+{
+    auto const keep = shared_from_this();
+    if (m_closing) {
+        return;
+    }
+    if (m_exchange) {
+        m_pending.append(bytes);
+        if (m_pending.size() > most_pending) {
+            m_stream->read(false);
+        }
+        return;
+    }
+    feed(bytes);
+}
+
+void caller::feed(std::string_view bytes)
+{
+    m_reader.longest_head_bytes(limits().header_bytes);
+    if (m_reader.is_between()) {
+        m_since = m_context.loop.now();
+    }
+    while (!bytes.empty() && !m_exchange && !m_closing) {
+        bytes.remove_prefix(m_reader.feed(bytes));
+        if (m_closing) {
+            return;
+        }
+        if (m_reader.fault() == read_fault::head_too_long) {
+            reject(routing::refusal_reason::head_too_long);
+            return;
+        }
+        if (m_reader.fault() == read_fault::malformed) {
+            reject(routing::refusal_reason::malformed);
+            return;
+        }
+    }
+    m_pending.append(bytes);
+}
+
+void caller::take_head(message_head&& head)
+{
+    m_head = std::move(head);
+    m_body.clear();
+    m_has_head = true;
+    if (m_head.length.value_or(0) > limits().body_bytes) {
+        reject(routing::refusal_reason::body_too_long);
+        return;
+    }
+    std::string const* const expected = m_head.find("Expect");
+    if (expected != nullptr && is_same_name(*expected, "100-continue")) {
+        m_stream->write(go_on);
+    }
+}
+
+void caller::take_body(std::string_view bytes)
+{
+    if (m_closing) {
+        return;
+    }
+    m_body.append(bytes);
+    if (m_body.size() > limits().body_bytes) {
+        reject(routing::refusal_reason::body_too_long);
+    }
+}
+
+bool caller::keeps_alive() const
+{
+    return m_head.keep_alive && m_head.minor_version > 0
+           && !m_context.refuses_new && !m_context.is_stopping;
+}
+
+void caller::begin_exchange()
+{
+    m_has_head = false;
+    if (m_closing) {
+        return;
+    }
+    std::weak_ptr<caller> const weak = weak_from_this();
+    answer_port port;
+    port.write = [weak](std::string_view bytes) {
+        if (auto const own = weak.lock()) {
+            own->m_stream->write(bytes);
+        }
+    };
+    port.end = [weak](bool whole) {
+        if (auto const own = weak.lock()) {
+            own->end_exchange(whole);
+        }
+    };
+    port.keeps_alive = [weak] {
+        auto const own = weak.lock();
+        return own && own->keeps_alive();
+    };
+    port.unsent = [weak] {
+        auto const own = weak.lock();
+        return own ? own->m_stream->unsent() : 0;
+    };
+    m_exchange = std::make_shared<exchange>(m_context,
+                                            m_head,
+                                            std::move(m_body),
+                                            std::move(port),
+                                            m_context.boot_now());
+    m_body = {};
+    auto const begun = m_exchange;
+    begun->start();
+}
+
+void caller::end_exchange(bool whole)
+{
+    auto const keep = shared_from_this();
+    m_exchange.reset();
+    m_since = m_context.loop.now();
+    if (!whole) {
+        m_closing = true;
+        m_stream->close();
+        m_on_closed(this);
+        return;
+    }
+    if (!keeps_alive()) {
+        m_closing = true;
+        m_stream->finish();
+        m_on_closed(this);
+        return;
+    }
+    m_stream->read(true);
+    if (!m_pending.empty()) {
+        // Not from here: the answer's last hook is still running.
+        std::weak_ptr<caller> const weak = weak_from_this();
+        m_context.loop.defer([weak] {
+            auto const own = weak.lock();
+            if (own && !own->m_exchange && !own->m_closing) {
+                own->feed(std::exchange(own->m_pending, {}));
+            }
+        });
+    }
+}
+
+void caller::reject(routing::refusal_reason reason)
+{
+    auto const keep = shared_from_this();
+    m_closing = true;
+    routing::refusal const refused = routing::refuse(reason, false);
+    std::string const* const id = m_head.find(m_context.names.request_id);
+    m_stream->write(refusal_text(refused,
+                                 m_has_head && id != nullptr ? *id : "",
+                                 m_context.names,
+                                 false,
+                                 false));
+    exchange_report report;
+    report.outcome = "refused";
+    report.reason = routing::to_string(reason);
+    report.status = refused.status;
+    if (m_context.on_ended) {
+        m_context.on_ended(report);
+    }
+    m_stream->finish();
+    m_on_closed(this);
+}
+
+void caller::connection_ended()
+{
+    auto const keep = shared_from_this();
+    if (auto const begun = std::exchange(m_exchange, nullptr)) {
+        begun->cancel();
+    }
+    if (!m_closing) {
+        m_closing = true;
+        m_on_closed(this);
+    }
+}
+
+void caller::check_times()
+{
+    if (m_exchange || m_closing) {
+        return;
+    }
+    auto const waited = m_context.loop.now() - m_since;
+    if (m_reader.is_between()) {
+        if (waited > limits().idle_timeout) {
+            close_if_idle();
+        }
+        return;
+    }
+    auto const most =
+        m_has_head ? limits().idle_timeout : limits().header_timeout;
+    if (waited > most) {
+        reject(routing::refusal_reason::caller_too_slow);
+    }
+}
+
+void caller::close_if_idle()
+{
+    if (is_busy() || m_closing) {
+        return;
+    }
+    auto const keep = shared_from_this();
+    m_closing = true;
+    m_stream->finish();
+    m_on_closed(this);
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/caller.hpp
@@ -0,0 +1,75 @@
+#ifndef CAPERJUNCTION_PROXY_CALLER_HPP
+#define CAPERJUNCTION_PROXY_CALLER_HPP
+
+#include "model/time.hpp"
+#include "proxy/exchange.hpp"
+#include "proxy/http_reader.hpp"
+#include "proxy/relay_context.hpp"
+#include "proxy/stream.hpp"
+#include "routing/refusal.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace caperjunction::proxy {
+
+/// A caller's connection: reads requests and serves them one by one.
+///
+/// Thread safety: none; owned by the loop's task.
+class caller : public std::enable_shared_from_this<caller>
+{
+public:
+    /// `on_closed` is called once, when the connection is over.
+    caller(relay_context& context,
+           std::function<void(caller const*)> on_closed);
+    caller(caller const&) = delete;
+    caller& operator=(caller const&) = delete;
+
+    /// Takes over an accepted socket. \pre Called once.
+    void serve(int socket);
+
+    /// Ends what has been slow or idle for too long.
+    void check_times();
+
+    /// Closes the connection if no request is on its way.
+    void close_if_idle();
+
+    /// A request is being read or served.
+    bool is_busy() const
+    {
+        return m_exchange != nullptr || !m_reader.is_between();
+    }
+
+private:
+    void take(std::string_view bytes);
+    void feed(std::string_view bytes);
+    void take_head(message_head&& head);
+    void take_body(std::string_view bytes);
+    void begin_exchange();
+    void end_exchange(bool whole);
+    void reject(routing::refusal_reason reason);
+    void connection_ended();
+    bool keeps_alive() const;
+    routing::caller_limits const& limits() const;
+
+    relay_context& m_context;
+    std::function<void(caller const*)> m_on_closed;
+    std::shared_ptr<stream> m_stream;
+    http_reader m_reader;
+    message_head m_head;
+    std::string m_body;
+    /// Bytes that came while a request was being served.
+    std::string m_pending;
+    std::shared_ptr<exchange> m_exchange;
+    bool m_has_head = false;
+    bool m_closing = false;
+    /// When the present request's first byte, or the last answer's last,
+    /// went by.
+    model::time_point m_since{};
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,170 @@
+#include "proxy/exchange.hpp"
+
+#include "proxy/message_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Kept for the answer's way back, so that it arrives before the caller
+/// gives up.
+constexpr model::milliseconds way_back{20};
+
+/// Rank where neither team nor route says one; engines take it for usual.
+constexpr std::uint32_t lowest_rank = 9;
+
+model::milliseconds since(model::time_point from, model::time_point now)
+{
+    return std::chrono::duration_cast<model::milliseconds>(now - from);
+}
+
+} // namespace
+
+exchange::exchange(relay_context& context,
+                   message_head head,
+                   std::string body,
+                   answer_port port,
+                   model::time_point arrived_boot)
+    : m_context(context)
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+    , m_port(std::move(port))
+    , m_facts(read_facts(m_head, context.names))
+    , m_arrived(context.loop.now())
+    , m_arrived_boot(arrived_boot)
+{
+}
+
+exchange::~exchange()
+{
+    m_context.loop.cancel(m_deadline_timer);
+    m_context.loop.cancel(m_silence_timer);
+}
+
+void exchange::start()
+{
+    m_table = m_context.table;
+    if (m_facts.id.empty()) {
+        refuse(step::malformed);
+        return;
+    }
+    auto const admitted = routing::admit(
+        m_table.get(),
+        m_context.keys,
+        {m_facts.authority, m_facts.path, m_facts.key, m_arrived_boot});
+    m_route = admitted.route;
+    if (admitted.refused) {
+        refuse(*admitted.refused);
+        return;
+    }
+    if (m_context.refuses_new) {
+        refuse(step::stopping);
+        return;
+    }
+    m_rank = m_route->rank;
+    if (admitted.team != nullptr) {
+        m_team = admitted.team->name;
+        m_rank = admitted.team->rank.value_or(m_rank);
+    }
+    m_rank = std::min(m_rank, lowest_rank);
+    m_service = routing::route_table::pick_service(
+        *m_route, std::hash<std::string>{}(m_facts.id));
+    auto const& routes = m_table->lists().routes;
+    m_is_most_urgent = std::none_of(
+        routes.begin(), routes.end(), [&](routing::route const& other) {
+            return other.by_prompt && other.rank < m_route->rank;
+        });
+    m_context.allowance(m_service).record_request();
+    auto const patience =
+        std::min(m_facts.deadline.value_or(m_route->timeout), m_route->timeout);
+    m_give_up = m_arrived + std::max(patience - way_back, way_back);
+    auto const weak = weak_from_this();
+    m_deadline_timer =
+        m_context.loop.after(since(m_context.loop.now(), m_give_up), [weak] {
+            if (auto const own = weak.lock()) {
+                own->time_out();
+            }
+        });
+    place();
+}
+
+void exchange::time_out()
+{
+    if (m_ended) {
+        return;
+    }
+    drop_connection();
+    if (m_began) {
+        end("cut", false);
+        return;
+    }
+    refuse(step::timed_out);
+}
+
+void exchange::cancel()
+{
+    if (m_ended) {
+        return;
+    }
+    drop_connection();
+    m_port.end = [](bool) {};
+    end("left", false);
+}
+
+void exchange::drained()
+{
+    if (m_connection) {
+        m_connection->read(true);
+    }
+}
+
+void exchange::refuse(routing::refusal_reason reason)
+{
+    drop_connection();
+    routing::refusal const refused = routing::refuse(reason, may_have_run());
+    m_report.status = refused.status;
+    m_report.reason = routing::to_string(refused.reason);
+    m_port.write(refusal_text(refused,
+                              m_facts.id,
+                              m_context.names,
+                              m_port.keeps_alive(),
+                              is_head_request()));
+    end(may_have_run() ? "failed" : "refused", true);
+}
+
+void exchange::end(std::string_view outcome, bool whole)
+{
+    if (m_ended) {
+        return;
+    }
+    auto const keep = shared_from_this();
+    m_ended = true;
+    m_context.loop.cancel(m_deadline_timer);
+    m_context.loop.cancel(m_silence_timer);
+    m_report.id = m_facts.id;
+    m_report.route = m_route == nullptr ? "" : std::string_view(m_route->name);
+    m_report.service = m_service;
+    m_report.team = m_team;
+    m_report.upstream =
+        m_tried.empty() ? std::string_view() : std::string_view(m_tried.back());
+    m_report.outcome = outcome;
+    m_report.sent = m_state.sent;
+    m_report.unreached = m_state.unreached;
+    m_report.forecast = m_pick.forecast;
+    m_report.cold_tokens = m_pick.cold_tokens;
+    m_report.candidates = m_pick.candidates;
+    m_report.total = since(m_arrived, m_context.loop.now());
+    m_report.events = m_events;
+    m_report.config_version = m_table ? m_table->lists().version : 0;
+    m_report.config_age = m_context.keys.age(m_context.boot_now());
+    m_report.on_time = outcome == "served" && m_route != nullptr
+                       && m_report.first_byte <= m_route->latency_target;
+    if (m_context.on_ended) {
+        m_context.on_ended(m_report);
+    }
+    m_port.end(whole);
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/exchange.hpp
@@ -0,0 +1,132 @@
+#ifndef CAPERJUNCTION_PROXY_EXCHANGE_HPP
+#define CAPERJUNCTION_PROXY_EXCHANGE_HPP
+
+#include "proxy/answer_port.hpp"
+#include "proxy/event_cutter.hpp"
+#include "proxy/exchange_report.hpp"
+#include "proxy/message_head.hpp"
+#include "proxy/relay_context.hpp"
+#include "proxy/request_facts.hpp"
+#include "proxy/upstream_connection.hpp"
+#include "routing/admission.hpp"
+#include "routing/pick.hpp"
+#include "routing/retry_rule.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperjunction::proxy {
+
+/// One request on its way: admitted, placed, sent, perhaps sent again, and
+/// its answer passed on.
+///
+/// Thread safety: none; owned by the loop's task.
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    /// `arrived_boot` is read from the clock of `context.boot_now` after the
+    /// request's last byte.
+    exchange(relay_context& context,
+             message_head head,
+             std::string body,
+             answer_port port,
+             model::time_point arrived_boot);
+    ~exchange();
+    exchange(exchange const&) = delete;
+    exchange& operator=(exchange const&) = delete;
+
+    /// Decides and sends. The port may be called before it returns.
+    void start();
+
+    /// The caller has left: its work is ended at the upstream too, at once.
+    void cancel();
+
+    /// The caller has taken what was written.
+    void drained();
+
+private:
+    using step = routing::refusal_reason;
+
+    // exchange_send.cpp
+    void place();
+    bool is_still_allowed();
+    routing::pick choose();
+    void send_to(routing::pick const& chosen);
+    void arm_silence_timer(routing::pick const& chosen);
+    void try_ended(routing::try_end how);
+    bool takes_retry(routing::try_end how);
+    void drop_connection();
+    model::milliseconds time_left() const;
+    std::uint32_t rank() const;
+
+    // exchange_answer.cpp
+    void take_head(message_head&& head);
+    bool is_for_us(message_head const& head);
+    void take_body(std::string_view bytes);
+    void take_end();
+    void take_fault(answer_fault why);
+    void begin_stream();
+    void pass_on(std::string_view bytes);
+    void deliver_whole();
+    void note_first_byte();
+
+    void time_out();
+    void refuse(routing::refusal_reason reason);
+    void end(std::string_view outcome, bool whole);
+
+    bool may_have_run() const
+    {
+        return m_may_have_run;
+    }
+
+    bool is_head_request() const
+    {
+        return m_head.method == "HEAD";
+    }
+
+    relay_context& m_context;
+    message_head m_head;
+    std::string m_body;
+    answer_port m_port;
+    request_facts m_facts;
+    std::shared_ptr<routing::route_table const> m_table;
+    routing::route const* m_route = nullptr;
+    std::string m_team;
+    std::string m_service;
+    std::uint32_t m_rank = 0;
+    bool m_is_most_urgent = false;
+
+    model::time_point m_arrived;
+    model::time_point m_arrived_boot;
+    model::time_point m_give_up{};
+    runtime::timer_handle m_deadline_timer;
+    runtime::timer_handle m_silence_timer;
+
+    // The present try.
+    routing::upstream_ptr m_upstream;
+    std::shared_ptr<upstream_connection> m_connection;
+    routing::pick m_pick;
+    model::time_point m_sent_at{};
+    std::uint64_t m_unread_tokens = 0;
+    bool m_counted = false;
+    message_head m_answer;
+    std::string m_answer_body;
+    event_cutter m_cutter;
+    bool m_is_stream = false;
+
+    // All tries.
+    routing::try_state m_state;
+    std::vector<std::string> m_tried;
+    bool m_may_have_run = false;
+    bool m_began = false;
+    bool m_keep_alive = true;
+    std::string m_last_event_id;
+    std::uint64_t m_events = 0;
+    bool m_ended = false;
+    exchange_report m_report;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/exchange_report.hpp
@@ -0,0 +1,47 @@
+#ifndef CAPERJUNCTION_PROXY_EXCHANGE_REPORT_HPP
+#define CAPERJUNCTION_PROXY_EXCHANGE_REPORT_HPP
+
+#include "model/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace caperjunction::proxy {
+
+/// How one request ended, for the log and the metrics.
+struct exchange_report
+{
+    std::string_view id;
+    std::string_view route;
+    std::string_view service;
+    std::string_view team;
+    /// The upstream of the last try.
+    std::string_view upstream;
+    /// What the caller was told; 0: nothing.
+    int status = 0;
+    /// served, refused, failed, cut (the answer broke off) or left (the
+    /// caller did).
+    std::string_view outcome;
+    /// The refusal's reason, if there is one.
+    std::string_view reason;
+    /// Upstreams that were handed it.
+    std::uint32_t sent = 0;
+    std::uint32_t unreached = 0;
+    /// Of the last pick.
+    model::milliseconds forecast{0};
+    std::uint32_t cold_tokens = 0;
+    std::size_t candidates = 0;
+    /// From arrival; negative: it didn't come to that.
+    model::milliseconds first_byte{-1};
+    model::milliseconds total{0};
+    std::uint64_t events = 0;
+    std::uint64_t config_version = 0;
+    /// How long ago the store confirmed it.
+    model::milliseconds config_age{0};
+    bool on_time = false;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/exchange_send.cpp
@@ -0,0 +1,197 @@
+#include "proxy/exchange.hpp"
+
+#include "proxy/message_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+using routing::try_end;
+
+/// A try of a plain request that has been silent for this many latency
+/// targets is tried elsewhere: it is late already, and an upstream that
+/// swallows requests would hold it until the caller gives up.
+constexpr int targets_of_silence = 1;
+/// Streams wait for a place among others; only a multiple of the target
+/// tells silence from a queue.
+constexpr int targets_of_stream_silence = 2;
+
+} // namespace
+
+model::milliseconds exchange::time_left() const
+{
+    return std::chrono::duration_cast<model::milliseconds>(
+        m_give_up - m_context.loop.now());
+}
+
+// A request may have waited or been tried while a key was taken away, or the
+// host was suspended since it looked last.
+bool exchange::is_still_allowed()
+{
+    auto const admitted = routing::admit(
+        m_context.table.get(),
+        m_context.keys,
+        {m_facts.authority, m_facts.path, m_facts.key, m_context.boot_now()});
+    return !admitted.refused
+           || *admitted.refused == routing::refusal_reason::no_route;
+}
+
+routing::pick exchange::choose()
+{
+    routing::pick_request request;
+    request.route = m_route;
+    request.prompt = &m_facts.prompt;
+    request.service = m_service;
+    request.body_bytes = m_body.size();
+    request.tried = &m_tried;
+    request.rank = m_rank;
+    request.is_most_urgent = m_is_most_urgent;
+    routing::pick chosen =
+        m_context.picker.choose(request, m_context.loop.now());
+    if (chosen.to) {
+        m_context.picker.record_sent(request, *chosen.to, m_context.loop.now());
+    }
+    return chosen;
+}
+
+void exchange::place()
+{
+    m_pick = choose();
+    if (!m_pick.to) {
+        refuse(may_have_run() ? step::upstream_failed : step::no_upstream);
+        return;
+    }
+    if (m_pick.forecast > time_left() && !may_have_run()) {
+        refuse(step::too_late);
+        return;
+    }
+    send_to(m_pick);
+}
+
+void exchange::send_to(routing::pick const& chosen)
+{
+    m_upstream = chosen.to;
+    m_tried.push_back(m_upstream->about.id);
+    m_connection = m_context.pool.take(m_upstream);
+    m_sent_at = m_context.loop.now();
+    m_unread_tokens = m_facts.prompt.tokens
+                      - std::min(m_facts.prompt.tokens,
+                                 m_facts.prompt.shared_tokens()
+                                     - std::min(m_facts.prompt.shared_tokens(),
+                                                chosen.cold_tokens));
+    m_upstream->own.running += 1;
+    m_upstream->own.unread_tokens += m_unread_tokens;
+    m_counted = true;
+    m_answer = {};
+    m_answer_body.clear();
+    m_cutter = {};
+    m_is_stream = false;
+
+    upstream_request added;
+    added.instance = m_upstream->about.id;
+    added.team = m_team;
+    added.time_left = std::max(time_left(), model::milliseconds{1});
+    added.rank = m_rank;
+    added.last_event_id = m_last_event_id;
+    std::string const text =
+        request_text(m_head, m_body, m_context.names, added);
+    arm_silence_timer(chosen);
+    // The hooks hold the exchange for as long as the connection may call.
+    auto const self = shared_from_this();
+    m_connection->send(text,
+                       is_head_request(),
+                       m_context.settings.connect_timeout,
+                       {[self](message_head&& head) {
+                            self->take_head(std::move(head));
+                        },
+                        [self](std::string_view bytes) {
+                            self->take_body(bytes);
+                        },
+                        [self] {
+                            self->take_end();
+                        },
+                        [self](answer_fault why) {
+                            self->take_fault(why);
+                        }});
+}
+
+void exchange::arm_silence_timer(routing::pick const& chosen)
+{
+    m_context.loop.cancel(m_silence_timer);
+    if (!m_route->repeatable() || m_state.sent + 1 >= m_route->max_attempts) {
+        return;
+    }
+    int const targets = m_route->kind == routing::request_kind::stream
+                            ? targets_of_stream_silence
+                            : targets_of_silence;
+    auto const wait =
+        std::max(m_route->latency_target * targets, chosen.forecast * 2);
+    auto const weak = weak_from_this();
+    m_silence_timer = m_context.loop.after(wait, [weak] {
+        auto const own = weak.lock();
+        if (!own || own->m_ended || own->m_report.first_byte.count() >= 0) {
+            return;
+        }
+        bool const has_budget =
+            own->m_context.allowance(own->m_service).left() >= 1.0;
+        if (has_budget) {
+            own->m_upstream->health.record_failure(own->m_context.loop.now());
+            own->try_ended(try_end::silent);
+        }
+    });
+}
+
+void exchange::drop_connection()
+{
+    m_context.loop.cancel(m_silence_timer);
+    if (m_counted) {
+        m_counted = false;
+        m_upstream->own.running -= 1;
+        m_upstream->own.unread_tokens -= m_unread_tokens;
+        m_unread_tokens = 0;
+    }
+    if (auto const connection = std::exchange(m_connection, nullptr)) {
+        if (connection->has_sent()) {
+            m_may_have_run = true;
+        }
+        connection->close();
+    }
+}
+
+bool exchange::takes_retry(try_end how)
+{
+    if (!routing::may_try_again(*m_route, how, m_state)) {
+        return false;
+    }
+    // An upstream that got nothing is no second send.
+    return m_state.sent == 0 || m_context.allowance(m_service).try_take();
+}
+
+void exchange::try_ended(try_end how)
+{
+    bool const had_run = m_may_have_run;
+    if (how == try_end::unreachable) {
+        ++m_state.unreached;
+    } else {
+        ++m_state.sent;
+    }
+    drop_connection();
+    if (how == try_end::unreachable || how == try_end::not_run) {
+        m_may_have_run = had_run;
+    }
+    m_state.has_begun = m_began;
+    if (takes_retry(how) && is_still_allowed()) {
+        place();
+        return;
+    }
+    if (m_began) {
+        end("cut", false);
+        return;
+    }
+    refuse(how == try_end::not_run ? step::upstream_full
+                                   : step::upstream_failed);
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/http_reader.cpp
@@ -0,0 +1,166 @@
+#include "proxy/http_reader.hpp"
+
+#include <limits>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+constexpr int first_final_status = 200;
+constexpr int stop_reading = -1;
+
+bool is_clean(std::string const& value)
+{
+    return value.find_first_of(std::string_view("\r\n\0", 3))
+           == std::string::npos;
+}
+
+} // namespace
+
+http_reader::http_reader(http_parser_type side, hooks call)
+    : m_call(std::move(call))
+{
+    http_parser_init(&m_parser, side);
+    m_parser.data = this;
+}
+
+bool http_reader::grow_head(std::size_t bytes)
+{
+    m_head_bytes += bytes;
+    if (m_head_bytes > m_longest_head) {
+        m_fault = read_fault::head_too_long;
+        return false;
+    }
+    return true;
+}
+
+int http_reader::end_head(http_parser* parser)
+{
+    for (header_line const& line : m_head.headers) {
+        if (!is_clean(line.value)) {
+            m_fault = read_fault::malformed;
+            return stop_reading;
+        }
+    }
+    m_head.minor_version = parser->http_minor;
+    m_head.status = static_cast<int>(parser->status_code);
+    m_head.chunked = (parser->flags & F_CHUNKED) != 0;
+    m_head.keep_alive = http_should_keep_alive(parser) != 0;
+    if (parser->content_length != std::numeric_limits<std::uint64_t>::max()
+        && !m_head.chunked) {
+        m_head.length = parser->content_length;
+    }
+    if (parser->type == HTTP_REQUEST) {
+        m_head.method =
+            http_method_str(static_cast<http_method>(parser->method));
+    }
+    m_interim =
+        parser->type == HTTP_RESPONSE && m_head.status < first_final_status;
+    bool const no_body = m_no_body || m_interim;
+    if (m_interim) {
+        m_head = {};
+        m_head_bytes = 0;
+    } else {
+        m_call.on_head(std::exchange(m_head, {}));
+    }
+    return no_body ? 1 : 0;
+}
+
+http_parser_settings const& http_reader::callbacks()
+{
+    static http_parser_settings const s_settings = [] {
+        http_parser_settings set;
+        http_parser_settings_init(&set);
+        set.on_message_begin = [](http_parser* parser) {
+            http_reader& own = self(parser);
+            own.m_head = {};
+            own.m_head_bytes = 0;
+            own.m_last_was_value = false;
+            own.m_between = false;
+            return 0;
+        };
+        set.on_url = [](http_parser* parser, char const* at, std::size_t size) {
+            self(parser).m_head.target.append(at, size);
+            return self(parser).grow_head(size) ? 0 : stop_reading;
+        };
+        set.on_status =
+            [](http_parser* parser, char const* at, std::size_t size) {
+                self(parser).m_head.reason.append(at, size);
+                return self(parser).grow_head(size) ? 0 : stop_reading;
+            };
+        set.on_header_field =
+            [](http_parser* parser, char const* at, std::size_t size) {
+                http_reader& own = self(parser);
+                if (own.m_head.headers.empty() || own.m_last_was_value) {
+                    own.m_head.headers.emplace_back();
+                    own.m_last_was_value = false;
+                }
+                own.m_head.headers.back().name.append(at, size);
+                return own.grow_head(size) ? 0 : stop_reading;
+            };
+        set.on_header_value =
+            [](http_parser* parser, char const* at, std::size_t size) {
+                http_reader& own = self(parser);
+                own.m_last_was_value = true;
+                if (!own.m_head.headers.empty()) {
+                    own.m_head.headers.back().value.append(at, size);
+                }
+                return own.grow_head(size) ? 0 : stop_reading;
+            };
+        set.on_headers_complete = [](http_parser* parser) {
+            return self(parser).end_head(parser);
+        };
+        set.on_body =
+            [](http_parser* parser, char const* at, std::size_t size) {
+                self(parser).m_call.on_body(std::string_view(at, size));
+                return 0;
+            };
+        set.on_message_complete = [](http_parser* parser) {
+            http_reader& own = self(parser);
+            if (!own.m_interim) {
+                own.m_between = true;
+                http_parser_pause(parser, 1);
+            }
+            return 0;
+        };
+        return set;
+    }();
+    return s_settings;
+}
+
+std::size_t http_reader::feed(std::string_view bytes)
+{
+    if (m_fault != read_fault::none) {
+        return 0;
+    }
+    std::size_t const taken = http_parser_execute(
+        &m_parser, &callbacks(), bytes.data(), bytes.size());
+    http_errno const code = HTTP_PARSER_ERRNO(&m_parser);
+    if (code == HPE_PAUSED) {
+        http_parser_pause(&m_parser, 0);
+        m_call.on_end();
+        return taken;
+    }
+    if (code != HPE_OK || m_parser.upgrade != 0) {
+        if (m_fault == read_fault::none) {
+            m_fault = read_fault::malformed;
+        }
+    }
+    return taken;
+}
+
+bool http_reader::feed_end()
+{
+    if (m_between || m_fault != read_fault::none) {
+        return false;
+    }
+    http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+    if (HTTP_PARSER_ERRNO(&m_parser) != HPE_PAUSED) {
+        return false;
+    }
+    http_parser_pause(&m_parser, 0);
+    m_call.on_end();
+    return true;
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/http_reader.hpp
@@ -0,0 +1,103 @@
+#ifndef CAPERJUNCTION_PROXY_HTTP_READER_HPP
+#define CAPERJUNCTION_PROXY_HTTP_READER_HPP
+
+#include "proxy/message_head.hpp"
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace caperjunction::proxy {
+
+/// Why a reader takes no more bytes.
+enum class read_fault : std::uint8_t
+{
+    none,
+    /// The bytes are no HTTP, or its lengths contradict each other.
+    malformed,
+    head_too_long,
+};
+
+/// Cuts a connection's bytes into HTTP messages, for both directions.
+///
+/// The parser refuses what could be read in two ways (two lengths, a length
+/// beside chunks): a request hidden in another one's body would run under an
+/// id that no caller sent.
+///
+/// Thread safety: none; one for each connection.
+class http_reader
+{
+public:
+    struct hooks
+    {
+        std::function<void(message_head&&)> on_head;
+        std::function<void(std::string_view)> on_body;
+        /// The message is whole; no byte after it has been read.
+        std::function<void()> on_end;
+    };
+
+    /// Longest head that is read, in bytes, whatever the settings say.
+    static constexpr std::size_t longest_head = 65'536;
+
+    http_reader(http_parser_type side, hooks call);
+    http_reader(http_reader const&) = delete;
+    http_reader& operator=(http_reader const&) = delete;
+
+    void longest_head_bytes(std::size_t most)
+    {
+        m_longest_head = most;
+    }
+
+    /// Takes bytes up to the end of one message; gives how many.
+    std::size_t feed(std::string_view bytes);
+
+    /// The connection ended without a fault. True if that ended a message
+    /// whose length only the connection's end tells.
+    bool feed_end();
+
+    /// The next answer has no body, whatever its head says.
+    void expect_no_body(bool is_head_request)
+    {
+        m_no_body = is_head_request;
+    }
+
+    read_fault fault() const
+    {
+        return m_fault;
+    }
+
+    /// Between two messages: nothing of the next has been read.
+    bool is_between() const
+    {
+        return m_between;
+    }
+
+private:
+    static http_reader& self(http_parser* parser)
+    {
+        return *static_cast<http_reader*>(parser->data);
+    }
+
+    static http_parser_settings const& callbacks();
+    bool grow_head(std::size_t bytes);
+    int end_head(http_parser* parser);
+
+    http_parser m_parser{};
+    hooks m_call;
+    message_head m_head;
+    bool m_last_was_value = false;
+    bool m_no_body = false;
+    bool m_interim = false;
+    bool m_between = true;
+    std::size_t m_head_bytes = 0;
+    std::size_t m_longest_head = longest_head;
+    read_fault m_fault = read_fault::none;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/relay.cpp
@@ -0,0 +1,147 @@
+#include "proxy/relay.hpp"
+
+#include "model/error.hpp"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Callers that may wait to be accepted: when the queue is full, the opening
+/// packet of the next is dropped and sent again after a second.
+constexpr int backlog = 1'024;
+
+/// How exactly idle and slow connections are ended.
+constexpr model::milliseconds sweep_period{250};
+
+/// Time in which the balancer notices that this host is not ready: two
+/// questions a second apart, and what is on its way by then.
+constexpr model::milliseconds balancer_lag{3'000};
+
+/// A request that comes later into a planned stop may not get its answer
+/// before the process is ended; it is better refused, since it has not run.
+constexpr double refusing_share = 0.6;
+
+/// Left for writing the last answers before the process is ended by force.
+constexpr model::milliseconds last_moment{250};
+
+} // namespace
+
+relay::relay(relay_context& context)
+    : m_context(context)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(context.settings.listen.port);
+    inet_pton(
+        AF_INET, context.settings.listen.address.c_str(), &address.sin_addr);
+    m_listener = evconnlistener_new_bind(
+        context.loop.base(),
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* own) {
+            static_cast<relay*>(own)->accept(socket);
+        },
+        this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        backlog,
+        reinterpret_cast<sockaddr*>(&address),
+        sizeof address);
+    if (m_listener == nullptr) {
+        throw model::error(model::error_kind::bad_settings,
+                           fmt::format("cannot listen on {}:{}",
+                                       context.settings.listen.address,
+                                       context.settings.listen.port),
+                           "free that port or choose another with --listen");
+    }
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    getsockname(evconnlistener_get_fd(m_listener),
+                reinterpret_cast<sockaddr*>(&bound),
+                &size);
+    m_port = ntohs(bound.sin_port);
+    m_sweep = m_context.loop.every(sweep_period, [this] {
+        sweep();
+    });
+}
+
+relay::~relay()
+{
+    m_context.loop.cancel(m_sweep);
+    evconnlistener_free(m_listener);
+}
+
+void relay::accept(int socket)
+{
+    auto const made =
+        std::make_shared<caller>(m_context, [this](caller const* closed) {
+            m_callers.erase(closed);
+        });
+    m_callers.emplace(made.get(), made);
+    made->serve(socket);
+}
+
+void relay::sweep()
+{
+    std::vector<std::shared_ptr<caller>> all;
+    all.reserve(m_callers.size());
+    for (auto const& [key, item] : m_callers) {
+        all.push_back(item);
+    }
+    for (auto const& item : all) {
+        item->check_times();
+    }
+    m_context.pool.sweep();
+    m_context.directory.drop_missing(m_context.loop.now());
+    if (m_context.is_stopping) {
+        check_stop();
+    }
+}
+
+bool relay::is_busy() const
+{
+    return std::any_of(m_callers.begin(), m_callers.end(), [](auto const& it) {
+        return it.second->is_busy();
+    });
+}
+
+void relay::plan_stop(std::function<void()> on_stopped)
+{
+    if (m_context.is_stopping) {
+        return;
+    }
+    m_context.is_stopping = true;
+    m_on_stopped = std::move(on_stopped);
+    m_stop_began = m_context.loop.now();
+}
+
+void relay::check_stop()
+{
+    auto const since = m_context.loop.now() - m_stop_began;
+    auto const limit = m_context.settings.stop_limit;
+    m_context.refuses_new = since > limit * refusing_share;
+    if (since > balancer_lag) {
+        std::vector<std::shared_ptr<caller>> all;
+        for (auto const& [key, item] : m_callers) {
+            all.push_back(item);
+        }
+        for (auto const& item : all) {
+            item->close_if_idle();
+        }
+    }
+    bool const is_done = since > balancer_lag + sweep_period && !is_busy();
+    if (is_done || since > limit - last_moment) {
+        auto const call = std::exchange(m_on_stopped, nullptr);
+        if (call) {
+            call();
+        }
+    }
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/relay.hpp
@@ -0,0 +1,69 @@
+#ifndef CAPERJUNCTION_PROXY_RELAY_HPP
+#define CAPERJUNCTION_PROXY_RELAY_HPP
+
+#include "proxy/caller.hpp"
+#include "proxy/relay_context.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+struct evconnlistener;
+
+namespace caperjunction::proxy {
+
+/// Listens for callers and sees to times and to the planned stop.
+///
+/// A planned stop cuts off nothing: the balancer is told first and still
+/// sends callers for seconds, so these are served; answers then close their
+/// connections; what is idle is closed; the process ends when nothing is on
+/// its way.
+///
+/// Thread safety: none; owned by the loop's task.
+class relay
+{
+public:
+    /// \throws model::error (bad_settings) if the address is not to be had.
+    explicit relay(relay_context& context);
+    ~relay();
+    relay(relay const&) = delete;
+    relay& operator=(relay const&) = delete;
+
+    std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+    /// Begins the planned stop; `on_stopped` is called when nothing is left
+    /// or the limit is near.
+    void plan_stop(std::function<void()> on_stopped);
+
+    bool is_stopping() const
+    {
+        return m_context.is_stopping;
+    }
+
+    std::size_t callers() const
+    {
+        return m_callers.size();
+    }
+
+private:
+    void accept(int socket);
+    void sweep();
+    void check_stop();
+    bool is_busy() const;
+
+    relay_context& m_context;
+    evconnlistener* m_listener = nullptr;
+    std::uint16_t m_port = 0;
+    std::map<caller const*, std::shared_ptr<caller>> m_callers;
+    runtime::timer_handle m_sweep;
+    model::time_point m_stop_began{};
+    std::function<void()> m_on_stopped;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/relay_settings.hpp
@@ -0,0 +1,32 @@
+#ifndef CAPERJUNCTION_PROXY_RELAY_SETTINGS_HPP
+#define CAPERJUNCTION_PROXY_RELAY_SETTINGS_HPP
+
+#include "model/endpoint.hpp"
+#include "model/time.hpp"
+
+#include <cstddef>
+
+namespace caperjunction::proxy {
+
+/// What one host's relay works with.
+struct relay_settings
+{
+    model::endpoint listen;
+    /// How long keys may be acted on without the store confirming them.
+    model::milliseconds key_lifetime{5'000};
+    /// Second sends that a request pays for, fleet-wide.
+    double retry_ratio = 0.2;
+    /// Second sends that the fleet may make at once beyond that.
+    double retry_extra = 50.0;
+    /// Time from the signal to stop until the process is ended.
+    model::milliseconds stop_limit{8'000};
+    /// Longest time until a connection to an upstream stands: many round
+    /// trips between regions, and short against what callers wait.
+    model::milliseconds connect_timeout{250};
+    /// Bytes of requests and answers held at once.
+    std::size_t held_bytes = 48U * 1024U * 1024U;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/request_facts.cpp
@@ -0,0 +1,90 @@
+#include "proxy/request_facts.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace caperjunction::proxy {
+namespace {
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && text.back() == ' ') {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+/// Takes the text up to the next `separator` off the front of `text`.
+std::string_view take_until(std::string_view& text, char separator)
+{
+    std::size_t const at = text.find(separator);
+    std::string_view const taken = text.substr(0, at);
+    text.remove_prefix(at == std::string_view::npos ? text.size() : at + 1);
+    return trimmed(taken);
+}
+
+std::uint32_t tokens_of(std::string_view text)
+{
+    constexpr std::uint64_t most = 100'000'000;
+    return static_cast<std::uint32_t>(
+        std::min(parse_number(text).value_or(0), most));
+}
+
+std::vector<routing::prompt_part> read_parts(std::string_view text)
+{
+    constexpr int base_16 = 16;
+    std::vector<routing::prompt_part> parts;
+    while (!text.empty()) {
+        std::string_view entry = take_until(text, ',');
+        std::string_view const id = take_until(entry, ':');
+        routing::prompt_part part;
+        std::from_chars(id.data(), id.data() + id.size(), part.id, base_16);
+        part.tokens = tokens_of(entry);
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+std::string_view read_key(std::string_view line, std::string_view scheme)
+{
+    line = trimmed(line);
+    if (line.size() <= scheme.size() || line[scheme.size()] != ' '
+        || !is_same_name(line.substr(0, scheme.size()), scheme)) {
+        return {};
+    }
+    return trimmed(line.substr(scheme.size()));
+}
+
+} // namespace
+
+request_facts read_facts(message_head const& head, wire_names const& names)
+{
+    request_facts facts;
+    facts.path = std::string_view(head.target).substr(0, head.target.find('?'));
+    for (header_line const& line : head.headers) {
+        if (is_same_name(line.name, names.request_id)) {
+            facts.id = line.value;
+        } else if (is_same_name(line.name, "Host")) {
+            facts.authority = line.value;
+        } else if (is_same_name(line.name, "Authorization")) {
+            facts.key = read_key(line.value, names.key_scheme);
+        } else if (is_same_name(line.name, names.deadline_ms)) {
+            if (auto const value = parse_number(line.value)) {
+                constexpr std::uint64_t day_ms = 86'400'000;
+                facts.deadline = model::milliseconds(std::min(*value, day_ms));
+            }
+        } else if (is_same_name(line.name, names.prompt_parts)) {
+            facts.prompt.parts = read_parts(line.value);
+        } else if (is_same_name(line.name, names.token_counts)) {
+            std::string_view rest = line.value;
+            facts.prompt.tokens = tokens_of(take_until(rest, ','));
+            facts.prompt.max_output = tokens_of(trimmed(rest));
+        }
+    }
+    return facts;
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/store_reader.cpp
@@ -0,0 +1,218 @@
+#include "proxy/store_reader.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Far above a round trip between regions; a slow store is given more by the
+/// next tries, see `failed`.
+constexpr model::milliseconds read_limit{700};
+constexpr model::milliseconds connect_limit{400};
+
+/// Between two tries after a failure; doubled up to the longest. The store
+/// prices calls, and keys are refused while it is away: short is better.
+constexpr model::milliseconds first_pause{50};
+constexpr model::milliseconds longest_pause{400};
+
+constexpr int ok = 200;
+constexpr int gone = 410;
+
+} // namespace
+
+store_reader::store_reader(runtime::event_loop& loop,
+                           model::endpoint at,
+                           store_codec const& codec,
+                           std::string prefix,
+                           store_hooks call)
+    : m_loop(loop)
+    , m_at(std::move(at))
+    , m_codec(codec)
+    , m_prefix(std::move(prefix))
+    , m_call(std::move(call))
+{
+}
+
+store_reader::~store_reader()
+{
+    drop_connection();
+    m_loop.cancel(m_again);
+}
+
+void store_reader::start(model::milliseconds wait,
+                         std::function<model::time_point()> boot_now)
+{
+    m_wait = std::min(wait, m_codec.longest_wait);
+    m_boot_now = std::move(boot_now);
+    read_page("");
+}
+
+void store_reader::drop_connection()
+{
+    m_loop.cancel(m_limit);
+    if (auto const connection = std::exchange(m_connection, nullptr)) {
+        connection->close();
+    }
+}
+
+void store_reader::call(std::string const& target,
+                        model::milliseconds limit,
+                        std::function<void(int)> on_answer)
+{
+    if (!m_connection || !m_connection->is_open() || !m_connection->is_free()) {
+        m_connection = std::make_shared<upstream_connection>(m_loop, m_at);
+    }
+    m_body.clear();
+    m_sent_at = m_boot_now();
+    m_loop.cancel(m_limit);
+    // Later tries wait longer: a store that answers slowly is not away.
+    auto const patience = limit + read_limit * std::min(m_failures, 3U);
+    m_limit = m_loop.after(patience, [this] {
+        failed("silent");
+    });
+    m_connection->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n\r\n",
+                                   target,
+                                   m_at.address,
+                                   m_at.port),
+                       false,
+                       connect_limit,
+                       {[this](message_head&& head) {
+                            m_status = head.status;
+                        },
+                        [this](std::string_view bytes) {
+                            m_body.append(bytes);
+                        },
+                        [this, on_answer = std::move(on_answer)] {
+                            m_loop.cancel(m_limit);
+                            on_answer(m_status);
+                        },
+                        [this](answer_fault why) {
+                            failed(why == answer_fault::unreachable
+                                       ? "unreachable"
+                                       : "broken");
+                        }});
+}
+
+void store_reader::read_page(std::string const& after_key)
+{
+    if (after_key.empty()) {
+        m_keys.clear();
+        m_revision = 0;
+    }
+    call(m_codec.range_target(m_prefix, after_key),
+         read_limit,
+         [this](int status) {
+             take_page(status);
+         });
+}
+
+void store_reader::take_page(int status)
+{
+    if (status != ok) {
+        failed(fmt::format("status_{}", status));
+        return;
+    }
+    store_answer page;
+    try {
+        page = m_codec.read_range(m_body);
+    } catch (std::exception const& unreadable) {
+        failed(unreadable.what());
+        return;
+    }
+    bool const is_first = m_keys.empty();
+    if (is_first) {
+        // Pages are no snapshot: changes since the first one are watched.
+        m_revision = page.revision;
+    }
+    succeeded();
+    for (store_item const& item : page.items) {
+        m_keys.push_back(item.key);
+        m_call.on_item(item);
+    }
+    if (page.has_more && !page.items.empty()) {
+        read_page(m_keys.back());
+        return;
+    }
+    m_whole = true;
+    m_call.on_all(m_keys);
+    m_call.on_confirmed(m_sent_at);
+    watch();
+}
+
+void store_reader::watch()
+{
+    // After a failure the store is asked at once: a long wait would leave
+    // open whether it is back.
+    auto const wait = m_failures > 0 ? model::milliseconds{1} : m_wait;
+    m_asked_wait = wait;
+    call(m_codec.watch_target(m_prefix, m_revision, wait),
+         wait + read_limit,
+         [this](int status) {
+             take_changes(status);
+         });
+}
+
+void store_reader::take_changes(int status)
+{
+    if (status == gone) {
+        m_whole = false;
+        read_page("");
+        return;
+    }
+    if (status != ok) {
+        failed(fmt::format("status_{}", status));
+        return;
+    }
+    store_answer changes;
+    try {
+        changes = m_codec.read_watch(m_body);
+    } catch (std::exception const& unreadable) {
+        failed(unreadable.what());
+        return;
+    }
+    succeeded();
+    for (store_item const& item : changes.items) {
+        m_call.on_item(item);
+    }
+    m_revision = std::max(m_revision, changes.revision);
+    // The store has looked no earlier than the call left here; if it let the
+    // call wait in vain, no earlier than the end of that wait.
+    bool const waited =
+        changes.items.empty() && m_boot_now() - m_sent_at >= m_asked_wait;
+    m_call.on_confirmed(m_sent_at
+                        + (waited ? m_asked_wait : model::milliseconds{0}));
+    watch();
+}
+
+void store_reader::succeeded()
+{
+    m_failures = 0;
+    if (std::exchange(m_lost, false)) {
+        m_call.on_regained();
+    }
+}
+
+void store_reader::failed(std::string_view why)
+{
+    drop_connection();
+    if (!std::exchange(m_lost, true)) {
+        m_call.on_lost(why);
+    }
+    auto const pause =
+        std::min(first_pause * (1U << std::min(m_failures, 8U)), longest_pause);
+    ++m_failures;
+    m_loop.cancel(m_again);
+    m_again = m_loop.after(pause, [this] {
+        if (m_whole) {
+            watch();
+        } else {
+            read_page("");
+        }
+    });
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/store_reader.hpp
@@ -0,0 +1,94 @@
+#ifndef CAPERJUNCTION_PROXY_STORE_READER_HPP
+#define CAPERJUNCTION_PROXY_STORE_READER_HPP
+
+#include "model/endpoint.hpp"
+#include "model/time.hpp"
+#include "proxy/store_codec.hpp"
+#include "proxy/upstream_connection.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caperjunction::proxy {
+
+/// What a reader tells its owner.
+struct store_hooks
+{
+    std::function<void(store_item const&)> on_item;
+    /// The whole prefix was read anew; these keys are there.
+    std::function<void(std::vector<std::string> const& keys)> on_all;
+    /// The store has told all changes up to `as_of` (the clock that counts
+    /// suspended time).
+    std::function<void(model::time_point as_of)> on_confirmed;
+    std::function<void(std::string_view why)> on_lost;
+    std::function<void()> on_regained;
+};
+
+/// Follows one prefix of the platform's store: reads it whole, then watches.
+///
+/// The store may be silent, slow, refuse this host alone, or forget the
+/// history that a watch would go on from. Each call has a timeout of its own,
+/// failures are tried again after a growing wait, and a forgotten history
+/// leads to a whole read.
+///
+/// Thread safety: none; owned by the loop's task.
+class store_reader
+{
+public:
+    store_reader(runtime::event_loop& loop,
+                 model::endpoint at,
+                 store_codec const& codec,
+                 std::string prefix,
+                 store_hooks call);
+    ~store_reader();
+    store_reader(store_reader const&) = delete;
+    store_reader& operator=(store_reader const&) = delete;
+
+    /// Begins reading. `wait`: how long a watch waits for a change; what is
+    /// believed is confirmed that often.
+    void start(model::milliseconds wait,
+               std::function<model::time_point()> boot_now);
+
+private:
+    void read_page(std::string const& after_key);
+    void watch();
+    void call(std::string const& target,
+              model::milliseconds limit,
+              std::function<void(int status)> on_answer);
+    void take_page(int status);
+    void take_changes(int status);
+    void failed(std::string_view why);
+    void succeeded();
+    void drop_connection();
+
+    runtime::event_loop& m_loop;
+    model::endpoint m_at;
+    store_codec const& m_codec;
+    std::string m_prefix;
+    store_hooks m_call;
+    model::milliseconds m_wait{0};
+    /// What the present watch asked for.
+    model::milliseconds m_asked_wait{0};
+    std::function<model::time_point()> m_boot_now;
+
+    std::shared_ptr<upstream_connection> m_connection;
+    runtime::timer_handle m_limit;
+    runtime::timer_handle m_again;
+    std::string m_body;
+    int m_status = 0;
+    model::time_point m_sent_at{};
+    std::uint64_t m_revision = 0;
+    bool m_whole = false;
+    std::vector<std::string> m_keys;
+    std::uint32_t m_failures = 0;
+    bool m_lost = false;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/stream.cpp
@@ -0,0 +1,278 @@
+#include "proxy/stream.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Taken in one read; larger than any event, and shared by all connections.
+constexpr std::size_t read_bytes = 65'536;
+
+/// How long sent bytes may stay unacknowledged. A host that lost power never
+/// answers, and without the limit its connection hangs for minutes; a round
+/// trip takes some 20 ms, and a lost packet is sent again after some 200.
+constexpr int unacknowledged_ms = 1'500;
+
+/// Time in which the other side may close after an answer that ends the
+/// connection.
+constexpr model::milliseconds linger{1'000};
+
+void set_option(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof value);
+}
+
+void prepare(int socket)
+{
+    // Small writes must not wait for an acknowledgement, some 40 ms.
+    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
+} // namespace
+
+stream::stream(runtime::event_loop& loop, int socket, hooks call)
+    : m_loop(loop)
+    , m_socket(socket)
+    , m_call(std::move(call))
+    , m_unsent(evbuffer_new())
+{
+}
+
+stream::~stream()
+{
+    close();
+    evbuffer_free(m_unsent);
+}
+
+std::shared_ptr<stream> stream::connect(runtime::event_loop& loop,
+                                        model::endpoint const& to,
+                                        model::milliseconds timeout,
+                                        hooks call)
+{
+    int const socket =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    std::shared_ptr<stream> made(new stream(loop, socket, std::move(call)));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    bool ok = socket >= 0
+              && inet_pton(AF_INET, to.address.c_str(), &address.sin_addr) == 1;
+    if (ok) {
+        prepare(socket);
+        ok = ::connect(
+                 socket, reinterpret_cast<sockaddr*>(&address), sizeof address)
+                 == 0
+             || errno == EINPROGRESS;
+    }
+    std::weak_ptr<stream> const weak = made;
+    auto const fail = [weak] {
+        if (auto const own = weak.lock()) {
+            own->end(stream_end::unreachable);
+        }
+    };
+    if (!ok) {
+        loop.defer(fail);
+        return made;
+    }
+    made->m_connecting = true;
+    made->watch();
+    event_add(made->m_write, nullptr);
+    made->m_timer = loop.after(timeout, fail);
+    return made;
+}
+
+std::shared_ptr<stream>
+stream::adopt(runtime::event_loop& loop, int socket, hooks call)
+{
+    std::shared_ptr<stream> made(new stream(loop, socket, std::move(call)));
+    prepare(socket);
+    made->watch();
+    event_add(made->m_read, nullptr);
+    return made;
+}
+
+void stream::watch()
+{
+    m_read = event_new(
+        m_loop.base(),
+        m_socket,
+        EV_READ | EV_PERSIST,
+        [](int, short, void* self) {
+            static_cast<stream*>(self)->handle_readable();
+        },
+        this);
+    m_write = event_new(
+        m_loop.base(),
+        m_socket,
+        EV_WRITE,
+        [](int, short, void* self) {
+            static_cast<stream*>(self)->handle_writable();
+        },
+        this);
+}
+
+void stream::rewire(hooks call)
+{
+    m_call = std::move(call);
+}
+
+void stream::handle_readable()
+{
+    static std::array<char, read_bytes> s_bytes;
+    auto const keep = shared_from_this();
+    ssize_t const got = recv(m_socket, s_bytes.data(), s_bytes.size(), 0);
+    if (got > 0) {
+        if (!m_finishing && m_call.on_data) {
+            auto const call = m_call.on_data;
+            call({s_bytes.data(), static_cast<std::size_t>(got)});
+        }
+        return;
+    }
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    end(got == 0 ? stream_end::closed : stream_end::broken);
+}
+
+void stream::handle_writable()
+{
+    auto const keep = shared_from_this();
+    if (m_connecting) {
+        int failure = 0;
+        socklen_t size = sizeof failure;
+        getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &failure, &size);
+        if (failure != 0) {
+            end(stream_end::unreachable);
+            return;
+        }
+        m_connecting = false;
+        m_loop.cancel(m_timer);
+        event_add(m_read, nullptr);
+        if (m_call.on_connected) {
+            auto const call = m_call.on_connected;
+            call();
+        }
+    }
+    if (is_open()) {
+        flush();
+    }
+}
+
+void stream::flush()
+{
+    while (evbuffer_get_length(m_unsent) > 0) {
+        if (evbuffer_write(m_unsent, m_socket) < 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                end(stream_end::broken);
+                return;
+            }
+            event_add(m_write, nullptr);
+            return;
+        }
+    }
+    if (m_finishing) {
+        shutdown(m_socket, SHUT_WR);
+        return;
+    }
+    if (m_call.on_drained) {
+        auto const call = m_call.on_drained;
+        call();
+    }
+}
+
+void stream::write(std::string_view bytes)
+{
+    if (!is_open() || bytes.empty()) {
+        return;
+    }
+    if (!m_connecting && evbuffer_get_length(m_unsent) == 0) {
+        ssize_t const sent =
+            send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        // A failure shows once more when the socket is read.
+    }
+    if (bytes.empty()) {
+        return;
+    }
+    evbuffer_add(m_unsent, bytes.data(), bytes.size());
+    if (!m_connecting) {
+        event_add(m_write, nullptr);
+    }
+}
+
+void stream::read(bool enabled)
+{
+    if (m_read == nullptr || m_connecting) {
+        return;
+    }
+    if (enabled) {
+        event_add(m_read, nullptr);
+    } else {
+        event_del(m_read);
+    }
+}
+
+std::size_t stream::unsent() const
+{
+    return evbuffer_get_length(m_unsent);
+}
+
+void stream::finish()
+{
+    if (!is_open() || m_finishing) {
+        return;
+    }
+    m_finishing = true;
+    read(true);
+    auto const keep = shared_from_this();
+    m_timer = m_loop.after(linger, [keep] {
+        keep->close();
+    });
+    if (unsent() == 0) {
+        shutdown(m_socket, SHUT_WR);
+    }
+}
+
+void stream::end(stream_end how)
+{
+    bool const tell = !m_finishing;
+    auto const call = m_call.on_end;
+    close();
+    if (tell && call) {
+        call(how);
+    }
+}
+
+void stream::close()
+{
+    if (m_socket < 0) {
+        return;
+    }
+    m_loop.cancel(m_timer);
+    if (m_read != nullptr) {
+        event_free(m_read);
+        event_free(m_write);
+        m_read = nullptr;
+        m_write = nullptr;
+    }
+    ::close(m_socket);
+    m_socket = -1;
+    // The hooks keep their owner alive; whoever is being called from one of
+    // them holds a copy of it.
+    m_call = {};
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/stream.hpp
@@ -0,0 +1,108 @@
+#ifndef CAPERJUNCTION_PROXY_STREAM_HPP
+#define CAPERJUNCTION_PROXY_STREAM_HPP
+
+#include "model/endpoint.hpp"
+#include "model/time.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+struct event;
+struct evbuffer;
+
+namespace caperjunction::proxy {
+
+/// How a connection ended.
+enum class stream_end : std::uint8_t
+{
+    /// The other side has sent all that it will send.
+    closed,
+    /// Bytes may be lost.
+    broken,
+    /// The connection never came about.
+    unreachable,
+};
+
+/// One TCP connection on the loop.
+///
+/// Writes what the socket takes at once: an event of a stream then costs one
+/// read and one write, without a round through the loop.
+///
+/// Thread safety: none; owned by the loop's task. Hooks may close it.
+class stream : public std::enable_shared_from_this<stream>
+{
+public:
+    struct hooks
+    {
+        std::function<void()> on_connected;
+        std::function<void(std::string_view)> on_data;
+        std::function<void(stream_end)> on_end;
+        /// All that was written has been handed to the system.
+        std::function<void()> on_drained;
+    };
+
+    /// Connects; ends as unreachable after `timeout`.
+    static std::shared_ptr<stream> connect(runtime::event_loop& loop,
+                                           model::endpoint const& to,
+                                           model::milliseconds timeout,
+                                           hooks call);
+
+    /// Takes over an accepted socket.
+    static std::shared_ptr<stream>
+    adopt(runtime::event_loop& loop, int socket, hooks call);
+
+    ~stream();
+    stream(stream const&) = delete;
+    stream& operator=(stream const&) = delete;
+
+    /// Replaces the hooks, for the next user of a kept connection.
+    void rewire(hooks call);
+
+    void write(std::string_view bytes);
+
+    /// Stops or resumes reading; the other side's end isn't seen meanwhile.
+    void read(bool enabled);
+
+    /// Bytes that wait for the socket.
+    std::size_t unsent() const;
+
+    /// Ends the connection without a word; no hook is called any more.
+    void close();
+
+    /// Sends what is left, says that nothing follows, and closes when the
+    /// other side has closed too. Closing at once, with bytes of the caller
+    /// unread, would reset the connection and the answer with it.
+    void finish();
+
+    bool is_open() const
+    {
+        return m_socket >= 0;
+    }
+
+private:
+    stream(runtime::event_loop& loop, int socket, hooks call);
+
+    void watch();
+    void handle_readable();
+    void handle_writable();
+    void flush();
+    void end(stream_end how);
+
+    runtime::event_loop& m_loop;
+    int m_socket = -1;
+    hooks m_call;
+    event* m_read = nullptr;
+    event* m_write = nullptr;
+    evbuffer* m_unsent = nullptr;
+    runtime::timer_handle m_timer;
+    bool m_connecting = false;
+    bool m_finishing = false;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/upstream_connection.cpp
@@ -0,0 +1,174 @@
+#include "proxy/upstream_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Kept where the upstream doesn't say for how long: short enough for common
+/// servers, which close after five seconds and more.
+constexpr model::milliseconds usual_keep_alive{4'000};
+/// Between our send and its arrival the upstream may close: a request that
+/// crosses the close may or may not have run.
+constexpr model::milliseconds keep_alive_margin{500};
+
+constexpr std::string_view timeout_word = "timeout=";
+
+} // namespace
+
+upstream_connection::upstream_connection(runtime::event_loop& loop,
+                                         model::endpoint at)
+    : m_loop(loop)
+    , m_at(std::move(at))
+    , m_reader(HTTP_RESPONSE,
+               {[this](message_head&& head) {
+                    note_keep_alive(head);
+                    auto const call = m_call.on_head;
+                    if (call) {
+                        call(std::move(head));
+                    }
+                },
+                [this](std::string_view bytes) {
+                    auto const call = m_call.on_body;
+                    if (!m_skipping && call) {
+                        call(bytes);
+                    }
+                },
+                [this] {
+                    end_answer();
+                }})
+    , m_keep_alive(usual_keep_alive)
+{
+}
+
+upstream_connection::~upstream_connection()
+{
+    close();
+}
+
+void upstream_connection::send(std::string const& request,
+                               bool is_head_request,
+                               model::milliseconds connect_timeout,
+                               answer_hooks call)
+{
+    m_free = false;
+    m_skipping = false;
+    m_call = std::move(call);
+    m_reader.expect_no_body(is_head_request);
+    if (m_stream == nullptr) {
+        m_stream = stream::connect(
+            m_loop,
+            m_at,
+            connect_timeout,
+            {[this] {
+                 m_connected = true;
+             },
+             [this](std::string_view bytes) {
+                 take(bytes);
+             },
+             [this](stream_end how) {
+                 auto const keep = shared_from_this();
+                 if (how == stream_end::closed && m_reader.feed_end()) {
+                     return;
+                 }
+                 fail(how == stream_end::unreachable ? answer_fault::unreachable
+                                                     : answer_fault::broken);
+             },
+             nullptr});
+    }
+    m_stream->write(request);
+}
+
+void upstream_connection::take(std::string_view bytes)
+{
+    auto const keep = shared_from_this();
+    while (!bytes.empty() && m_stream && m_stream->is_open()) {
+        if (m_free) {
+            // Bytes after a whole answer belong to no request.
+            close();
+            return;
+        }
+        bytes.remove_prefix(m_reader.feed(bytes));
+        if (m_reader.fault() != read_fault::none) {
+            fail(answer_fault::malformed);
+            return;
+        }
+    }
+}
+
+void upstream_connection::note_keep_alive(message_head const& head)
+{
+    m_keep = m_keep && head.keep_alive;
+    std::string const* const line = head.find("Keep-Alive");
+    std::size_t const at =
+        line == nullptr ? std::string::npos : line->find(timeout_word);
+    if (at == std::string::npos) {
+        return;
+    }
+    std::string const text = line->substr(at + timeout_word.size());
+    auto const value = parse_number(
+        std::string_view(text).substr(0, text.find_first_not_of("0123456789")));
+    if (value) {
+        m_keep_alive = std::max(
+            std::chrono::duration_cast<model::milliseconds>(
+                std::chrono::seconds(std::min<std::uint64_t>(*value, 3'600)))
+                - keep_alive_margin,
+            model::milliseconds{0});
+    }
+}
+
+void upstream_connection::skip_answer()
+{
+    m_skipping = true;
+    m_keep = false;
+}
+
+void upstream_connection::end_answer()
+{
+    auto const keep = shared_from_this();
+    if (m_skipping) {
+        m_skipping = false;
+        return;
+    }
+    // An upstream may answer before it has the whole request and then read
+    // on: what is unsent would be taken for the next request.
+    m_keep = m_keep && m_stream->unsent() == 0;
+    m_free = true;
+    m_idle_since = m_loop.now();
+    auto const call = std::exchange(m_call, {});
+    if (!m_keep) {
+        close();
+    }
+    if (call.on_end) {
+        call.on_end();
+    }
+}
+
+void upstream_connection::fail(answer_fault why)
+{
+    auto const keep = shared_from_this();
+    auto const call = std::exchange(m_call, {});
+    close();
+    if (call.on_fault) {
+        call.on_fault(why);
+    }
+}
+
+void upstream_connection::read(bool enabled)
+{
+    if (m_stream) {
+        m_stream->read(enabled);
+    }
+}
+
+void upstream_connection::close()
+{
+    m_keep = false;
+    m_call = {};
+    if (m_stream) {
+        m_stream->close();
+    }
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/upstream_connection.hpp
@@ -0,0 +1,117 @@
+#ifndef CAPERJUNCTION_PROXY_UPSTREAM_CONNECTION_HPP
+#define CAPERJUNCTION_PROXY_UPSTREAM_CONNECTION_HPP
+
+#include "model/time.hpp"
+#include "proxy/http_reader.hpp"
+#include "proxy/message_head.hpp"
+#include "proxy/stream.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace caperjunction::proxy {
+
+/// Why an answer didn't come whole.
+enum class answer_fault : std::uint8_t
+{
+    /// Nothing was sent: the upstream can't be reached.
+    unreachable,
+    /// The connection broke after the request had been sent.
+    broken,
+    /// The bytes are no answer.
+    malformed,
+};
+
+/// What a user of a connection wants to hear.
+struct answer_hooks
+{
+    std::function<void(message_head&&)> on_head;
+    std::function<void(std::string_view)> on_body;
+    /// The answer is whole.
+    std::function<void()> on_end;
+    std::function<void(answer_fault)> on_fault;
+};
+
+/// A connection to one upstream that serves one request after the other.
+///
+/// Thread safety: none; owned by the loop's task. Hooks may drop it.
+class upstream_connection
+    : public std::enable_shared_from_this<upstream_connection>
+{
+public:
+    upstream_connection(runtime::event_loop& loop, model::endpoint at);
+    ~upstream_connection();
+    upstream_connection(upstream_connection const&) = delete;
+    upstream_connection& operator=(upstream_connection const&) = delete;
+
+    /// Sends a request; it goes out when the connection stands.
+    /// \pre is_free().
+    void send(std::string const& request,
+              bool is_head_request,
+              model::milliseconds connect_timeout,
+              answer_hooks call);
+
+    /// Ends the connection and with it the work that the upstream does.
+    void close();
+
+    /// Stops or resumes taking the answer's bytes.
+    void read(bool enabled);
+
+    /// The answer that comes first isn't the one that was asked for: what
+    /// follows it is read as the next, and the connection isn't kept.
+    void skip_answer();
+
+    /// May serve another request.
+    bool is_free() const
+    {
+        return m_free && m_keep;
+    }
+
+    bool is_open() const
+    {
+        return m_stream == nullptr || m_stream->is_open();
+    }
+
+    /// Request bytes have left for the upstream, as far as can be known.
+    bool has_sent() const
+    {
+        return m_connected;
+    }
+
+    model::time_point idle_since() const
+    {
+        return m_idle_since;
+    }
+
+    /// How long the upstream keeps it open without a request.
+    model::milliseconds keep_alive() const
+    {
+        return m_keep_alive;
+    }
+
+private:
+    void take(std::string_view bytes);
+    void end_answer();
+    void fail(answer_fault why);
+    void note_keep_alive(message_head const& head);
+
+    runtime::event_loop& m_loop;
+    model::endpoint m_at;
+    std::shared_ptr<stream> m_stream;
+    http_reader m_reader;
+    answer_hooks m_call;
+    bool m_connected = false;
+    bool m_free = true;
+    bool m_keep = true;
+    bool m_skipping = false;
+    model::time_point m_idle_since{};
+    model::milliseconds m_keep_alive;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/upstream_pool.hpp
@@ -0,0 +1,59 @@
+#ifndef CAPERJUNCTION_PROXY_UPSTREAM_POOL_HPP
+#define CAPERJUNCTION_PROXY_UPSTREAM_POOL_HPP
+
+#include "proxy/upstream_connection.hpp"
+#include "routing/upstream_state.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace caperjunction::proxy {
+
+/// Keeps connections to upstreams for the next request: a new one costs a
+/// round trip and, at some upstreams, a slot.
+///
+/// Thread safety: none; owned by the loop's task.
+class upstream_pool
+{
+public:
+    explicit upstream_pool(runtime::event_loop& loop);
+
+    /// A connection that is free, the one used last first, or a new one.
+    std::shared_ptr<upstream_connection>
+    take(routing::upstream_ptr const& upstream);
+
+    /// Puts back a connection whose answer has come whole.
+    void give_back(routing::upstream_ptr const& upstream,
+                   std::shared_ptr<upstream_connection> connection);
+
+    /// Closes what has been idle for too long, and all to upstreams that
+    /// are gone.
+    void sweep();
+
+    /// Connections opened so far.
+    std::uint64_t opened() const
+    {
+        return m_opened;
+    }
+
+private:
+    struct kept
+    {
+        routing::upstream_ptr upstream;
+        std::vector<std::shared_ptr<upstream_connection>> free;
+    };
+
+    bool is_usable(upstream_connection const& connection) const;
+
+    runtime::event_loop& m_loop;
+    std::map<routing::upstream_state const*, kept> m_kept;
+    std::uint64_t m_opened = 0;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/routing/admission.cpp
@@ -0,0 +1,45 @@
+#include "routing/admission.hpp"
+
+namespace caperjunction::routing {
+namespace {
+
+admission refused(refusal_reason reason)
+{
+    admission made;
+    made.refused = reason;
+    return made;
+}
+
+} // namespace
+
+admission admit(route_table const* table,
+                freshness const& confirmed,
+                admission_request const& request)
+{
+    if (table == nullptr) {
+        return refused(refusal_reason::no_configuration);
+    }
+    admission made;
+    made.route = table->match(request.authority, request.path);
+    if (made.route == nullptr) {
+        return refused(refusal_reason::no_route);
+    }
+    if (made.route->open || table->lists().teams.empty()) {
+        return made;
+    }
+    // Before the look-up: a stale host knows neither keys that were taken
+    // away nor keys that were given.
+    if (!confirmed.may_use_keys(request.now)) {
+        return refused(refusal_reason::keys_stale);
+    }
+    if (request.key.empty()) {
+        return refused(refusal_reason::key_missing);
+    }
+    made.team = table->holder(request.key);
+    if (made.team == nullptr) {
+        return refused(refusal_reason::key_unknown);
+    }
+    return made;
+}
+
+} // namespace caperjunction::routing
--- /dev/null
+++ b/src/routing/freshness.hpp
@@ -0,0 +1,73 @@
+#ifndef CAPERJUNCTION_ROUTING_FRESHNESS_HPP
+#define CAPERJUNCTION_ROUTING_FRESHNESS_HPP
+
+#include "model/time.hpp"
+
+#include <optional>
+
+namespace caperjunction::routing {
+
+/// Until when what a host believes of keys may be acted on.
+///
+/// A host that is cut from the store doesn't hear that a key was taken away
+/// and would serve it for as long as the cut lasts. Nobody notices but the
+/// holder of a leaked key. So a belief carries the time as of which the store
+/// has confirmed it, and keyed requests are refused (they may find another
+/// host) shortly before it is too old.
+///
+/// Times are of a clock that counts suspended time (CLOCK_BOOTTIME).
+///
+/// Thread safety: none; owned by one task.
+class freshness
+{
+public:
+    /// \pre lifetime is above zero.
+    explicit freshness(model::milliseconds lifetime)
+        : m_lifetime(lifetime)
+    {
+    }
+
+    void lifetime(model::milliseconds lifetime)
+    {
+        m_lifetime = lifetime;
+    }
+
+    /// The store answered with all changes up to `as_of`, at the latest.
+    void confirm(model::time_point as_of)
+    {
+        if (!m_as_of || *m_as_of < as_of) {
+            m_as_of = as_of;
+        }
+    }
+
+    /// Whether a request that was sent at `now` or earlier may use a key.
+    bool may_use_keys(model::time_point now) const
+    {
+        return m_as_of && now - *m_as_of < m_lifetime - margin;
+    }
+
+    /// Zero time if nothing was ever confirmed.
+    model::milliseconds age(model::time_point now) const
+    {
+        return m_as_of ? std::chrono::duration_cast<model::milliseconds>(
+                   now - *m_as_of)
+                       : model::milliseconds{0};
+    }
+
+    std::optional<model::time_point> as_of() const
+    {
+        return m_as_of;
+    }
+
+private:
+    /// Between the look at the clock and the first byte at the upstream:
+    /// the loop's longest turn and the way there.
+    static constexpr model::milliseconds margin{300};
+
+    model::milliseconds m_lifetime;
+    std::optional<model::time_point> m_as_of;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- /dev/null
+++ b/src/routing/pick.hpp
@@ -0,0 +1,46 @@
+#ifndef CAPERJUNCTION_ROUTING_PICK_HPP
+#define CAPERJUNCTION_ROUTING_PICK_HPP
+
+#include "model/time.hpp"
+#include "routing/prompt.hpp"
+#include "routing/route.hpp"
+#include "routing/upstream_state.hpp"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// What placing has to know of a request.
+struct pick_request
+{
+    /// Never null.
+    routing::route const* route = nullptr;
+    routing::prompt const* prompt = nullptr;
+    std::string_view service;
+    std::size_t body_bytes = 0;
+    /// Upstreams that it was sent to, or that could not be reached for it.
+    std::vector<std::string> const* tried = nullptr;
+    /// Rank with which the upstream will order it; 0 is first.
+    std::uint32_t rank = 0;
+    /// Of all ranks that the service's routes have.
+    bool is_most_urgent = false;
+};
+
+/// Where a request goes and what decided.
+struct pick
+{
+    /// Null: there is no upstream for it.
+    upstream_ptr to;
+    /// Time to its first byte, as forecast.
+    model::milliseconds forecast{0};
+    /// Shared tokens that are not expected in the upstream's memory.
+    std::uint32_t cold_tokens = 0;
+    double cost = 0.0;
+    std::size_t candidates = 0;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- /dev/null
+++ b/src/routing/picker.cpp
@@ -0,0 +1,214 @@
+#include "routing/picker.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace caperjunction::routing {
+namespace {
+
+/// Prompt tokens that an engine reads in a millisecond, before `slowness`
+/// has corrected the forecast.
+constexpr double tokens_per_ms = 60.0;
+/// Time to a first byte beside reading the prompt.
+constexpr double base_ms = 60.0;
+/// The same at a plain service.
+constexpr double service_ms = 15.0;
+
+/// An urgent stream shares its engine's steps with every prompt that is read
+/// there: one long prompt stretches some ten steps to many times their
+/// length, and all streams on that engine pause beyond what is allowed. So a
+/// quarter of each region's engines reads no long prompts, as long as there
+/// are three engines or more.
+constexpr std::size_t engines_of_one_urgent = 4;
+constexpr std::size_t least_to_divide = 3;
+/// What being in the wrong lane costs.
+constexpr double wrong_lane = 0.4;
+
+/// Reading 5,000 shared tokens once more weighs as much as half a request.
+constexpr double cost_of_cold_token = 0.5 / 5'000;
+/// Half of the time that is aimed at may pass without harm.
+constexpr double safe_share = 0.5;
+/// A failing upstream is worse than a late one: its caller gets nothing.
+constexpr double cost_of_failure = 2.0;
+
+struct way
+{
+    double ms;
+    /// Share of a request's worth, for a body of `usual_bytes`.
+    double cost;
+};
+
+constexpr double usual_bytes = 18'000;
+constexpr way ways[] = {{0.0, 0.0}, {3.0, 0.02}, {18.0, 0.08}};
+
+bool was_tried(pick_request const& request, upstream_state const& candidate)
+{
+    return request.tried != nullptr
+           && std::find(request.tried->begin(),
+                        request.tried->end(),
+                        candidate.about.id)
+                  != request.tried->end();
+}
+
+std::uint64_t rendezvous(std::string const& id, std::uint64_t key)
+{
+    return XXH3_64bits_withSeed(id.data(), id.size(), key);
+}
+
+double lateness(double forecast_ms, model::milliseconds target)
+{
+    double const share =
+        forecast_ms / std::max(1.0, static_cast<double>(target.count()));
+    return std::max(0.0, (share - safe_share) / (1.0 - safe_share));
+}
+
+std::vector<upstream_ptr> able_of(std::vector<upstream_ptr> const& all,
+                                  pick_request const& request,
+                                  model::time_point now)
+{
+    std::vector<upstream_ptr> able;
+    std::vector<upstream_ptr> resting;
+    for (upstream_ptr const& item : all) {
+        if (was_tried(request, *item)) {
+            continue;
+        }
+        (item->health.is_resting(now) ? resting : able).push_back(item);
+    }
+    // Where all rest, one of them is a better guess than a refusal.
+    return able.empty() ? resting : able;
+}
+
+} // namespace
+
+picker::picker(upstream_directory const& directory)
+    : m_directory(directory)
+{
+}
+
+pick picker::choose(pick_request const& request, model::time_point now) const
+{
+    std::vector<upstream_ptr> const able =
+        able_of(m_directory.of_service(request.service), request, now);
+    lanes const divided = divide(request, able);
+    pick best;
+    for (upstream_ptr const& item : able) {
+        pick option;
+        option.to = item;
+        option.cost = cost_of(request, *item, divided, now, option);
+        if (!best.to || option.cost < best.cost) {
+            best = option;
+        }
+    }
+    best.candidates = able.size();
+    return best;
+}
+
+picker::lanes picker::divide(pick_request const& request,
+                             std::vector<upstream_ptr> const& able) const
+{
+    lanes divided;
+    if (request.prompt->tokens == 0) {
+        return divided;
+    }
+    // Each host sorts alike, so that all agree without a message.
+    constexpr std::uint64_t lane_key = 1;
+    for (bool const far : {false, true}) {
+        std::vector<upstream_state const*> region;
+        for (upstream_ptr const& item : able) {
+            if ((item->away == distance::other_region) == far) {
+                region.push_back(item.get());
+            }
+        }
+        if (region.size() < least_to_divide) {
+            continue;
+        }
+        std::sort(
+            region.begin(), region.end(), [](auto const* a, auto const* b) {
+                return rendezvous(a->about.id, lane_key)
+                       > rendezvous(b->about.id, lane_key);
+            });
+        region.resize(
+            std::max<std::size_t>(1, region.size() / engines_of_one_urgent));
+        divided.urgent.insert(
+            divided.urgent.end(), region.begin(), region.end());
+    }
+    std::uint64_t best = 0;
+    for (upstream_ptr const& item : able) {
+        bool const is_urgent_lane =
+            std::find(divided.urgent.begin(), divided.urgent.end(), item.get())
+            != divided.urgent.end();
+        std::uint64_t const score =
+            rendezvous(item->about.id, request.prompt->subject());
+        if (is_urgent_lane == request.is_most_urgent && score >= best) {
+            best = score;
+            divided.home = item.get();
+        }
+    }
+    return divided;
+}
+
+double picker::cost_of(pick_request const& request,
+                       upstream_state const& candidate,
+                       lanes const& divided,
+                       model::time_point now,
+                       pick& into) const
+{
+    way const& path = ways[static_cast<std::size_t>(candidate.away)];
+    double const bytes =
+        static_cast<double>(request.body_bytes + 1'000) / usual_bytes;
+    double cost = path.cost * bytes
+                  + cost_of_failure * candidate.health.failure_share(now);
+    double forecast = path.ms;
+    if (request.prompt->tokens == 0) {
+        double const slots = std::max(1U, candidate.about.slots);
+        forecast += service_ms * candidate.slowness
+                    * (1.0 + candidate.running() / slots);
+    } else {
+        std::uint64_t const subject = request.prompt->subject();
+        bool const is_warm =
+            &candidate == divided.home
+            || m_memory.holds(candidate.about.id, subject, now);
+        std::uint32_t const shared = request.prompt->shared_tokens();
+        into.cold_tokens = is_warm ? 0 : shared;
+        double const unread =
+            static_cast<double>(candidate.unread_tokens() + into.cold_tokens
+                                + request.prompt->tokens)
+            - shared;
+        forecast += (base_ms + unread / tokens_per_ms) * candidate.slowness;
+        cost += into.cold_tokens * cost_of_cold_token;
+        bool const is_urgent_lane =
+            std::find(divided.urgent.begin(), divided.urgent.end(), &candidate)
+            != divided.urgent.end();
+        cost += is_urgent_lane == request.is_most_urgent ? 0.0 : wrong_lane;
+    }
+    into.forecast = model::milliseconds(std::lround(forecast));
+    // The last term only settles ties: towards the one that answers first.
+    return cost + lateness(forecast, request.route->latency_target)
+           + forecast * 1e-4;
+}
+
+void picker::record_sent(pick_request const& request,
+                         upstream_state const& chosen,
+                         model::time_point now)
+{
+    if (request.prompt->subject() != 0) {
+        m_memory.record(chosen.about.id, request.prompt->subject(), now);
+    }
+}
+
+void picker::record_first_byte(upstream_state& chosen,
+                               model::milliseconds forecast,
+                               model::milliseconds took)
+{
+    // Slow to believe and bounded: one long answer says little.
+    constexpr double weight = 0.1;
+    constexpr double most = 8.0;
+    double const ratio = static_cast<double>(took.count())
+                         / std::max(1.0, static_cast<double>(forecast.count()));
+    double const target = std::clamp(chosen.slowness * ratio, 0.25, most);
+    chosen.slowness = chosen.slowness * (1.0 - weight) + target * weight;
+}
+
+} // namespace caperjunction::routing
--- /dev/null
+++ b/src/routing/picker.hpp
@@ -0,0 +1,63 @@
+#ifndef CAPERJUNCTION_ROUTING_PICKER_HPP
+#define CAPERJUNCTION_ROUTING_PICKER_HPP
+
+#include "model/time.hpp"
+#include "routing/pick.hpp"
+#include "routing/prompt_memory.hpp"
+#include "routing/upstream_directory.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// Chooses the upstream of a request.
+///
+/// Every cost is a share of what the request is worth to its caller: being
+/// late, having a shared prompt read once more, and crossing data centres
+/// are weighed in one sum, so that a warm engine far off wins against a cold
+/// one nearby just when that is better.
+///
+/// Thread safety: none; owned by one task.
+class picker
+{
+public:
+    explicit picker(upstream_directory const& directory);
+
+    /// The best upstream; `to` is null if none is left.
+    pick choose(pick_request const& request, model::time_point now) const;
+
+    /// `chosen` was sent the request.
+    void record_sent(pick_request const& request,
+                     upstream_state const& chosen,
+                     model::time_point now);
+
+    /// Its first byte came after `took` where `forecast` was expected.
+    static void record_first_byte(upstream_state& chosen,
+                                  model::milliseconds forecast,
+                                  model::milliseconds took);
+
+private:
+    struct lanes
+    {
+        /// Upstreams of the most urgent streams, the others of the rest.
+        std::vector<upstream_state const*> urgent;
+        /// The one where the request's shared prompt is kept.
+        upstream_state const* home = nullptr;
+    };
+
+    lanes divide(pick_request const& request,
+                 std::vector<upstream_ptr> const& able) const;
+    double cost_of(pick_request const& request,
+                   upstream_state const& candidate,
+                   lanes const& divided,
+                   model::time_point now,
+                   pick& into) const;
+
+    upstream_directory const& m_directory;
+    prompt_memory m_memory;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- /dev/null
+++ b/src/routing/refusal.cpp
@@ -0,0 +1,146 @@
+#include "routing/refusal.hpp"
+
+#include <array>
+
+namespace caperjunction::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct entry
+{
+    refusal_reason reason;
+    std::string_view name;
+    int status;
+    /// 0: coming back doesn't help.
+    milliseconds retry_after;
+    std::string_view remedy;
+};
+
+/// In the order of the reasons. Times to come back: what is cured by asking
+/// another host is short; what waits for an upstream is as long as a queue
+/// takes to shrink by some requests.
+constexpr std::array<entry, 16> entries{{
+    {refusal_reason::no_configuration,
+     "no_configuration",
+     503,
+     milliseconds{300},
+     "try again; another host may know the routes"},
+    {refusal_reason::no_route,
+     "no_route",
+     404,
+     milliseconds{0},
+     "check host and path against the published routes"},
+    {refusal_reason::key_missing,
+     "key_missing",
+     401,
+     milliseconds{0},
+     "send an API key in the Authorization header"},
+    {refusal_reason::key_unknown,
+     "key_unknown",
+     401,
+     milliseconds{0},
+     "use a key that your team holds now"},
+    {refusal_reason::keys_stale,
+     "keys_stale",
+     503,
+     milliseconds{100},
+     "try again; another host may know the keys"},
+    {refusal_reason::no_upstream,
+     "no_upstream",
+     503,
+     milliseconds{300},
+     "try again; no server of this service can be reached"},
+    {refusal_reason::too_late,
+     "too_late",
+     503,
+     milliseconds{500},
+     "try again later; all servers are busy beyond your deadline"},
+    {refusal_reason::upstream_full,
+     "upstream_full",
+     503,
+     milliseconds{250},
+     "try again later; the server was full"},
+    {refusal_reason::stopping,
+     "stopping",
+     503,
+     milliseconds{50},
+     "try again; this host is being stopped"},
+    {refusal_reason::host_full,
+     "host_full",
+     503,
+     milliseconds{300},
+     "try again; this host is full"},
+    {refusal_reason::upstream_failed,
+     "upstream_failed",
+     502,
+     milliseconds{0},
+     "find out whether the request has run before you send it again"},
+    {refusal_reason::timed_out,
+     "timed_out",
+     504,
+     milliseconds{0},
+     "find out whether the request has run before you send it again"},
+    {refusal_reason::malformed,
+     "malformed",
+     400,
+     milliseconds{0},
+     "send a well-formed HTTP/1.1 request"},
+    {refusal_reason::head_too_long,
+     "head_too_long",
+     431,
+     milliseconds{0},
+     "send fewer or shorter headers"},
+    {refusal_reason::body_too_long,
+     "body_too_long",
+     413,
+     milliseconds{0},
+     "send a shorter body"},
+    {refusal_reason::caller_too_slow,
+     "caller_too_slow",
+     408,
+     milliseconds{0},
+     "send the whole request without long pauses"},
+}};
+
+entry const& entry_of(refusal_reason reason)
+{
+    return entries[static_cast<std::size_t>(reason)];
+}
+
+} // namespace
+
+std::string_view to_string(refusal_reason reason)
+{
+    return entry_of(reason).name;
+}
+
+std::string_view remedy_of(refusal_reason reason)
+{
+    return entry_of(reason).remedy;
+}
+
+refusal refuse(refusal_reason reason, bool may_have_run)
+{
+    constexpr int unavailable = 503;
+    constexpr int bad_gateway = 502;
+    constexpr int timed_out = 504;
+    constexpr milliseconds after_timeout{200};
+    refusal made{reason, entry_of(reason).status, std::nullopt};
+    if (made.status == timed_out && !may_have_run) {
+        // It waited in vain and has not run: the caller may come back.
+        made.status = unavailable;
+        made.retry_after = after_timeout;
+    } else if (made.status == bad_gateway && !may_have_run) {
+        made.status = unavailable;
+        made.retry_after = entry_of(refusal_reason::no_upstream).retry_after;
+    } else if (made.status == unavailable && may_have_run) {
+        // 503 promises that the request has not run.
+        made.status = bad_gateway;
+    } else if (entry_of(reason).retry_after.count() > 0) {
+        made.retry_after = entry_of(reason).retry_after;
+    }
+    return made;
+}
+
+} // namespace caperjunction::routing
--- /dev/null
+++ b/src/routing/retry_rule.hpp
@@ -0,0 +1,57 @@
+#ifndef CAPERJUNCTION_ROUTING_RETRY_RULE_HPP
+#define CAPERJUNCTION_ROUTING_RETRY_RULE_HPP
+
+#include "routing/route.hpp"
+
+#include <cstdint>
+
+namespace caperjunction::routing {
+
+/// How one try of a request ended without the wanted answer.
+enum class try_end : std::uint8_t
+{
+    /// The upstream could not be reached: it got nothing.
+    unreachable,
+    /// The upstream says that it has not run it.
+    not_run,
+    /// The connection broke, or what came is no answer.
+    broken,
+    /// The upstream answered that it failed.
+    failed,
+    /// Nothing came for longer than another try would take.
+    silent,
+};
+
+/// Where a request stands.
+struct try_state
+{
+    /// Upstreams that were handed the request.
+    std::uint32_t sent = 0;
+    /// Upstreams that could not be reached.
+    std::uint32_t unreached = 0;
+    /// The caller has part of a stream.
+    bool has_begun = false;
+};
+
+/// Whether a request may be tried at another upstream, apart from budgets.
+///
+/// What must not run twice is sent again only if the upstream said that it
+/// has not run it, or got nothing.
+inline bool
+may_try_again(route const& chosen, try_end ended, try_state const& state)
+{
+    // Each costs a connect timeout; more would eat up the caller's time.
+    constexpr std::uint32_t most_unreached = 4;
+    if (ended == try_end::unreachable) {
+        return state.unreached < most_unreached
+               && state.sent < chosen.max_attempts;
+    }
+    if (state.sent >= chosen.max_attempts) {
+        return false;
+    }
+    return ended == try_end::not_run || chosen.repeatable();
+}
+
+} // namespace caperjunction::routing
+
+#endif
--- /dev/null
+++ b/src/routing/team.hpp
@@ -0,0 +1,22 @@
+#ifndef CAPERJUNCTION_ROUTING_TEAM_HPP
+#define CAPERJUNCTION_ROUTING_TEAM_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// Holder of API keys.
+struct team
+{
+    std::string name;
+    std::vector<std::string> keys;
+    /// Goes before the rank of the route, if set.
+    std::optional<std::uint32_t> rank;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- /dev/null
+++ b/src/routing/upstream_directory.cpp
@@ -0,0 +1,140 @@
+#include "routing/upstream_directory.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::routing {
+namespace {
+
+/// Upstreams that live have written again within two seconds of the store's
+/// return; the published contract of the store says so.
+constexpr model::milliseconds settle_time{2'000};
+
+} // namespace
+
+upstream_directory::upstream_directory(distance_of measure)
+    : m_measure(std::move(measure))
+{
+}
+
+void upstream_directory::store_regained(model::time_point now)
+{
+    m_settled_at = now + settle_time;
+}
+
+void upstream_directory::put(upstream const& described)
+{
+    m_missing.erase(described.id);
+    upstream_ptr& held = m_by_id[described.id];
+    std::string const before = held ? held->about.service : described.service;
+    bool const is_same = held && held->about.started == described.started
+                         && held->about.at == described.at
+                         && held->about.service == described.service;
+    if (!is_same) {
+        if (held) {
+            held->gone = true;
+        }
+        held = std::make_shared<upstream_state>();
+    }
+    held->about = described;
+    held->away = m_measure(described.data_centre);
+    held->gone = described.draining;
+    list_anew(described.service);
+    if (before != described.service) {
+        list_anew(before);
+    }
+}
+
+void upstream_directory::put_unreadable(std::string const& id,
+                                        model::time_point now)
+{
+    remove(id, now);
+}
+
+void upstream_directory::remove(std::string const& id, model::time_point now)
+{
+    if (m_by_id.count(id) == 0) {
+        return;
+    }
+    if (now >= m_settled_at) {
+        drop(id);
+    } else {
+        m_missing.emplace(id, m_settled_at);
+    }
+}
+
+void upstream_directory::keep_only(std::vector<std::string> const& ids,
+                                   model::time_point now)
+{
+    std::vector<std::string> lacking;
+    for (auto const& [id, state] : m_by_id) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+            lacking.push_back(id);
+        }
+    }
+    for (std::string const& id : lacking) {
+        remove(id, now);
+    }
+}
+
+void upstream_directory::drop_missing(model::time_point now)
+{
+    for (auto item = m_missing.begin(); item != m_missing.end();) {
+        if (item->second > now) {
+            ++item;
+            continue;
+        }
+        std::string const id = item->first;
+        item = m_missing.erase(item);
+        drop(id);
+    }
+}
+
+model::time_point upstream_directory::next_drop() const
+{
+    model::time_point next = model::time_point::max();
+    for (auto const& [id, due] : m_missing) {
+        next = std::min(next, due);
+    }
+    return next;
+}
+
+std::vector<upstream_ptr> const&
+upstream_directory::of_service(std::string_view service) const
+{
+    static std::vector<upstream_ptr> const s_none;
+    auto const found = m_by_service.find(service);
+    return found == m_by_service.end() ? s_none : found->second;
+}
+
+upstream_ptr upstream_directory::find(std::string const& id) const
+{
+    auto const found = m_by_id.find(id);
+    return found == m_by_id.end() ? nullptr : found->second;
+}
+
+void upstream_directory::drop(std::string const& id)
+{
+    m_missing.erase(id);
+    auto const found = m_by_id.find(id);
+    if (found == m_by_id.end()) {
+        return;
+    }
+    found->second->gone = true;
+    std::string const service = found->second->about.service;
+    m_by_id.erase(found);
+    list_anew(service);
+}
+
+void upstream_directory::list_anew(std::string const& service)
+{
+    std::vector<upstream_ptr>& list = m_by_service[service];
+    list.clear();
+    for (auto const& [id, state] : m_by_id) {
+        if (state->about.service == service && !state->gone) {
+            list.push_back(state);
+        }
+    }
+}
+
+} // namespace caperjunction::routing
--- /dev/null
+++ b/src/routing/upstream_state.hpp
@@ -0,0 +1,53 @@
+#ifndef CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
+#define CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
+
+#include "routing/distance.hpp"
+#include "routing/upstream.hpp"
+#include "routing/upstream_health.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace caperjunction::routing {
+
+/// Work at one upstream that a host knows of.
+struct upstream_load
+{
+    /// Requests that have not ended.
+    std::uint32_t running = 0;
+    /// Prompt tokens of requests whose first event has not come.
+    std::uint64_t unread_tokens = 0;
+};
+
+/// An upstream with what this host knows beyond its own description.
+/// Owned by the directory; requests on their way keep it alive.
+struct upstream_state
+{
+    upstream about;
+    distance away = distance::same_data_centre;
+    upstream_health health;
+    /// What this host has sent.
+    upstream_load own;
+    /// What the other hosts say that they have sent.
+    upstream_load others;
+    /// Time to the first event against what was forecast; 1: as forecast.
+    double slowness = 1.0;
+    /// No longer published, or leaving.
+    bool gone = false;
+
+    std::uint32_t running() const
+    {
+        return own.running + others.running;
+    }
+
+    std::uint64_t unread_tokens() const
+    {
+        return own.unread_tokens + others.unread_tokens;
+    }
+};
+
+using upstream_ptr = std::shared_ptr<upstream_state>;
+
+} // namespace caperjunction::routing
+
+#endif
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -67,7 +67,7 @@
 timer_handle
 event_loop::add(model::time_point due, model::milliseconds period, action run)
 {
-    timer_handle const handle{++m_last_timer};
+    timer_handle const handle{++m_last_timer, due, period.count() > 0};
     m_timers.emplace(due, timer{handle.value, period, std::move(run)});
     arm();
     return handle;
@@ -75,10 +75,18 @@
 
 void event_loop::cancel(timer_handle handle)
 {
-    auto const found = std::find_if(
-        m_timers.begin(), m_timers.end(), [handle](auto const& entry) {
-            return entry.second.id == handle.value;
-        });
+    auto const is_it = [handle](auto const& entry) {
+        return entry.second.id == handle.value;
+    };
+    auto const [first, last] = m_timers.equal_range(handle.due);
+    auto found = std::find_if(first, last, is_it);
+    if (found == last) {
+        if (!handle.is_periodic) {
+            return;
+        }
+        // A periodic timer that has fired stands at another time by now.
+        found = std::find_if(m_timers.begin(), m_timers.end(), is_it);
+    }
     if (found != m_timers.end()) {
         m_timers.erase(found);
     }
--- a/src/runtime/event_loop.hpp
+++ b/src/runtime/event_loop.hpp
@@ -19,6 +19,10 @@
 struct timer_handle
 {
     std::uint64_t value = 0;
+    /// Where the loop keeps it: finding it by its time costs little where
+    /// thousands of requests have a timer each.
+    model::time_point due{};
+    bool is_periodic = false;
 };
 
 /// One libevent loop with timers that follow the runtime's clock.
