Let hosts tell each other load, freshness and what broke upstreams

Cause: while the store was away, keys went stale after 0.7 to 3 s of the outage, since each host knew only of its own last confirmation (a watch that returned with changes confirmed as of its start).

--- /dev/null
+++ b/src/program/beliefs.cpp
@@ -0,0 +1,152 @@
+#include "program/beliefs.hpp"
+
+#include "model/error.hpp"
+#include "runtime/log_line.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace caperjunction::program {
+
+beliefs::beliefs(proxy::relay_context& context, proxy::store_codec const& codec)
+    : m_context(context)
+    , m_codec(codec)
+{
+}
+
+std::uint64_t beliefs::config_version() const
+{
+    return m_context.table ? m_context.table->lists().version : 0;
+}
+
+void beliefs::apply(proxy::store_item const& item)
+{
+    m_revision = std::max(m_revision, item.revision);
+    if (item.removed) {
+        m_items.erase(item.key);
+    } else {
+        m_items[item.key] = item;
+    }
+    decode(item);
+}
+
+void beliefs::keep_only(std::vector<std::string> const& keys)
+{
+    std::set<std::string> const there(keys.begin(), keys.end());
+    std::vector<std::string> ids;
+    for (std::string const& key : keys) {
+        ids.push_back(m_codec.upstream_id(key));
+    }
+    std::erase_if(m_items, [&there](auto const& held) {
+        return there.count(held.first) == 0;
+    });
+    m_context.directory.keep_only(ids, m_context.loop.now());
+}
+
+void beliefs::merge(proxy::item_list const& list)
+{
+    if (list.revision <= m_revision) {
+        return;
+    }
+    std::set<std::string> there;
+    for (proxy::store_item const& item : list.items) {
+        there.insert(item.key);
+        auto const held = m_items.find(item.key);
+        if (held == m_items.end() || held->second.revision < item.revision) {
+            apply(item);
+        }
+    }
+    std::vector<proxy::store_item> missing;
+    for (auto const& [key, held] : m_items) {
+        if (there.count(key) == 0 && held.revision < list.revision) {
+            missing.push_back(held);
+        }
+    }
+    for (proxy::store_item& item : missing) {
+        item.removed = true;
+        item.value.clear();
+        apply(item);
+    }
+    m_revision = std::max(m_revision, list.revision);
+    runtime::log_line("peer_items_merged")
+        .field("revision", list.revision)
+        .field("items", list.items.size())
+        .field("removed", missing.size());
+}
+
+proxy::item_list beliefs::all() const
+{
+    proxy::item_list list;
+    list.revision = m_revision;
+    for (auto const& [key, item] : m_items) {
+        list.items.push_back(item);
+    }
+    return list;
+}
+
+void beliefs::decode(proxy::store_item const& item)
+{
+    try {
+        proxy::store_record record = m_codec.decode(item);
+        if (auto* const read = std::get_if<routing::configuration>(&record)) {
+            take_configuration(std::move(*read));
+        } else if (auto const* const described =
+                       std::get_if<routing::upstream>(&record)) {
+            take_upstream(*described);
+        } else if (auto const* const broken =
+                       std::get_if<proxy::unreadable_upstream>(&record)) {
+            m_context.directory.put_unreadable(broken->id,
+                                               m_context.loop.now());
+            runtime::log_line("upstream_unreadable")
+                .field("upstream", broken->id)
+                .field("revision", item.revision);
+        } else if (auto const* const removed =
+                       std::get_if<proxy::removed_upstream>(&record)) {
+            m_context.directory.remove(removed->id, m_context.loop.now());
+            runtime::log_line("upstream_removed")
+                .field("upstream", removed->id)
+                .field("revision", item.revision);
+        }
+    } catch (model::error const& failure) {
+        // The configuration in force stays.
+        runtime::log_line("config_refused")
+            .field("revision", item.revision)
+            .field("message", failure.what())
+            .field("remedy", failure.remedy());
+    }
+}
+
+void beliefs::take_configuration(routing::configuration read)
+{
+    std::uint64_t const before = config_version();
+    if (m_context.table && read.version <= before) {
+        return;
+    }
+    runtime::log_line("config_applied")
+        .field("version", read.version)
+        .field("before", before)
+        .field("routes", read.routes.size())
+        .field("teams", read.teams.size());
+    m_context.table =
+        std::make_shared<routing::route_table const>(std::move(read));
+}
+
+void beliefs::take_upstream(routing::upstream const& described)
+{
+    auto const before = m_context.directory.find(described.id);
+    bool const is_news = !before || before->about.draining != described.draining
+                         || before->about.started != described.started
+                         || !(before->about.at == described.at);
+    m_context.directory.put(described);
+    if (is_news) {
+        runtime::log_line("upstream_changed")
+            .field("upstream", described.id)
+            .field("service", described.service)
+            .field("at", described.at.address)
+            .field("data_centre", described.data_centre)
+            .field("state", described.draining ? "draining" : "ready");
+    }
+}
+
+} // namespace caperjunction::program
--- a/src/program/flags.hpp
+++ b/src/program/flags.hpp
@@ -15,6 +15,7 @@
 ABSL_DECLARE_FLAG(std::string, region);
 ABSL_DECLARE_FLAG(std::string, data_centre);
 ABSL_DECLARE_FLAG(caperjunction::program::endpoint_flag, listen);
+ABSL_DECLARE_FLAG(caperjunction::program::endpoint_flag, peer_listen);
 ABSL_DECLARE_FLAG(caperjunction::program::endpoint_flag, admin_listen);
 ABSL_DECLARE_FLAG(caperjunction::program::endpoint_flag, platform);
 
--- a/src/program/routed_flags.cpp
+++ b/src/program/routed_flags.cpp
@@ -4,6 +4,7 @@
 #include "program/flags.hpp"
 
 #include <absl/flags/flag.h>
+#include <absl/strings/str_split.h>
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
@@ -15,6 +16,16 @@
           metrics_listen,
           caperjunction::program::endpoint_flag{},
           "route: where metrics are served beside the admin address");
+ABSL_FLAG(
+    std::string,
+    seeds,
+    "",
+    "route: hosts that know of others, ADDRESS:PORT of their peer_listen, "
+    "separated by commas");
+ABSL_FLAG(std::uint16_t,
+          seed_port,
+          0,
+          "route: port of all seeds; 0: as each of them says");
 ABSL_FLAG(absl::Duration,
           key_lifetime,
           absl::Seconds(5),
@@ -64,6 +75,25 @@
     return regions;
 }
 
+std::vector<model::endpoint> read_seeds(std::string const& text)
+{
+    std::vector<model::endpoint> seeds;
+    for (absl::string_view const part :
+         absl::StrSplit(text, ',', absl::SkipEmpty())) {
+        endpoint_flag seed;
+        std::string why;
+        if (!AbslParseFlag(part, &seed, &why)) {
+            refuse("--seeds names no address: " + std::string(part), why);
+        }
+        if (std::uint16_t const port = absl::GetFlag(FLAGS_seed_port);
+            port != 0) {
+            seed.value.port = port;
+        }
+        seeds.push_back(seed.value);
+    }
+    return seeds;
+}
+
 model::milliseconds
 within(absl::Duration value, absl::Duration least, std::string const& flag)
 {
@@ -90,6 +120,8 @@
     loaded.metrics_listen = absl::GetFlag(FLAGS_metrics_listen).value;
     loaded.platform = absl::GetFlag(FLAGS_platform).value;
     need_text(loaded.platform.address, "platform");
+    loaded.relay.peer_listen = absl::GetFlag(FLAGS_peer_listen).value;
+    loaded.relay.seeds = read_seeds(absl::GetFlag(FLAGS_seeds));
     loaded.relay.listen = absl::GetFlag(FLAGS_listen).value;
     // Below a second no confirmation of keys would come in time.
     loaded.relay.key_lifetime = within(
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -22,6 +22,11 @@
 /// there is time for a second and a third before keys are refused.
 constexpr double watch_share = 0.4;
 
+/// The host's own reader gets a change within milliseconds; a change that
+/// another host has had for so long will not come that way.
+constexpr model::milliseconds own_reading_lag{500};
+constexpr model::milliseconds ask_period{250};
+
 model::time_point boot_now()
 {
     timespec now{};
@@ -56,6 +61,14 @@
     , m_codec(platform::store_codec())
     , m_context(
           m_loop, m_names, m_settings.relay, boot_now, measure_from(m_settings))
+    , m_beliefs(m_context, m_codec)
+    , m_fetcher(m_loop,
+                [this](proxy::item_list const& list) {
+                    m_beliefs.merge(list);
+                    if (m_context.table) {
+                        note_read();
+                    }
+                })
     , m_relay(m_context)
     , m_admin(m_loop, m_settings.admin_listen)
 {
@@ -75,13 +88,17 @@
                 200, "text/plain; version=0.0.4", metrics_text()};
         });
     }
+    if (m_settings.relay.peer_listen.port != 0) {
+        serve_peers();
+    }
     for (std::string const& prefix : m_codec.prefixes) {
         proxy::store_hooks call;
         call.on_item = [this](proxy::store_item const& item) {
-            apply(item);
+            m_beliefs.apply(item);
         };
         call.on_all = [this](std::vector<std::string> const& keys) {
-            keep_only(keys);
+            m_beliefs.keep_only(keys);
+            note_read();
         };
         call.on_confirmed = [this](model::time_point as_of) {
             m_context.keys.confirm(as_of);
@@ -101,6 +118,27 @@
     }
 }
 
+void routed_host::serve_peers()
+{
+    m_peers = std::make_unique<proxy::peer_link>(m_context,
+                                                 m_settings.relay.peer_listen);
+    m_peers->on_peers_changed([this](std::size_t alive) {
+        runtime::log_line("peers_changed")
+            .field("alive", alive)
+            .field("most_seen", m_context.peers.most_seen());
+    });
+    m_peer_server = std::make_unique<net::admin_server>(
+        m_loop, m_settings.relay.peer_listen);
+    m_peer_server->serve(items_path, [this](std::string const&) {
+        return net::admin_answer{200,
+                                 "application/octet-stream",
+                                 proxy::encode_items(m_beliefs.all())};
+    });
+    m_loop.every(ask_period, [this] {
+        ask_peers();
+    });
+}
+
 bool routed_host::is_ready() const
 {
     return m_has_read && m_context.table && !m_relay.is_stopping();
@@ -167,6 +205,7 @@
         m_context.settings.retry_extra = read.relay.retry_extra;
         m_context.settings.stop_limit = read.relay.stop_limit;
         m_context.keys.lifetime(read.relay.key_lifetime);
+        m_context.peers.seeds(read.relay.seeds);
         runtime::log_line("reloaded")
             .field("key_lifetime_ms", read.relay.key_lifetime.count());
     } catch (model::error const& failure) {
@@ -177,81 +216,34 @@
     }
 }
 
-void routed_host::apply(proxy::store_item const& item)
+void routed_host::note_read()
 {
-    try {
-        proxy::store_record record = m_codec.decode(item);
-        if (auto* const read = std::get_if<routing::configuration>(&record)) {
-            apply_configuration(std::move(*read));
-        } else if (auto const* const described =
-                       std::get_if<routing::upstream>(&record)) {
-            apply_upstream(*described);
-        } else if (auto const* const broken =
-                       std::get_if<proxy::unreadable_upstream>(&record)) {
-            m_context.directory.put_unreadable(broken->id, m_loop.now());
-            runtime::log_line("upstream_unreadable")
-                .field("upstream", broken->id)
-                .field("revision", item.revision);
-        } else if (auto const* const removed =
-                       std::get_if<proxy::removed_upstream>(&record)) {
-            m_context.directory.remove(removed->id, m_loop.now());
-            runtime::log_line("upstream_removed")
-                .field("upstream", removed->id)
-                .field("revision", item.revision);
-        }
-    } catch (model::error const& failure) {
-        runtime::log_line("config_refused")
-            .field("revision", item.revision)
-            .field("message", failure.what())
-            .field("remedy", failure.remedy());
+    if (!std::exchange(m_has_read, true)) {
+        runtime::log_line("ready")
+            .field("upstreams", m_context.directory.size())
+            .field("config_version", m_beliefs.config_version());
     }
 }
 
-void routed_host::apply_configuration(routing::configuration read)
+// The store may refuse this host alone, or be away while it starts: others
+// may have what it lacks.
+void routed_host::ask_peers()
 {
-    std::uint64_t const before =
-        m_context.table ? m_context.table->lists().version : 0;
-    if (m_context.table && read.version <= before) {
+    std::uint64_t const version = m_beliefs.config_version();
+    model::endpoint const* const newer = m_context.peers.newer_than(version);
+    model::endpoint const* const from =
+        newer == nullptr && !m_context.table ? m_context.peers.any() : newer;
+    if (from == nullptr) {
+        m_lagging_since.reset();
         return;
     }
-    runtime::log_line("config_applied")
-        .field("version", read.version)
-        .field("before", before)
-        .field("routes", read.routes.size())
-        .field("teams", read.teams.size());
-    m_context.table =
-        std::make_shared<routing::route_table const>(std::move(read));
-}
-
-void routed_host::apply_upstream(routing::upstream const& described)
-{
-    auto const before = m_context.directory.find(described.id);
-    bool const is_news = !before || before->about.draining != described.draining
-                         || before->about.started != described.started
-                         || before->about.at != described.at;
-    m_context.directory.put(described);
-    if (is_news) {
-        runtime::log_line("upstream_changed")
-            .field("upstream", described.id)
-            .field("service", described.service)
-            .field("at", described.at.address)
-            .field("data_centre", described.data_centre)
-            .field("state", described.draining ? "draining" : "ready");
+    auto const now = m_loop.now();
+    if (!m_lagging_since) {
+        m_lagging_since = now;
     }
-}
-
-void routed_host::keep_only(std::vector<std::string> const& keys)
-{
-    std::vector<std::string> ids;
-    for (std::string const& key : keys) {
-        ids.push_back(m_codec.upstream_id(key));
-    }
-    m_context.directory.keep_only(ids, m_loop.now());
-    if (!std::exchange(m_has_read, true)) {
-        runtime::log_line("ready")
-            .field("upstreams", m_context.directory.size())
-            .field("config_version",
-                   m_context.table ? m_context.table->lists().version : 0);
+    if (now - *m_lagging_since >= own_reading_lag) {
+        m_lagging_since = now;
+        m_fetcher.ask(*from);
     }
 }
 
@@ -282,7 +274,7 @@
 std::string routed_host::metrics_text()
 {
     m_metrics.set_beliefs(
-        m_context.table ? m_context.table->lists().version : 0,
+        m_beliefs.config_version(),
         model::seconds(m_context.keys.age(boot_now())).count(),
         static_cast<double>(m_context.directory.size()));
     m_metrics.set_work(static_cast<double>(m_relay.callers()),
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -2,8 +2,11 @@
 #define CAPERJUNCTION_PROGRAM_ROUTED_HOST_HPP
 
 #include "net/admin_server.hpp"
+#include "program/beliefs.hpp"
+#include "program/item_fetcher.hpp"
 #include "program/routed_metrics.hpp"
 #include "program/routed_settings.hpp"
+#include "proxy/peer_link.hpp"
 #include "proxy/relay.hpp"
 #include "proxy/relay_context.hpp"
 #include "proxy/store_reader.hpp"
@@ -11,6 +14,7 @@
 #include "runtime/log_output.hpp"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -30,10 +34,9 @@
     int run();
 
 private:
-    void apply(proxy::store_item const& item);
-    void apply_configuration(routing::configuration read);
-    void apply_upstream(routing::upstream const& described);
-    void keep_only(std::vector<std::string> const& keys);
+    void serve_peers();
+    void ask_peers();
+    void note_read();
     void log_ended(proxy::exchange_report const& ended);
     void plan_stop();
     void reload();
@@ -48,10 +51,15 @@
     proxy::store_codec m_codec;
     proxy::relay_context m_context;
     routed_metrics m_metrics;
+    beliefs m_beliefs;
+    item_fetcher m_fetcher;
     proxy::relay m_relay;
     net::admin_server m_admin;
     std::unique_ptr<net::admin_server> m_metrics_server;
     std::vector<std::unique_ptr<proxy::store_reader>> m_readers;
+    std::unique_ptr<proxy::peer_link> m_peers;
+    std::unique_ptr<net::admin_server> m_peer_server;
+    std::optional<model::time_point> m_lagging_since;
     bool m_has_read = false;
 };
 
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -126,7 +126,7 @@
 bool caller::keeps_alive() const
 {
     return m_head.keep_alive && m_head.minor_version > 0
-           && !m_context.refuses_new && !m_context.is_stopping;
+           && !m_context.is_stopping;
 }
 
 void caller::begin_exchange()
--- /dev/null
+++ b/src/proxy/digest_codec.cpp
@@ -0,0 +1,180 @@
+#include "proxy/digest_codec.hpp"
+
+#include "proxy/wire/digest_generated.h"
+
+#include <arpa/inet.h>
+
+namespace caperjunction::proxy {
+namespace {
+
+std::uint64_t micros_of(model::time_point time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            time.time_since_epoch())
+            .count());
+}
+
+model::time_point time_of(std::uint64_t micros)
+{
+    return model::time_point(std::chrono::microseconds(micros));
+}
+
+wire::Address to_wire(model::endpoint const& from)
+{
+    in_addr address{};
+    inet_pton(AF_INET, from.address.c_str(), &address);
+    return {ntohl(address.s_addr), from.port};
+}
+
+model::endpoint from_wire(wire::Address const& from)
+{
+    in_addr address{};
+    address.s_addr = htonl(from.ip());
+    char text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &address, text, sizeof text);
+    return {text, from.port()};
+}
+
+template <typename Message>
+Message const* verified(std::string_view bytes)
+{
+    auto const* const data =
+        reinterpret_cast<std::uint8_t const*>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    return verifier.VerifyBuffer<Message>(nullptr)
+               ? flatbuffers::GetRoot<Message>(data)
+               : nullptr;
+}
+
+std::string text_of(flatbuffers::FlatBufferBuilder const& builder)
+{
+    return {reinterpret_cast<char const*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+}
+
+} // namespace
+
+std::string encode_digest(digest_frame const& frame)
+{
+    routing::peer_digest const& from = frame.digest;
+    std::vector<wire::Load> loads;
+    for (routing::peer_load const& item : from.loads) {
+        loads.emplace_back(item.upstream,
+                           static_cast<std::uint32_t>(item.load.unread_tokens),
+                           item.load.running);
+    }
+    std::vector<wire::Suspect> suspects;
+    for (routing::crash_suspect const& item : from.suspects) {
+        suspects.emplace_back(item.fingerprint, item.crashes);
+    }
+    std::vector<wire::Address> peers;
+    for (model::endpoint const& item : from.peers) {
+        peers.push_back(to_wire(item));
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    auto const load_list = builder.CreateVectorOfStructs(loads);
+    auto const suspect_list = builder.CreateVectorOfStructs(suspects);
+    auto const peer_list = builder.CreateVectorOfStructs(peers);
+    wire::DigestBuilder made(builder);
+    made.add_generation(from.generation);
+    made.add_sequence(from.sequence);
+    made.add_stamp(micros_of(frame.stamp));
+    if (frame.echoed) {
+        made.add_echoed_stamp(micros_of(*frame.echoed));
+        made.add_echo_held_us(
+            static_cast<std::uint32_t>(frame.echo_held.count()));
+    }
+    made.add_config_version(from.config_version);
+    if (frame.confirmed_age) {
+        made.add_has_confirmed(true);
+        made.add_confirmed_age_us(
+            static_cast<std::uint64_t>(frame.confirmed_age->count()));
+    }
+    made.add_hosts_seen(from.hosts_seen);
+    made.add_loads(load_list);
+    made.add_suspects(suspect_list);
+    made.add_peers(peer_list);
+    builder.Finish(made.Finish());
+    return text_of(builder);
+}
+
+std::optional<digest_frame> decode_digest(std::string_view bytes)
+{
+    auto const* const from = verified<wire::Digest>(bytes);
+    if (from == nullptr) {
+        return std::nullopt;
+    }
+    digest_frame frame;
+    routing::peer_digest& digest = frame.digest;
+    digest.generation = from->generation();
+    digest.sequence = from->sequence();
+    digest.config_version = from->config_version();
+    digest.hosts_seen = from->hosts_seen();
+    frame.stamp = time_of(from->stamp());
+    if (from->echoed_stamp() != 0) {
+        frame.echoed = time_of(from->echoed_stamp());
+        frame.echo_held = std::chrono::microseconds(from->echo_held_us());
+    }
+    if (from->has_confirmed()) {
+        frame.confirmed_age =
+            std::chrono::microseconds(from->confirmed_age_us());
+    }
+    if (from->loads() != nullptr) {
+        for (wire::Load const* const item : *from->loads()) {
+            digest.loads.push_back(
+                {item->upstream(), {item->running(), item->unread_tokens()}});
+        }
+    }
+    if (from->suspects() != nullptr) {
+        for (wire::Suspect const* const item : *from->suspects()) {
+            digest.suspects.push_back({item->fingerprint(), item->crashes()});
+        }
+    }
+    if (from->peers() != nullptr) {
+        for (wire::Address const* const item : *from->peers()) {
+            digest.peers.push_back(from_wire(*item));
+        }
+    }
+    return frame;
+}
+
+std::string encode_items(item_list const& list)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<wire::Item>> items;
+    for (store_item const& item : list.items) {
+        auto const key = builder.CreateString(item.key);
+        auto const value = builder.CreateVector(
+            reinterpret_cast<std::uint8_t const*>(item.value.data()),
+            item.value.size());
+        items.push_back(wire::CreateItem(builder, key, value, item.revision));
+    }
+    builder.Finish(
+        wire::CreateItems(builder, builder.CreateVector(items), list.revision));
+    return text_of(builder);
+}
+
+std::optional<item_list> decode_items(std::string_view bytes)
+{
+    auto const* const from = verified<wire::Items>(bytes);
+    if (from == nullptr || from->items() == nullptr) {
+        return std::nullopt;
+    }
+    item_list list;
+    list.revision = from->revision();
+    for (wire::Item const* const item : *from->items()) {
+        if (item->key() == nullptr || item->value() == nullptr) {
+            return std::nullopt;
+        }
+        store_item made;
+        made.key = item->key()->str();
+        made.value.assign(reinterpret_cast<char const*>(item->value()->data()),
+                          item->value()->size());
+        made.revision = item->revision();
+        list.items.push_back(std::move(made));
+    }
+    return list;
+}
+
+} // namespace caperjunction::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -59,7 +59,8 @@
         refuse(*admitted.refused);
         return;
     }
-    if (m_context.refuses_new) {
+    if (!m_context.takes_new(std::min(
+            m_facts.deadline.value_or(m_route->timeout), m_route->timeout))) {
         refuse(step::stopping);
         return;
     }
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -55,6 +55,7 @@
     void send_to(routing::pick const& chosen);
     void arm_silence_timer(routing::pick const& chosen);
     void try_ended(routing::try_end how);
+    bool can_try_again(routing::try_end how);
     bool takes_retry(routing::try_end how);
     void drop_connection();
     model::milliseconds time_left() const;
@@ -71,6 +72,9 @@
     void deliver_whole();
     void note_first_byte();
 
+    std::uint64_t fingerprint();
+    bool is_quarantined();
+
     void time_out();
     void refuse(routing::refusal_reason reason);
     void end(std::string_view outcome, bool whole);
@@ -119,6 +123,7 @@
     routing::try_state m_state;
     std::vector<std::string> m_tried;
     bool m_may_have_run = false;
+    std::uint64_t m_fingerprint = 0;
     bool m_began = false;
     bool m_keep_alive = true;
     std::string m_last_event_id;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -72,9 +72,9 @@
     bool const is_failure = head.status >= first_failure;
     if (is_failure) {
         m_upstream->health.record_failure(m_context.loop.now());
-        if (m_began
-            || routing::may_try_again(
-                *m_route, try_end::failed, {m_state.sent + 1})) {
+        // Without another try the upstream's own answer says more than one
+        // of ours.
+        if (m_began || can_try_again(try_end::failed)) {
             try_ended(try_end::failed);
             return;
         }
@@ -186,6 +186,9 @@
     bool const is_failure = m_answer.status >= first_failure;
     if (!is_failure) {
         m_upstream->health.record_success(m_context.loop.now());
+        if (!m_context.suspects.is_empty()) {
+            m_context.suspects.record_success(fingerprint());
+        }
     }
     if (auto const connection = std::exchange(m_connection, nullptr)) {
         m_context.pool.give_back(m_upstream, connection);
@@ -212,6 +215,9 @@
         m_upstream->health.record_failure(now);
     } else {
         m_upstream->health.record_unreachable(now);
+        if (why == answer_fault::broken && m_connection->has_sent()) {
+            m_context.suspects.record_crash(fingerprint(), now);
+        }
     }
     try_ended(why == answer_fault::unreachable ? try_end::unreachable
                                                : try_end::broken);
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -2,6 +2,8 @@
 
 #include "proxy/message_text.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -26,14 +28,14 @@
         m_give_up - m_context.loop.now());
 }
 
-// A request may have waited or been tried while a key was taken away, or the
-// host was suspended since it looked last.
+// A key may have been taken away since the request came. How old the belief
+// was then decided whether it was admitted; that doesn't change.
 bool exchange::is_still_allowed()
 {
     auto const admitted = routing::admit(
         m_context.table.get(),
         m_context.keys,
-        {m_facts.authority, m_facts.path, m_facts.key, m_context.boot_now()});
+        {m_facts.authority, m_facts.path, m_facts.key, m_arrived_boot});
     return !admitted.refused
            || *admitted.refused == routing::refusal_reason::no_route;
 }
@@ -56,6 +58,27 @@
     return chosen;
 }
 
+// The same path, caller and body come again under a new id.
+std::uint64_t exchange::fingerprint()
+{
+    if (m_fingerprint == 0) {
+        m_fingerprint = XXH3_64bits(m_body.data(), m_body.size())
+                        ^ XXH3_64bits(m_facts.path.data(), m_facts.path.size())
+                        ^ XXH3_64bits(m_facts.key.data(), m_facts.key.size());
+    }
+    return m_fingerprint;
+}
+
+bool exchange::is_quarantined()
+{
+    if (m_context.suspects.is_empty() && m_context.peers.counts_no_crash()) {
+        return false;
+    }
+    return m_context.suspects.crashes_of(fingerprint(), m_context.loop.now())
+               + m_context.peers.crashes_of(fingerprint())
+           >= routing::crash_suspects::most_crashes;
+}
+
 void exchange::place()
 {
     m_pick = choose();
@@ -67,6 +90,10 @@
         refuse(step::too_late);
         return;
     }
+    if (is_quarantined()) {
+        refuse(may_have_run() ? step::upstream_failed : step::quarantined);
+        return;
+    }
     send_to(m_pick);
 }
 
@@ -134,9 +161,7 @@
         if (!own || own->m_ended || own->m_report.first_byte.count() >= 0) {
             return;
         }
-        bool const has_budget =
-            own->m_context.allowance(own->m_service).left() >= 1.0;
-        if (has_budget) {
+        if (own->can_try_again(try_end::silent)) {
             own->m_upstream->health.record_failure(own->m_context.loop.now());
             own->try_ended(try_end::silent);
         }
@@ -154,12 +179,21 @@
     }
     if (auto const connection = std::exchange(m_connection, nullptr)) {
         if (connection->has_sent()) {
+            ++m_state.sent;
             m_may_have_run = true;
         }
         connection->close();
     }
 }
 
+bool exchange::can_try_again(try_end how)
+{
+    routing::try_state after = m_state;
+    ++after.sent;
+    return routing::may_try_again(*m_route, how, after)
+           && m_context.allowance(m_service).left() >= 1.0;
+}
+
 bool exchange::takes_retry(try_end how)
 {
     if (!routing::may_try_again(*m_route, how, m_state)) {
@@ -174,8 +208,6 @@
     bool const had_run = m_may_have_run;
     if (how == try_end::unreachable) {
         ++m_state.unreached;
-    } else {
-        ++m_state.sent;
     }
     drop_connection();
     if (how == try_end::unreachable || how == try_end::not_run) {
--- /dev/null
+++ b/src/proxy/peer_link.cpp
@@ -0,0 +1,205 @@
+#include "proxy/peer_link.hpp"
+
+#include "model/error.hpp"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// How often a small fleet's hosts tell each other: a prompt is read in some
+/// 100 ms, and loads that are older mislead.
+constexpr model::milliseconds shortest_period{100};
+/// A host of a large fleet hears at most this many datagrams a second, some
+/// thousandths of a core.
+constexpr double most_heard_a_second = 60.0;
+
+constexpr std::size_t largest_datagram = 65'536;
+constexpr std::size_t most_suspects = 32;
+constexpr std::size_t most_peers_told = 16;
+
+std::uint64_t hash_of(std::string const& id)
+{
+    return XXH3_64bits(id.data(), id.size());
+}
+
+sockaddr_in to_socket(model::endpoint const& at)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(at.port);
+    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+} // namespace
+
+peer_link::peer_link(relay_context& context, model::endpoint const& listen)
+    : m_context(context)
+    , m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    , m_generation(static_cast<std::uint64_t>(
+          std::chrono::system_clock::now().time_since_epoch().count()))
+{
+    sockaddr_in const address = to_socket(listen);
+    if (m_socket < 0
+        || bind(m_socket,
+                reinterpret_cast<sockaddr const*>(&address),
+                sizeof address)
+               != 0) {
+        throw model::error(
+            model::error_kind::bad_settings,
+            fmt::format(
+                "cannot hear peers on {}:{}", listen.address, listen.port),
+            "free that port or choose another with --peer_listen");
+    }
+    m_read = event_new(
+        context.loop.base(),
+        m_socket,
+        EV_READ | EV_PERSIST,
+        [](int, short, void* self) {
+            static_cast<peer_link*>(self)->hear();
+        },
+        this);
+    event_add(m_read, nullptr);
+    m_timer = context.loop.after(shortest_period, [this] {
+        tell();
+    });
+}
+
+peer_link::~peer_link()
+{
+    m_context.loop.cancel(m_timer);
+    event_free(m_read);
+    close(m_socket);
+}
+
+digest_frame peer_link::own_frame()
+{
+    digest_frame frame;
+    routing::peer_digest& digest = frame.digest;
+    digest.generation = m_generation;
+    digest.sequence = ++m_sequence;
+    digest.config_version =
+        m_context.table ? m_context.table->lists().version : 0;
+    digest.hosts_seen = static_cast<std::uint32_t>(m_context.peers.most_seen());
+    m_context.directory.each([&digest](routing::upstream_state const& state) {
+        if (state.own.running > 0) {
+            digest.loads.push_back({hash_of(state.about.id), state.own});
+        }
+    });
+    digest.suspects =
+        m_context.suspects.to_tell(most_suspects, m_context.loop.now());
+    digest.peers = m_context.peers.heard(most_peers_told);
+    frame.stamp = m_context.boot_now();
+    if (auto const as_of = m_context.keys.as_of()) {
+        frame.confirmed_age =
+            std::chrono::duration_cast<std::chrono::microseconds>(frame.stamp
+                                                                  - *as_of);
+    }
+    return frame;
+}
+
+void peer_link::tell()
+{
+    auto const now = m_context.loop.now();
+    m_context.peers.forget_silent(now);
+    digest_frame frame = own_frame();
+    for (model::endpoint const& to : m_context.peers.audience(now)) {
+        auto const heard =
+            m_echoes.find(fmt::format("{}:{}", to.address, to.port));
+        frame.echoed.reset();
+        if (heard != m_echoes.end()) {
+            frame.echoed = heard->second.stamp;
+            frame.echo_held =
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    frame.stamp - heard->second.got_at);
+        }
+        std::string const bytes = encode_digest(frame);
+        sockaddr_in const address = to_socket(to);
+        // What doesn't go out is made good by the next.
+        sendto(m_socket,
+               bytes.data(),
+               bytes.size(),
+               0,
+               reinterpret_cast<sockaddr const*>(&address),
+               sizeof address);
+    }
+    apply_loads();
+    model::milliseconds const by_size{static_cast<std::int64_t>(
+        1'000.0 * static_cast<double>(m_context.peers.alive())
+        / most_heard_a_second)};
+    m_timer = m_context.loop.after(std::max(shortest_period, by_size), [this] {
+        tell();
+    });
+}
+
+void peer_link::hear()
+{
+    static std::array<char, largest_datagram> s_bytes;
+    for (;;) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        ssize_t const got = recvfrom(m_socket,
+                                     s_bytes.data(),
+                                     s_bytes.size(),
+                                     0,
+                                     reinterpret_cast<sockaddr*>(&from),
+                                     &size);
+        if (got < 0) {
+            return;
+        }
+        char text[INET_ADDRSTRLEN] = "";
+        inet_ntop(AF_INET, &from.sin_addr, text, sizeof text);
+        take({s_bytes.data(), static_cast<std::size_t>(got)},
+             {text, ntohs(from.sin_port)});
+    }
+}
+
+void peer_link::take(std::string_view bytes, model::endpoint const& from)
+{
+    auto frame = decode_digest(bytes);
+    if (!frame) {
+        return;
+    }
+    auto const now = m_context.boot_now();
+    m_echoes[fmt::format("{}:{}", from.address, from.port)] = {frame->stamp,
+                                                               now};
+    // The sender had our stamp for `echo_held` when it said how old its
+    // belief was: that moment is no earlier than the stamp and that time.
+    if (frame->echoed && frame->confirmed_age && *frame->echoed <= now) {
+        frame->digest.confirmed =
+            *frame->echoed + frame->echo_held - *frame->confirmed_age;
+    }
+    bool const is_same_version =
+        m_context.table
+        && m_context.table->lists().version == frame->digest.config_version;
+    if (frame->digest.confirmed && is_same_version) {
+        m_context.keys.confirm(std::min(*frame->digest.confirmed, now));
+    }
+    m_context.peers.hear(from, frame->digest, m_context.loop.now());
+}
+
+void peer_link::apply_loads()
+{
+    m_context.directory.each([this](routing::upstream_state& state) {
+        state.others = m_context.peers.load_of(hash_of(state.about.id));
+    });
+    if (m_alive != m_context.peers.alive()) {
+        m_alive = m_context.peers.alive();
+        if (m_on_changed) {
+            m_on_changed(m_alive);
+        }
+    }
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/peer_link.hpp
@@ -0,0 +1,63 @@
+#ifndef CAPERJUNCTION_PROXY_PEER_LINK_HPP
+#define CAPERJUNCTION_PROXY_PEER_LINK_HPP
+
+#include "proxy/digest_codec.hpp"
+#include "proxy/relay_context.hpp"
+#include "routing/peer_table.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+struct event;
+
+namespace caperjunction::proxy {
+
+/// Exchanges digests with the other hosts, by datagrams: one that is lost is
+/// made good by the next, and a host that hangs holds up nobody.
+///
+/// Thread safety: none; owned by the loop's task.
+class peer_link
+{
+public:
+    /// \throws model::error (bad_settings) if the address is not to be had.
+    peer_link(relay_context& context, model::endpoint const& listen);
+    ~peer_link();
+    peer_link(peer_link const&) = delete;
+    peer_link& operator=(peer_link const&) = delete;
+
+    /// Called when a host is heard first, or again, and when it falls silent.
+    void on_peers_changed(std::function<void(std::size_t alive)> call)
+    {
+        m_on_changed = std::move(call);
+    }
+
+private:
+    struct echo
+    {
+        model::time_point stamp{};
+        model::time_point got_at{};
+    };
+
+    void tell();
+    void hear();
+    void take(std::string_view bytes, model::endpoint const& from);
+    void apply_loads();
+    digest_frame own_frame();
+
+    relay_context& m_context;
+    int m_socket = -1;
+    event* m_read = nullptr;
+    runtime::timer_handle m_timer;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_sequence = 0;
+    std::map<std::string, echo> m_echoes;
+    std::size_t m_alive = 0;
+    std::function<void(std::size_t)> m_on_changed;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -22,14 +22,6 @@
 /// How exactly idle and slow connections are ended.
 constexpr model::milliseconds sweep_period{250};
 
-/// Time in which the balancer notices that this host is not ready: two
-/// questions a second apart, and what is on its way by then.
-constexpr model::milliseconds balancer_lag{3'000};
-
-/// A request that comes later into a planned stop may not get its answer
-/// before the process is ended; it is better refused, since it has not run.
-constexpr double refusing_share = 0.6;
-
 /// Left for writing the last answers before the process is ended by force.
 constexpr model::milliseconds last_moment{250};
 
@@ -118,15 +110,14 @@
     }
     m_context.is_stopping = true;
     m_on_stopped = std::move(on_stopped);
-    m_stop_began = m_context.loop.now();
+    m_context.stop_began = m_context.loop.now();
 }
 
 void relay::check_stop()
 {
-    auto const since = m_context.loop.now() - m_stop_began;
+    auto const since = m_context.loop.now() - m_context.stop_began;
     auto const limit = m_context.settings.stop_limit;
-    m_context.refuses_new = since > limit * refusing_share;
-    if (since > balancer_lag) {
+    if (since > routing::balancer_lag) {
         std::vector<std::shared_ptr<caller>> all;
         for (auto const& [key, item] : m_callers) {
             all.push_back(item);
@@ -135,7 +126,8 @@
             item->close_if_idle();
         }
     }
-    bool const is_done = since > balancer_lag + sweep_period && !is_busy();
+    bool const is_done =
+        since > routing::balancer_lag + sweep_period && !is_busy();
     if (is_done || since > limit - last_moment) {
         auto const call = std::exchange(m_on_stopped, nullptr);
         if (call) {
--- a/src/proxy/relay.hpp
+++ b/src/proxy/relay.hpp
@@ -60,7 +60,7 @@
     std::uint16_t m_port = 0;
     std::map<caller const*, std::shared_ptr<caller>> m_callers;
     runtime::timer_handle m_sweep;
-    model::time_point m_stop_began{};
+
     std::function<void()> m_on_stopped;
 };
 
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -6,10 +6,13 @@
 #include "proxy/relay_settings.hpp"
 #include "proxy/upstream_pool.hpp"
 #include "proxy/wire_names.hpp"
+#include "routing/crash_suspects.hpp"
 #include "routing/freshness.hpp"
+#include "routing/peer_table.hpp"
 #include "routing/picker.hpp"
 #include "routing/retry_allowance.hpp"
 #include "routing/route_table.hpp"
+#include "routing/stop_rule.hpp"
 #include "routing/upstream_directory.hpp"
 #include "runtime/event_loop.hpp"
 
@@ -36,13 +39,15 @@
     routing::upstream_directory directory;
     routing::picker picker;
     upstream_pool pool;
+    routing::peer_table peers;
+    routing::crash_suspects suspects;
     std::map<std::string, routing::retry_allowance> allowances;
     /// Called once for each request that ended.
     std::function<void(exchange_report const&)> on_ended;
-    /// Set while the host stops: requests that begin now would be cut off.
-    bool refuses_new = false;
+
     /// Set from the signal to stop: answers close their connections.
     bool is_stopping = false;
+    model::time_point stop_began{};
 
     relay_context(runtime::event_loop& on,
                   wire_names const& wire,
@@ -57,20 +62,43 @@
         , directory(std::move(measure))
         , picker(directory)
         , pool(on)
+        , peers(given.peer_listen, given.seeds)
     {
     }
 
+    /// Whether a request that may take `longest` is taken now.
+    bool takes_new(model::milliseconds longest) const
+    {
+        return !is_stopping
+               || routing::takes_new(
+                   std::chrono::duration_cast<model::milliseconds>(
+                       loop.now() - stop_began),
+                   settings.stop_limit,
+                   longest);
+    }
+
+    /// What this host may spend of the fleet's extra budget at once. Hosts
+    /// that are cut off go on sending: the largest fleet ever seen counts,
+    /// and a host that has heard nobody yet assumes a large one.
+    double retry_burst() const
+    {
+        constexpr double assumed_hosts = 27.0;
+        constexpr double spent_at_once = 0.8;
+        bool const is_alone = peers.most_seen() < 2;
+        double const hosts =
+            is_alone ? assumed_hosts : static_cast<double>(peers.most_seen());
+        return std::max(1.0, settings.retry_extra * spent_at_once / hosts);
+    }
+
     /// The budget of second sends to `service`.
     routing::retry_allowance& allowance(std::string const& service)
     {
-        // Hosts don't know how many they are; a fleet of this many keeps
-        // within its extra budget when all spend their share at once.
-        constexpr double assumed_hosts = 27.0;
-        return allowances
-            .try_emplace(service,
-                         settings.retry_ratio,
-                         std::max(1.0, settings.retry_extra / assumed_hosts))
-            .first->second;
+        double const burst = retry_burst();
+        auto& found =
+            allowances.try_emplace(service, settings.retry_ratio, burst)
+                .first->second;
+        found.burst(burst);
+        return found;
     }
 };
 
--- a/src/proxy/relay_settings.hpp
+++ b/src/proxy/relay_settings.hpp
@@ -5,6 +5,7 @@
 #include "model/time.hpp"
 
 #include <cstddef>
+#include <vector>
 
 namespace caperjunction::proxy {
 
@@ -12,6 +13,10 @@
 struct relay_settings
 {
     model::endpoint listen;
+    /// Where the other hosts reach this one; port 0: peers are not spoken to.
+    model::endpoint peer_listen;
+    /// Hosts that know of others.
+    std::vector<model::endpoint> seeds;
     /// How long keys may be acted on without the store confirming them.
     model::milliseconds key_lifetime{5'000};
     /// Second sends that a request pays for, fleet-wide.
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -139,15 +139,26 @@
     }
     m_whole = true;
     m_call.on_all(m_keys);
-    m_call.on_confirmed(m_sent_at);
+    m_confirmed = m_sent_at;
+    m_call.on_confirmed(m_confirmed);
     watch();
 }
 
+// An answer with changes confirms only what was so when the call left here:
+// the next call waits for less, so that beliefs are confirmed as often while
+// much changes as when nothing does.
+model::milliseconds store_reader::next_wait() const
+{
+    auto const age = std::chrono::duration_cast<model::milliseconds>(
+        m_boot_now() - m_confirmed);
+    return std::clamp(m_wait - age, m_wait / 8, m_wait);
+}
+
 void store_reader::watch()
 {
     // After a failure the store is asked at once: a long wait would leave
     // open whether it is back.
-    auto const wait = m_failures > 0 ? model::milliseconds{1} : m_wait;
+    auto const wait = m_failures > 0 ? model::milliseconds{1} : next_wait();
     m_asked_wait = wait;
     call(m_codec.watch_target(m_prefix, m_revision, wait),
          wait + read_limit,
@@ -183,8 +194,8 @@
     // call wait in vain, no earlier than the end of that wait.
     bool const waited =
         changes.items.empty() && m_boot_now() - m_sent_at >= m_asked_wait;
-    m_call.on_confirmed(m_sent_at
-                        + (waited ? m_asked_wait : model::milliseconds{0}));
+    m_confirmed = m_sent_at + (waited ? m_asked_wait : model::milliseconds{0});
+    m_call.on_confirmed(m_confirmed);
     watch();
 }
 
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -56,6 +56,7 @@
 
 private:
     void read_page(std::string const& after_key);
+    model::milliseconds next_wait() const;
     void watch();
     void call(std::string const& target,
               model::milliseconds limit,
@@ -82,6 +83,7 @@
     std::string m_body;
     int m_status = 0;
     model::time_point m_sent_at{};
+    model::time_point m_confirmed{};
     std::uint64_t m_revision = 0;
     bool m_whole = false;
     std::vector<std::string> m_keys;
--- /dev/null
+++ b/src/routing/crash_suspects.cpp
@@ -0,0 +1,46 @@
+#include "routing/crash_suspects.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::routing {
+
+void crash_suspects::record_crash(std::uint64_t fingerprint,
+                                  model::time_point now)
+{
+    if (m_known.size() >= most_known) {
+        std::erase_if(m_known, [now](auto const& item) {
+            return now - item.second.last > memory || item.second.crashes == 1;
+        });
+    }
+    record& known = m_known[fingerprint];
+    known.crashes = now - known.last > memory ? 1 : known.crashes + 1;
+    known.last = now;
+}
+
+std::uint32_t crash_suspects::crashes_of(std::uint64_t fingerprint,
+                                         model::time_point now) const
+{
+    auto const found = m_known.find(fingerprint);
+    return found == m_known.end() || now - found->second.last > memory
+               ? 0
+               : found->second.crashes;
+}
+
+std::vector<crash_suspect> crash_suspects::to_tell(std::size_t most,
+                                                   model::time_point now) const
+{
+    std::vector<crash_suspect> list;
+    for (auto const& [fingerprint, known] : m_known) {
+        if (now - known.last <= memory) {
+            list.push_back({fingerprint, known.crashes});
+        }
+    }
+    std::sort(list.begin(), list.end(), [](auto const& a, auto const& b) {
+        return a.crashes != b.crashes ? a.crashes > b.crashes
+                                      : a.fingerprint < b.fingerprint;
+    });
+    list.resize(std::min(list.size(), most));
+    return list;
+}
+
+} // namespace caperjunction::routing
--- a/src/routing/freshness.hpp
+++ b/src/routing/freshness.hpp
@@ -60,9 +60,9 @@
     }
 
 private:
-    /// Between the look at the clock and the first byte at the upstream:
-    /// the loop's longest turn and the way there.
-    static constexpr model::milliseconds margin{300};
+    /// For clocks that run at different rates: a thousandth of the usual
+    /// lifetime many times over.
+    static constexpr model::milliseconds margin{100};
 
     model::milliseconds m_lifetime;
     std::optional<model::time_point> m_as_of;
--- /dev/null
+++ b/src/routing/peer_digest.hpp
@@ -0,0 +1,49 @@
+#ifndef CAPERJUNCTION_ROUTING_PEER_DIGEST_HPP
+#define CAPERJUNCTION_ROUTING_PEER_DIGEST_HPP
+
+#include "model/endpoint.hpp"
+#include "model/time.hpp"
+#include "routing/upstream_state.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// What a host has sent to one upstream.
+struct peer_load
+{
+    /// Hash of the upstream's id.
+    std::uint64_t upstream = 0;
+    upstream_load load;
+};
+
+/// A request that was on an upstream when that broke.
+struct crash_suspect
+{
+    std::uint64_t fingerprint = 0;
+    std::uint32_t crashes = 0;
+};
+
+/// What one host tells another several times a second.
+struct peer_digest
+{
+    /// Grows with each start of the sender.
+    std::uint64_t generation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t config_version = 0;
+    /// As of when the store has confirmed that version, on the receiver's
+    /// clock; nothing if that can't be told.
+    std::optional<model::time_point> confirmed;
+    /// Hosts that the sender has known at one time.
+    std::uint32_t hosts_seen = 0;
+    std::vector<peer_load> loads;
+    std::vector<crash_suspect> suspects;
+    /// Other hosts that the sender hears.
+    std::vector<model::endpoint> peers;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- /dev/null
+++ b/src/routing/peer_table.hpp
@@ -0,0 +1,107 @@
+#ifndef CAPERJUNCTION_ROUTING_PEER_TABLE_HPP
+#define CAPERJUNCTION_ROUTING_PEER_TABLE_HPP
+
+#include "model/endpoint.hpp"
+#include "model/time.hpp"
+#include "routing/peer_digest.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// What this host knows of the others.
+///
+/// All of it only makes decisions better: a host that hears nobody goes on
+/// with what it sees by itself.
+///
+/// Thread safety: none; owned by one task.
+class peer_table
+{
+public:
+    /// `own` is never taken for a peer; `seeds` are asked until they answer.
+    peer_table(model::endpoint own, std::vector<model::endpoint> seeds);
+
+    /// Seeds may name hosts that start later, or be replaced.
+    void seeds(std::vector<model::endpoint> seeds);
+
+    void hear(model::endpoint const& from,
+              peer_digest const& told,
+              model::time_point now);
+
+    /// Drops what silent hosts have told.
+    void forget_silent(model::time_point now);
+
+    /// Whom to tell now. Those that don't answer are told more seldom.
+    std::vector<model::endpoint> audience(model::time_point now);
+
+    /// Hosts that are heard, at most `most`, for the audience to learn of.
+    std::vector<model::endpoint> heard(std::size_t most) const;
+
+    /// Hosts heard lately, without this one.
+    std::size_t alive() const
+    {
+        return m_alive;
+    }
+
+    /// The largest fleet that this host or any it heard has known, with this
+    /// one. Hosts that can't be reached may still send.
+    std::size_t most_seen() const
+    {
+        return m_most_seen;
+    }
+
+    /// What the others have sent to an upstream.
+    upstream_load load_of(std::uint64_t upstream) const;
+
+    /// Crashes that the others have counted.
+    std::uint32_t crashes_of(std::uint64_t fingerprint) const;
+
+    bool counts_no_crash() const
+    {
+        return m_crashes.empty();
+    }
+
+    /// A host that has a newer configuration than `version`; null if none.
+    model::endpoint const* newer_than(std::uint64_t version) const;
+
+    /// Any host that is heard; null if none.
+    model::endpoint const* any() const;
+
+private:
+    struct peer
+    {
+        peer_digest told;
+        model::time_point heard_at{};
+        model::time_point asked_at{};
+        bool is_heard = false;
+    };
+
+    struct by_address
+    {
+        bool operator()(model::endpoint const& a,
+                        model::endpoint const& b) const
+        {
+            return a.address != b.address ? a.address < b.address
+                                          : a.port < b.port;
+        }
+    };
+
+    void learn(model::endpoint const& address);
+    void count(peer_digest const& told, int sign);
+
+    model::endpoint m_own;
+    std::map<model::endpoint, peer, by_address> m_peers;
+    std::unordered_map<std::uint64_t, upstream_load> m_loads;
+    std::unordered_map<std::uint64_t, std::uint32_t> m_crashes;
+    std::size_t m_alive = 0;
+    std::size_t m_most_seen = 1;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -8,6 +8,9 @@
 namespace caperjunction::routing {
 namespace {
 
+/// Orders engines by lane.
+constexpr std::uint64_t lane_key = 1;
+
 /// Prompt tokens that an engine reads in a millisecond, before `slowness`
 /// has corrected the forecast.
 constexpr double tokens_per_ms = 60.0;
@@ -113,7 +116,6 @@
         return divided;
     }
     // Each host sorts alike, so that all agree without a message.
-    constexpr std::uint64_t lane_key = 1;
     for (bool const far : {false, true}) {
         std::vector<upstream_state const*> region;
         for (upstream_ptr const& item : able) {
@@ -129,10 +131,12 @@
                 return rendezvous(a->about.id, lane_key)
                        > rendezvous(b->about.id, lane_key);
             });
-        region.resize(
-            std::max<std::size_t>(1, region.size() / engines_of_one_urgent));
-        divided.urgent.insert(
-            divided.urgent.end(), region.begin(), region.end());
+        std::size_t const urgent = region.size() / engines_of_one_urgent;
+        divided.urgent.insert(divided.urgent.end(),
+                              region.begin(),
+                              region.begin()
+                                  + static_cast<std::ptrdiff_t>(
+                                      std::max<std::size_t>(1, urgent)));
     }
     std::uint64_t best = 0;
     for (upstream_ptr const& item : able) {
--- a/src/routing/refusal.cpp
+++ b/src/routing/refusal.cpp
@@ -20,7 +20,7 @@
 /// In the order of the reasons. Times to come back: what is cured by asking
 /// another host is short; what waits for an upstream is as long as a queue
 /// takes to shrink by some requests.
-constexpr std::array<entry, 16> entries{{
+constexpr std::array<entry, 17> entries{{
     {refusal_reason::no_configuration,
      "no_configuration",
      503,
@@ -61,6 +61,11 @@
      503,
      milliseconds{250},
      "try again later; the server was full"},
+    {refusal_reason::quarantined,
+     "quarantined",
+     503,
+     milliseconds{60'000},
+     "don't send it again: servers broke down while they ran it"},
     {refusal_reason::stopping,
      "stopping",
      503,
--- a/src/routing/refusal.hpp
+++ b/src/routing/refusal.hpp
@@ -25,6 +25,8 @@
     too_late,
     /// Every upstream that was asked was full.
     upstream_full,
+    /// It was on its way at several upstreams when they broke.
+    quarantined,
     /// The host is about to stop.
     stopping,
     /// The host holds as many bytes as it may.
--- a/src/routing/retry_allowance.hpp
+++ b/src/routing/retry_allowance.hpp
@@ -44,6 +44,13 @@
         return true;
     }
 
+    /// Sets what an idle host may spend at once.
+    void burst(double burst)
+    {
+        m_burst = burst;
+        m_left = std::min(m_left, m_burst);
+    }
+
     /// Second sends left.
     double left() const
     {
--- a/src/routing/upstream_directory.hpp
+++ b/src/routing/upstream_directory.hpp
@@ -56,6 +56,15 @@
     /// Null if there is none.
     upstream_ptr find(std::string const& id) const;
 
+    /// Calls `visit` with each upstream.
+    template <typename Visitor>
+    void each(Visitor visit) const
+    {
+        for (auto const& [id, state] : m_by_id) {
+            visit(*state);
+        }
+    }
+
     std::size_t size() const
     {
         return m_by_id.size();
