Let a few hosts of a large fleet watch the store for all

Change: from 12 peers on five hosts, chosen alike by all, watch; others fetch what changed from them, confirm by their digests, and look themselves when they hear nothing for half of the time in which a change must be in force. Changes are bunched for 100 ms.

--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -8,6 +8,12 @@
 #include <utility>
 
 namespace caperjunction::program {
+namespace {
+
+/// Hosts ask within a second; more than an hour of usual removals.
+constexpr std::size_t most_removals = 1'024;
+
+} // namespace
 
 beliefs::beliefs(proxy::relay_context& context, proxy::store_codec const& codec)
     : m_context(context)
@@ -22,15 +28,25 @@
 
 void beliefs::apply(proxy::store_item const& item)
 {
-    m_revision = std::max(m_revision, item.revision);
+    m_newest = std::max(m_newest, item.revision);
     if (item.removed) {
         m_items.erase(item.key);
+        m_removed.emplace(item.revision, item.key);
+        if (m_removed.size() > most_removals) {
+            m_forgotten_removal = m_removed.begin()->first;
+            m_removed.erase(m_removed.begin());
+        }
     } else {
         m_items[item.key] = item;
     }
     decode(item);
 }
 
+void beliefs::commit()
+{
+    m_context.revision = std::max(m_context.revision, m_newest);
+}
+
 void beliefs::keep_only(std::vector<std::string> const& keys)
 {
     std::set<std::string> const there(keys.begin(), keys.end());
@@ -46,41 +62,47 @@
 
 void beliefs::merge(proxy::item_list const& list)
 {
-    if (list.revision <= m_revision) {
+    if (list.revision <= m_context.revision
+        || list.since > m_context.revision) {
         return;
     }
-    std::set<std::string> there;
+    std::uint64_t const before = m_context.revision;
+    std::vector<std::string> keys;
     for (proxy::store_item const& item : list.items) {
-        there.insert(item.key);
+        keys.push_back(item.key);
         auto const held = m_items.find(item.key);
-        if (held == m_items.end() || held->second.revision < item.revision) {
+        bool const is_news =
+            held == m_items.end() || held->second.revision < item.revision;
+        if (is_news) {
             apply(item);
         }
     }
-    std::vector<proxy::store_item> missing;
-    for (auto const& [key, held] : m_items) {
-        if (there.count(key) == 0 && held.revision < list.revision) {
-            missing.push_back(held);
-        }
-    }
-    for (proxy::store_item& item : missing) {
-        item.removed = true;
-        item.value.clear();
-        apply(item);
+    if (list.since == 0) {
+        keep_only(keys);
     }
-    m_revision = std::max(m_revision, list.revision);
+    m_context.revision = list.revision;
     runtime::log_line("peer_items_merged")
+        .field("before", before)
         .field("revision", list.revision)
-        .field("items", list.items.size())
-        .field("removed", missing.size());
+        .field("items", list.items.size());
 }
 
-proxy::item_list beliefs::all() const
+proxy::item_list beliefs::changes(std::uint64_t since) const
 {
     proxy::item_list list;
-    list.revision = m_revision;
+    list.revision = m_context.revision;
+    list.since = since > m_forgotten_removal ? since : 0;
     for (auto const& [key, item] : m_items) {
-        list.items.push_back(item);
+        if (item.revision > list.since) {
+            list.items.push_back(item);
+        }
+    }
+    if (list.since != 0) {
+        for (auto item = m_removed.upper_bound(list.since);
+             item != m_removed.end();
+             ++item) {
+            list.items.push_back({item->second, "", item->first, true});
+        }
     }
     return list;
 }
--- a/src/program/beliefs.hpp
+++ b/src/program/beliefs.hpp
@@ -25,6 +25,10 @@
     /// The store gave this item.
     void apply(proxy::store_item const& item);
 
+    /// All changes up to the newest one given are applied. Until then others
+    /// must not take what is held here for complete.
+    void commit();
+
     /// The store was read whole: what is not among `keys` is missing.
     void keep_only(std::vector<std::string> const& keys);
 
@@ -32,7 +36,9 @@
     /// known here change nothing.
     void merge(proxy::item_list const& list);
 
-    proxy::item_list all() const;
+    /// What has changed after revision `since`; all, if that is 0 or too
+    /// long ago.
+    proxy::item_list changes(std::uint64_t since) const;
 
     std::uint64_t config_version() const;
 
@@ -44,7 +50,10 @@
     proxy::relay_context& m_context;
     proxy::store_codec const& m_codec;
     std::map<std::string, proxy::store_item> m_items;
-    std::uint64_t m_revision = 0;
+    /// Removals, by revision, the newest `most_removals`.
+    std::map<std::uint64_t, std::string> m_removed;
+    std::uint64_t m_forgotten_removal = 0;
+    std::uint64_t m_newest = 0;
 };
 
 } // namespace caperjunction::program
--- a/src/program/item_fetcher.cpp
+++ b/src/program/item_fetcher.cpp
@@ -34,7 +34,7 @@
     }
 }
 
-void item_fetcher::ask(model::endpoint const& peer)
+void item_fetcher::ask(model::endpoint const& peer, std::uint64_t since)
 {
     stop();
     m_body.clear();
@@ -42,30 +42,33 @@
     m_limit = m_loop.after(answer_limit, [this] {
         stop();
     });
-    m_connection->send(
-        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
-                    items_path,
-                    peer.address),
-        false,
-        connect_limit,
-        {[this](proxy::message_head&& head) {
-             m_status = head.status;
-         },
-         [this](std::string_view bytes) {
-             m_body.append(bytes);
-         },
-         [this] {
-             auto const list =
-                 m_status == ok ? proxy::decode_items(m_body) : std::nullopt;
-             stop();
-             if (list) {
-                 m_on_list(*list);
-             }
-         },
-         [this](proxy::answer_fault) {
-             // Asked again, perhaps elsewhere, as long as it is needed.
-             stop();
-         }});
+    m_connection->send(fmt::format("GET {}?id={} HTTP/1.1\r\nHost: {}\r\n"
+                                   "Connection: close\r\n\r\n",
+                                   items_path,
+                                   since,
+                                   peer.address),
+                       false,
+                       connect_limit,
+                       {[this](proxy::message_head&& head) {
+                            m_status = head.status;
+                        },
+                        [this](std::string_view bytes) {
+                            m_body.append(bytes);
+                        },
+                        [this] {
+                            auto const list = m_status == ok
+                                                  ? proxy::decode_items(m_body)
+                                                  : std::nullopt;
+                            stop();
+                            if (list) {
+                                m_on_list(*list);
+                            }
+                        },
+                        [this](proxy::answer_fault) {
+                            // Asked again, perhaps elsewhere, as long as it is
+                            // needed.
+                            stop();
+                        }});
 }
 
 } // namespace caperjunction::program
--- a/src/program/item_fetcher.hpp
+++ b/src/program/item_fetcher.hpp
@@ -29,7 +29,12 @@
     item_fetcher& operator=(item_fetcher const&) = delete;
 
     /// Begins to ask; what was asked before is given up.
-    void ask(model::endpoint const& peer);
+    void ask(model::endpoint const& peer, std::uint64_t since);
+
+    bool is_asking() const
+    {
+        return m_connection != nullptr;
+    }
 
 private:
     void stop();
--- a/src/program/routed_flags.cpp
+++ b/src/program/routed_flags.cpp
@@ -30,6 +30,10 @@
           key_lifetime,
           absl::Seconds(5),
           "route: how long keys are accepted without word from the platform");
+ABSL_FLAG(absl::Duration,
+          apply_limit,
+          absl::Milliseconds(2500),
+          "route: time within which a published change has to be in force");
 ABSL_FLAG(double,
           retry_ratio,
           0.2,
@@ -128,6 +132,9 @@
         absl::GetFlag(FLAGS_key_lifetime), absl::Seconds(1), "key_lifetime");
     loaded.relay.stop_limit =
         within(absl::GetFlag(FLAGS_stop_limit), absl::Seconds(1), "stop_limit");
+    loaded.relay.apply_limit = within(absl::GetFlag(FLAGS_apply_limit),
+                                      absl::Milliseconds(500),
+                                      "apply_limit");
     loaded.relay.retry_ratio = absl::GetFlag(FLAGS_retry_ratio);
     loaded.relay.retry_extra = absl::GetFlag(FLAGS_retry_extra);
     if (!(loaded.relay.retry_ratio >= 0.0) || loaded.relay.retry_ratio > 1.0) {
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -26,6 +26,11 @@
 /// another host has had for so long will not come that way.
 constexpr model::milliseconds own_reading_lag{500};
 constexpr model::milliseconds ask_period{250};
+/// A host that hears nothing new looks at the store itself after this part
+/// of the time in which a change must be in force.
+constexpr int looks_in_time = 2;
+/// Those that watch for all confirm what they tell this much more often.
+constexpr int told_in_time = 6;
 
 model::time_point boot_now()
 {
@@ -101,7 +106,12 @@
             note_read();
         };
         call.on_confirmed = [this](model::time_point as_of) {
+            std::uint64_t const before = m_context.revision;
+            m_beliefs.commit();
             m_context.keys.confirm(as_of);
+            if (m_peers && m_context.revision != before) {
+                m_peers->tell_soon();
+            }
         };
         call.on_lost = [this](std::string_view why) {
             runtime::log_line("store_lost")
@@ -129,14 +139,19 @@
     });
     m_peer_server = std::make_unique<net::admin_server>(
         m_loop, m_settings.relay.peer_listen);
-    m_peer_server->serve(items_path, [this](std::string const&) {
-        return net::admin_answer{200,
-                                 "application/octet-stream",
-                                 proxy::encode_items(m_beliefs.all())};
+    m_peer_server->serve(items_path, [this](std::string const& since) {
+        auto const revision = proxy::parse_number(since).value_or(0);
+        return net::admin_answer{
+            200,
+            "application/octet-stream",
+            proxy::encode_items(m_beliefs.changes(revision))};
     });
-    m_loop.every(ask_period, [this] {
+    m_peers->on_newer([this] {
         ask_peers();
     });
+    m_loop.every(ask_period, [this] {
+        share_reading();
+    });
 }
 
 bool routed_host::is_ready() const
@@ -155,10 +170,8 @@
         .field("stop_limit_ms", m_settings.relay.stop_limit.count());
     std::signal(SIGPIPE, SIG_IGN);
     watch_signals();
-    auto const wait = std::chrono::duration_cast<model::milliseconds>(
-        m_settings.relay.key_lifetime * watch_share);
     for (auto const& reader : m_readers) {
-        reader->start(wait, boot_now);
+        reader->start(watch_wait(), boot_now);
     }
     m_loop.run();
     runtime::log_line("stopped").field("callers", m_relay.callers());
@@ -225,15 +238,14 @@
     }
 }
 
-// The store may refuse this host alone, or be away while it starts: others
-// may have what it lacks.
+// The store may refuse this host alone, or be away while it starts; in a
+// large fleet a few hosts watch it for all. Others then have what this one
+// lacks.
 void routed_host::ask_peers()
 {
-    std::uint64_t const version = m_beliefs.config_version();
-    model::endpoint const* const newer = m_context.peers.newer_than(version);
-    model::endpoint const* const from =
-        newer == nullptr && !m_context.table ? m_context.peers.any() : newer;
-    if (from == nullptr) {
+    model::endpoint const* const newer =
+        m_context.peers.newer_than(m_context.revision);
+    if (newer == nullptr || m_fetcher.is_asking()) {
         m_lagging_since.reset();
         return;
     }
@@ -241,10 +253,38 @@
     if (!m_lagging_since) {
         m_lagging_since = now;
     }
-    if (now - *m_lagging_since >= own_reading_lag) {
+    bool const reads_itself = m_context.peers.is_reader() && m_context.table;
+    if (!reads_itself || now - *m_lagging_since >= own_reading_lag) {
         m_lagging_since = now;
-        m_fetcher.ask(*from);
+        m_fetcher.ask(*newer, m_context.revision);
+    }
+}
+
+model::milliseconds routed_host::watch_wait() const
+{
+    bool const is_shared =
+        m_context.peers.alive() >= routing::peer_table::least_to_share;
+    auto const own = std::chrono::duration_cast<model::milliseconds>(
+        m_settings.relay.key_lifetime * watch_share);
+    return is_shared
+               ? std::min(own, m_settings.relay.apply_limit / told_in_time)
+               : own;
+}
+
+void routed_host::share_reading()
+{
+    bool const is_reader = m_context.peers.is_reader();
+    auto const age = m_context.keys.age(boot_now());
+    bool const hears_too_little =
+        age > m_settings.relay.apply_limit / looks_in_time;
+    for (auto const& reader : m_readers) {
+        reader->wait(watch_wait());
+        reader->keep_watching(is_reader);
+        if (hears_too_little) {
+            reader->look_once();
+        }
     }
+    ask_peers();
 }
 
 void routed_host::log_ended(proxy::exchange_report const& ended)
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -36,6 +36,8 @@
 private:
     void serve_peers();
     void ask_peers();
+    void share_reading();
+    model::milliseconds watch_wait() const;
     void note_read();
     void log_ended(proxy::exchange_report const& ended);
     void plan_stop();
--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -85,7 +85,7 @@
         made.add_echo_held_us(
             static_cast<std::uint32_t>(frame.echo_held.count()));
     }
-    made.add_config_version(from.config_version);
+
     if (frame.confirmed_age) {
         made.add_has_confirmed(true);
         made.add_confirmed_age_us(
@@ -95,6 +95,7 @@
     made.add_loads(load_list);
     made.add_suspects(suspect_list);
     made.add_peers(peer_list);
+    made.add_revision(from.revision);
     builder.Finish(made.Finish());
     return text_of(builder);
 }
@@ -109,8 +110,9 @@
     routing::peer_digest& digest = frame.digest;
     digest.generation = from->generation();
     digest.sequence = from->sequence();
-    digest.config_version = from->config_version();
+
     digest.hosts_seen = from->hosts_seen();
+    digest.revision = from->revision();
     frame.stamp = time_of(from->stamp());
     if (from->echoed_stamp() != 0) {
         frame.echoed = time_of(from->echoed_stamp());
@@ -148,10 +150,11 @@
         auto const value = builder.CreateVector(
             reinterpret_cast<std::uint8_t const*>(item.value.data()),
             item.value.size());
-        items.push_back(wire::CreateItem(builder, key, value, item.revision));
+        items.push_back(
+            wire::CreateItem(builder, key, value, item.revision, item.removed));
     }
-    builder.Finish(
-        wire::CreateItems(builder, builder.CreateVector(items), list.revision));
+    builder.Finish(wire::CreateItems(
+        builder, builder.CreateVector(items), list.revision, list.since));
     return text_of(builder);
 }
 
@@ -163,6 +166,7 @@
     }
     item_list list;
     list.revision = from->revision();
+    list.since = from->since();
     for (wire::Item const* const item : *from->items()) {
         if (item->key() == nullptr || item->value() == nullptr) {
             return std::nullopt;
@@ -172,6 +176,7 @@
         made.value.assign(reinterpret_cast<char const*>(item->value()->data()),
                           item->value()->size());
         made.revision = item->revision();
+        made.removed = item->removed();
         list.items.push_back(std::move(made));
     }
     return list;
--- a/src/proxy/digest_codec.hpp
+++ b/src/proxy/digest_codec.hpp
@@ -33,11 +33,14 @@
 /// Nothing if the bytes are no digest.
 std::optional<digest_frame> decode_digest(std::string_view bytes);
 
-/// All items that a host has read, and the store's revision then.
+/// What a host has read of the store.
 struct item_list
 {
     std::vector<store_item> items;
+    /// The newest change among them.
     std::uint64_t revision = 0;
+    /// 0: all items; else those that changed after it, removed ones too.
+    std::uint64_t since = 0;
 };
 
 std::string encode_items(item_list const& list);
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -23,6 +23,8 @@
 /// A host of a large fleet hears at most this many datagrams a second, some
 /// thousandths of a core.
 constexpr double most_heard_a_second = 60.0;
+/// Those that watch the store for the others are few and tell more often.
+constexpr double most_heard_of_readers = 240.0;
 
 constexpr std::size_t largest_datagram = 65'536;
 constexpr std::size_t most_suspects = 32;
@@ -89,8 +91,7 @@
     routing::peer_digest& digest = frame.digest;
     digest.generation = m_generation;
     digest.sequence = ++m_sequence;
-    digest.config_version =
-        m_context.table ? m_context.table->lists().version : 0;
+    digest.revision = m_context.revision;
     digest.hosts_seen = static_cast<std::uint32_t>(m_context.peers.most_seen());
     m_context.directory.each([&digest](routing::upstream_state const& state) {
         if (state.own.running > 0) {
@@ -109,6 +110,18 @@
     return frame;
 }
 
+void peer_link::tell_soon()
+{
+    // Hosts that all watch for themselves need no word of it.
+    if (m_context.peers.alive() < routing::peer_table::least_to_share) {
+        return;
+    }
+    m_context.loop.cancel(m_timer);
+    m_timer = m_context.loop.after(model::milliseconds{0}, [this] {
+        tell();
+    });
+}
+
 void peer_link::tell()
 {
     auto const now = m_context.loop.now();
@@ -135,9 +148,10 @@
                sizeof address);
     }
     apply_loads();
+    double const pace = m_context.peers.is_reader() ? most_heard_of_readers
+                                                    : most_heard_a_second;
     model::milliseconds const by_size{static_cast<std::int64_t>(
-        1'000.0 * static_cast<double>(m_context.peers.alive())
-        / most_heard_a_second)};
+        1'000.0 * static_cast<double>(m_context.peers.alive()) / pace)};
     m_timer = m_context.loop.after(std::max(shortest_period, by_size), [this] {
         tell();
     });
@@ -180,13 +194,16 @@
         frame->digest.confirmed =
             *frame->echoed + frame->echo_held - *frame->confirmed_age;
     }
-    bool const is_same_version =
-        m_context.table
-        && m_context.table->lists().version == frame->digest.config_version;
-    if (frame->digest.confirmed && is_same_version) {
+    // All changes up to that moment are among those applied here.
+    bool const has_all =
+        m_context.revision != 0 && m_context.revision >= frame->digest.revision;
+    if (frame->digest.confirmed && has_all) {
         m_context.keys.confirm(std::min(*frame->digest.confirmed, now));
     }
     m_context.peers.hear(from, frame->digest, m_context.loop.now());
+    if (m_on_heard && frame->digest.revision > m_context.revision) {
+        m_on_heard();
+    }
 }
 
 void peer_link::apply_loads()
--- a/src/proxy/peer_link.hpp
+++ b/src/proxy/peer_link.hpp
@@ -34,6 +34,16 @@
         m_on_changed = std::move(call);
     }
 
+    /// Called when a host is heard that has changes which this one lacks.
+    void on_newer(std::function<void()> call)
+    {
+        m_on_heard = std::move(call);
+    }
+
+    /// Tells the others at the end of this turn, of a change that they wait
+    /// for.
+    void tell_soon();
+
 private:
     struct echo
     {
@@ -56,6 +66,7 @@
     std::map<std::string, echo> m_echoes;
     std::size_t m_alive = 0;
     std::function<void(std::size_t)> m_on_changed;
+    std::function<void()> m_on_heard;
 };
 
 } // namespace caperjunction::proxy
--- a/src/proxy/relay_settings.hpp
+++ b/src/proxy/relay_settings.hpp
@@ -19,6 +19,8 @@
     std::vector<model::endpoint> seeds;
     /// How long keys may be acted on without the store confirming them.
     model::milliseconds key_lifetime{5'000};
+    /// Within it a published change has to be in force.
+    model::milliseconds apply_limit{2'500};
     /// Second sends that a request pays for, fleet-wide.
     double retry_ratio = 0.2;
     /// Second sends that the fleet may make at once beyond that.
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -19,6 +19,10 @@
 constexpr model::milliseconds first_pause{50};
 constexpr model::milliseconds longest_pause{400};
 
+/// For how long changes are gathered, far below what a change may take to
+/// be in force: each change would end a watch of each host otherwise.
+constexpr model::milliseconds bunch_time{100};
+
 constexpr int ok = 200;
 constexpr int gone = 410;
 
@@ -46,11 +50,16 @@
 void store_reader::start(model::milliseconds wait,
                          std::function<model::time_point()> boot_now)
 {
-    m_wait = std::min(wait, m_codec.longest_wait);
+    this->wait(wait);
     m_boot_now = std::move(boot_now);
     read_page("");
 }
 
+void store_reader::wait(model::milliseconds wait)
+{
+    m_wait = std::min(wait, m_codec.longest_wait);
+}
+
 void store_reader::drop_connection()
 {
     m_loop.cancel(m_limit);
@@ -141,7 +150,32 @@
     m_call.on_all(m_keys);
     m_confirmed = m_sent_at;
     m_call.on_confirmed(m_confirmed);
-    watch();
+    rest_or_watch();
+}
+
+void store_reader::keep_watching(bool on)
+{
+    m_keeps_watching = on;
+    if (on && m_is_resting) {
+        rest_or_watch();
+    }
+}
+
+void store_reader::look_once()
+{
+    if (std::exchange(m_is_resting, false)) {
+        m_looks_once = true;
+        watch();
+    }
+}
+
+void store_reader::rest_or_watch()
+{
+    m_looks_once = false;
+    m_is_resting = !m_keeps_watching;
+    if (!m_is_resting) {
+        watch();
+    }
 }
 
 // An answer with changes confirms only what was so when the call left here:
@@ -158,7 +192,8 @@
 {
     // After a failure the store is asked at once: a long wait would leave
     // open whether it is back.
-    auto const wait = m_failures > 0 ? model::milliseconds{1} : next_wait();
+    bool const at_once = m_failures > 0 || m_looks_once;
+    auto const wait = at_once ? model::milliseconds{1} : next_wait();
     m_asked_wait = wait;
     call(m_codec.watch_target(m_prefix, m_revision, wait),
          wait + read_limit,
@@ -196,7 +231,15 @@
         changes.items.empty() && m_boot_now() - m_sent_at >= m_asked_wait;
     m_confirmed = m_sent_at + (waited ? m_asked_wait : model::milliseconds{0});
     m_call.on_confirmed(m_confirmed);
-    watch();
+    if (changes.items.empty()) {
+        rest_or_watch();
+        return;
+    }
+    // Changes come in bunches: the next call brings all of one.
+    m_loop.cancel(m_again);
+    m_again = m_loop.after(bunch_time, [this] {
+        rest_or_watch();
+    });
 }
 
 void store_reader::succeeded()
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -54,7 +54,18 @@
     void start(model::milliseconds wait,
                std::function<model::time_point()> boot_now);
 
+    /// Changes how long a watch waits, from the next one on.
+    void wait(model::milliseconds wait);
+
+    /// Whether another watch follows the present one. A reader that rests
+    /// holds what it has; a first whole read is made in any case.
+    void keep_watching(bool on);
+
+    /// Asks once whether anything has changed, while it rests.
+    void look_once();
+
 private:
+    void rest_or_watch();
     void read_page(std::string const& after_key);
     model::milliseconds next_wait() const;
     void watch();
@@ -86,6 +97,9 @@
     model::time_point m_confirmed{};
     std::uint64_t m_revision = 0;
     bool m_whole = false;
+    bool m_keeps_watching = true;
+    bool m_is_resting = false;
+    bool m_looks_once = false;
     std::vector<std::string> m_keys;
     std::uint32_t m_failures = 0;
     bool m_lost = false;
--- a/src/proxy/wire/digest_generated.h
+++ b/src/proxy/wire/digest_generated.h
@@ -125,13 +125,13 @@
     VT_STAMP = 8,
     VT_ECHOED_STAMP = 10,
     VT_ECHO_HELD_US = 12,
-    VT_CONFIG_VERSION = 14,
-    VT_CONFIRMED_AGE_US = 16,
-    VT_HAS_CONFIRMED = 18,
-    VT_HOSTS_SEEN = 20,
-    VT_LOADS = 22,
-    VT_SUSPECTS = 24,
-    VT_PEERS = 26
+    VT_CONFIRMED_AGE_US = 14,
+    VT_HAS_CONFIRMED = 16,
+    VT_HOSTS_SEEN = 18,
+    VT_LOADS = 20,
+    VT_SUSPECTS = 22,
+    VT_PEERS = 24,
+    VT_REVISION = 26
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -148,9 +148,6 @@
   uint32_t echo_held_us() const {
     return GetField<uint32_t>(VT_ECHO_HELD_US, 0);
   }
-  uint64_t config_version() const {
-    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
-  }
   uint64_t confirmed_age_us() const {
     return GetField<uint64_t>(VT_CONFIRMED_AGE_US, 0);
   }
@@ -169,6 +166,9 @@
   const flatbuffers::Vector<const caperjunction::proxy::wire::Address *> *peers() const {
     return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Address *> *>(VT_PEERS);
   }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
@@ -176,7 +176,6 @@
            VerifyField<uint64_t>(verifier, VT_STAMP, 8) &&
            VerifyField<uint64_t>(verifier, VT_ECHOED_STAMP, 8) &&
            VerifyField<uint32_t>(verifier, VT_ECHO_HELD_US, 4) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIRMED_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_HAS_CONFIRMED, 1) &&
            VerifyField<uint32_t>(verifier, VT_HOSTS_SEEN, 4) &&
@@ -186,6 +185,7 @@
            verifier.VerifyVector(suspects()) &&
            VerifyOffset(verifier, VT_PEERS) &&
            verifier.VerifyVector(peers()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -209,9 +209,6 @@
   void add_echo_held_us(uint32_t echo_held_us) {
     fbb_.AddElement<uint32_t>(Digest::VT_ECHO_HELD_US, echo_held_us, 0);
   }
-  void add_config_version(uint64_t config_version) {
-    fbb_.AddElement<uint64_t>(Digest::VT_CONFIG_VERSION, config_version, 0);
-  }
   void add_confirmed_age_us(uint64_t confirmed_age_us) {
     fbb_.AddElement<uint64_t>(Digest::VT_CONFIRMED_AGE_US, confirmed_age_us, 0);
   }
@@ -230,6 +227,9 @@
   void add_peers(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Address *>> peers) {
     fbb_.AddOffset(Digest::VT_PEERS, peers);
   }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(Digest::VT_REVISION, revision, 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -248,16 +248,16 @@
     uint64_t stamp = 0,
     uint64_t echoed_stamp = 0,
     uint32_t echo_held_us = 0,
-    uint64_t config_version = 0,
     uint64_t confirmed_age_us = 0,
     bool has_confirmed = false,
     uint32_t hosts_seen = 0,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Suspect *>> suspects = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Address *>> peers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Address *>> peers = 0,
+    uint64_t revision = 0) {
   DigestBuilder builder_(_fbb);
+  builder_.add_revision(revision);
   builder_.add_confirmed_age_us(confirmed_age_us);
-  builder_.add_config_version(config_version);
   builder_.add_echoed_stamp(echoed_stamp);
   builder_.add_stamp(stamp);
   builder_.add_sequence(sequence);
@@ -278,13 +278,13 @@
     uint64_t stamp = 0,
     uint64_t echoed_stamp = 0,
     uint32_t echo_held_us = 0,
-    uint64_t config_version = 0,
     uint64_t confirmed_age_us = 0,
     bool has_confirmed = false,
     uint32_t hosts_seen = 0,
     const std::vector<caperjunction::proxy::wire::Load> *loads = nullptr,
     const std::vector<caperjunction::proxy::wire::Suspect> *suspects = nullptr,
-    const std::vector<caperjunction::proxy::wire::Address> *peers = nullptr) {
+    const std::vector<caperjunction::proxy::wire::Address> *peers = nullptr,
+    uint64_t revision = 0) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Suspect>(*suspects) : 0;
   auto peers__ = peers ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Address>(*peers) : 0;
@@ -295,13 +295,13 @@
       stamp,
       echoed_stamp,
       echo_held_us,
-      config_version,
       confirmed_age_us,
       has_confirmed,
       hosts_seen,
       loads__,
       suspects__,
-      peers__);
+      peers__,
+      revision);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -309,7 +309,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
     VT_VALUE = 6,
-    VT_REVISION = 8
+    VT_REVISION = 8,
+    VT_REMOVED = 10
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -320,6 +321,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  bool removed() const {
+    return GetField<uint8_t>(VT_REMOVED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -327,6 +331,7 @@
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyVector(value()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
            verifier.EndTable();
   }
 };
@@ -344,6 +349,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(Item::VT_REVISION, revision, 0);
   }
+  void add_removed(bool removed) {
+    fbb_.AddElement<uint8_t>(Item::VT_REMOVED, static_cast<uint8_t>(removed), 0);
+  }
   explicit ItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -359,11 +367,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    bool removed = false) {
   ItemBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_value(value);
   builder_.add_key(key);
+  builder_.add_removed(removed);
   return builder_.Finish();
 }
 
@@ -371,21 +381,24 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
     const std::vector<uint8_t> *value = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    bool removed = false) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return caperjunction::proxy::wire::CreateItem(
       _fbb,
       key__,
       value__,
-      revision);
+      revision,
+      removed);
 }
 
 struct Items FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ItemsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ITEMS = 4,
-    VT_REVISION = 6
+    VT_REVISION = 6,
+    VT_SINCE = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<caperjunction::proxy::wire::Item>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<caperjunction::proxy::wire::Item>> *>(VT_ITEMS);
@@ -393,12 +406,16 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint64_t since() const {
+    return GetField<uint64_t>(VT_SINCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -413,6 +430,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(Items::VT_REVISION, revision, 0);
   }
+  void add_since(uint64_t since) {
+    fbb_.AddElement<uint64_t>(Items::VT_SINCE, since, 0);
+  }
   explicit ItemsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -427,8 +447,10 @@
 inline flatbuffers::Offset<Items> CreateItems(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<caperjunction::proxy::wire::Item>>> items = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint64_t since = 0) {
   ItemsBuilder builder_(_fbb);
+  builder_.add_since(since);
   builder_.add_revision(revision);
   builder_.add_items(items);
   return builder_.Finish();
@@ -437,12 +459,14 @@
 inline flatbuffers::Offset<Items> CreateItemsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<caperjunction::proxy::wire::Item>> *items = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint64_t since = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<caperjunction::proxy::wire::Item>>(*items) : 0;
   return caperjunction::proxy::wire::CreateItems(
       _fbb,
       items__,
-      revision);
+      revision,
+      since);
 }
 
 }  // namespace wire
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -32,8 +32,10 @@
     /// Grows with each start of the sender.
     std::uint64_t generation = 0;
     std::uint64_t sequence = 0;
-    std::uint64_t config_version = 0;
-    /// As of when the store has confirmed that version, on the receiver's
+    /// The newest change of the store that the sender has applied; it has
+    /// applied all before it.
+    std::uint64_t revision = 0;
+    /// As of when the store had no change beyond it, on the receiver's
     /// clock; nothing if that can't be told.
     std::optional<model::time_point> confirmed;
     /// Hosts that the sender has known at one time.
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -1,14 +1,15 @@
 #include "routing/peer_table.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace caperjunction::routing {
 namespace {
 
-/// Ten digests and more at the usual pace: what a host says of its load is
-/// worth nothing much later.
-constexpr model::milliseconds silence{2'000};
+/// Three digests and more at the pace of the largest fleets.
+constexpr model::milliseconds silence{4'000};
 /// A silent host is asked this often: it may have started anew.
 constexpr model::milliseconds ask_period{1'000};
 /// Silent for so long, a host that isn't a seed is taken for replaced.
@@ -16,6 +17,10 @@
 /// Hosts that are known at once; a stranger can't fill the memory.
 constexpr std::size_t most_peers = 1'024;
 
+/// Two or three may be lost at once, or be cut from the store, before the
+/// others notice by the age of what they hear.
+constexpr std::size_t readers = 5;
+
 } // namespace
 
 peer_table::peer_table(model::endpoint own, std::vector<model::endpoint> seeds)
@@ -140,16 +145,33 @@
     return found == m_crashes.end() ? 0 : found->second;
 }
 
-model::endpoint const* peer_table::newer_than(std::uint64_t version) const
+model::endpoint const* peer_table::newer_than(std::uint64_t revision) const
 {
     for (auto const& [address, known] : m_peers) {
-        if (known.is_heard && known.told.config_version > version) {
+        if (known.is_heard && known.told.revision > revision) {
             return &address;
         }
     }
     return nullptr;
 }
 
+bool peer_table::is_reader() const
+{
+    if (m_alive < least_to_share) {
+        return true;
+    }
+    auto const rank = [](model::endpoint const& at) {
+        return XXH3_64bits_withSeed(
+            at.address.data(), at.address.size(), at.port);
+    };
+    std::uint64_t const own = rank(m_own);
+    auto const before =
+        std::count_if(m_peers.begin(), m_peers.end(), [&](auto const& item) {
+            return item.second.is_heard && rank(item.first) < own;
+        });
+    return static_cast<std::size_t>(before) < readers;
+}
+
 model::endpoint const* peer_table::any() const
 {
     for (auto const& [address, known] : m_peers) {
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -23,6 +23,10 @@
 class peer_table
 {
 public:
+    /// With fewer others each host watches the store itself: nothing is
+    /// gained by sharing, and each is independent of the others.
+    static constexpr std::size_t least_to_share = 12;
+
     /// `own` is never taken for a peer; `seeds` are asked until they answer.
     peer_table(model::endpoint own, std::vector<model::endpoint> seeds);
 
@@ -66,8 +70,16 @@
         return m_crashes.empty();
     }
 
-    /// A host that has a newer configuration than `version`; null if none.
-    model::endpoint const* newer_than(std::uint64_t version) const;
+    /// A host that has applied changes beyond `revision`; null if none.
+    model::endpoint const* newer_than(std::uint64_t revision) const;
+
+    /// Whether this host is one of those that watch the store for all.
+    ///
+    /// Each watch of each host is a call that the store limits and that is
+    /// paid for, and each change ends all watches: in a large fleet a few
+    /// hosts watch, chosen alike by all, and the others hear of changes from
+    /// them.
+    bool is_reader() const;
 
     /// Any host that is heard; null if none.
     model::endpoint const* any() const;
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -26,8 +26,13 @@
 /// are three engines or more.
 constexpr std::size_t engines_of_one_urgent = 4;
 constexpr std::size_t least_to_divide = 3;
-/// What being in the wrong lane costs.
-constexpr double wrong_lane = 0.4;
+/// What an urgent stream loses beside long prompts.
+constexpr double out_of_urgent_lane = 0.4;
+/// What it costs the urgent streams to have another prompt beside them: a
+/// short one that nothing else delays costs less than being late, and 4,000
+/// tokens, a whole step's worth, as much as being late.
+constexpr double in_urgent_lane = 0.1;
+constexpr double cost_of_urgent_delay = 1.0 / 4'000;
 
 /// Reading 5,000 shared tokens once more weighs as much as half a request.
 constexpr double cost_of_cold_token = 0.5 / 5'000;
@@ -170,12 +175,10 @@
         forecast += service_ms * candidate.slowness
                     * (1.0 + candidate.running() / slots);
     } else {
-        std::uint64_t const subject = request.prompt->subject();
-        bool const is_warm =
-            &candidate == divided.home
-            || m_memory.holds(candidate.about.id, subject, now);
         std::uint32_t const shared = request.prompt->shared_tokens();
-        into.cold_tokens = is_warm ? 0 : shared;
+        into.cold_tokens = &candidate == divided.home
+                               ? 0
+                               : cold_tokens(*request.prompt, candidate, now);
         double const unread =
             static_cast<double>(candidate.unread_tokens() + into.cold_tokens
                                 + request.prompt->tokens)
@@ -185,7 +188,11 @@
         bool const is_urgent_lane =
             std::find(divided.urgent.begin(), divided.urgent.end(), &candidate)
             != divided.urgent.end();
-        cost += is_urgent_lane == request.is_most_urgent ? 0.0 : wrong_lane;
+        if (is_urgent_lane && !request.is_most_urgent) {
+            cost += in_urgent_lane + unread * cost_of_urgent_delay;
+        } else if (!is_urgent_lane && request.is_most_urgent) {
+            cost += out_of_urgent_lane;
+        }
     }
     into.forecast = model::milliseconds(std::lround(forecast));
     // The last term only settles ties: towards the one that answers first.
@@ -193,12 +200,29 @@
            + forecast * 1e-4;
 }
 
+// A part is kept only behind all that stand before it.
+std::uint32_t picker::cold_tokens(prompt const& asked,
+                                  upstream_state const& candidate,
+                                  model::time_point now) const
+{
+    std::uint32_t cold = asked.shared_tokens();
+    for (std::size_t place = 0; place + 1 < asked.parts.size(); ++place) {
+        prompt_part const& part = asked.parts[place];
+        if (!m_memory.holds(candidate.about.id, part.id, now)) {
+            break;
+        }
+        cold -= part.tokens;
+    }
+    return cold;
+}
+
 void picker::record_sent(pick_request const& request,
                          upstream_state const& chosen,
                          model::time_point now)
 {
-    if (request.prompt->subject() != 0) {
-        m_memory.record(chosen.about.id, request.prompt->subject(), now);
+    auto const& parts = request.prompt->parts;
+    for (std::size_t place = 0; place + 1 < parts.size(); ++place) {
+        m_memory.record(chosen.about.id, parts[place].id, now);
     }
 }
 
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -48,6 +48,9 @@
 
     lanes divide(pick_request const& request,
                  std::vector<upstream_ptr> const& able) const;
+    std::uint32_t cold_tokens(prompt const& asked,
+                              upstream_state const& candidate,
+                              model::time_point now) const;
     double cost_of(pick_request const& request,
                    upstream_state const& candidate,
                    lanes const& divided,
