Order requests at engines by team and route together

Also: overflow of a prompt's home goes to one second home, and streams are sent again only where the engine is silent to all.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -12,9 +12,6 @@
 /// gives up.
 constexpr model::milliseconds way_back{20};
 
-/// Rank where neither team nor route says one; engines take it for usual.
-constexpr std::uint32_t lowest_rank = 9;
-
 model::milliseconds since(model::time_point from, model::time_point now)
 {
     return std::chrono::duration_cast<model::milliseconds>(now - from);
@@ -64,12 +61,10 @@
         refuse(step::stopping);
         return;
     }
-    m_rank = m_route->rank;
+    m_rank = m_table->urgency(*m_route, admitted.team);
     if (admitted.team != nullptr) {
         m_team = admitted.team->name;
-        m_rank = admitted.team->rank.value_or(m_rank);
     }
-    m_rank = std::min(m_rank, lowest_rank);
     m_service = routing::route_table::pick_service(
         *m_route, std::hash<std::string>{}(m_facts.id));
     auto const& routes = m_table->lists().routes;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -55,6 +55,7 @@
     void send_to(routing::pick const& chosen);
     void arm_silence_timer(routing::pick const& chosen);
     void try_ended(routing::try_end how);
+    bool is_upstream_silent() const;
     bool can_try_again(routing::try_end how);
     bool takes_retry(routing::try_end how);
     void drop_connection();
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -140,6 +140,7 @@
     if (m_ended) {
         return;
     }
+    m_upstream->heard_at = m_context.loop.now();
     if (m_is_stream) {
         std::uint64_t const before = m_cutter.events();
         std::string_view const whole = m_cutter.feed(bytes);
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -161,7 +161,7 @@
         if (!own || own->m_ended || own->m_report.first_byte.count() >= 0) {
             return;
         }
-        if (own->can_try_again(try_end::silent)) {
+        if (own->is_upstream_silent() && own->can_try_again(try_end::silent)) {
             own->m_upstream->health.record_failure(own->m_context.loop.now());
             own->try_ended(try_end::silent);
         }
@@ -186,6 +186,15 @@
     }
 }
 
+// An engine that answers others is busy, not lost: a second send would only
+// add to its queue and to another's.
+bool exchange::is_upstream_silent() const
+{
+    return m_route->kind != routing::request_kind::stream
+           || m_context.loop.now() - m_upstream->heard_at
+                  > m_route->latency_target;
+}
+
 bool exchange::can_try_again(try_end how)
 {
     routing::try_state after = m_state;
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace caperjunction::routing {
 namespace {
@@ -144,15 +145,22 @@
                                       std::max<std::size_t>(1, urgent)));
     }
     std::uint64_t best = 0;
+    std::uint64_t second_best = 0;
     for (upstream_ptr const& item : able) {
         bool const is_urgent_lane =
             std::find(divided.urgent.begin(), divided.urgent.end(), item.get())
             != divided.urgent.end();
         std::uint64_t const score =
             rendezvous(item->about.id, request.prompt->subject());
-        if (is_urgent_lane == request.is_most_urgent && score >= best) {
-            best = score;
-            divided.home = item.get();
+        if (is_urgent_lane != request.is_most_urgent) {
+            continue;
+        }
+        if (score >= best) {
+            second_best = std::exchange(best, score);
+            divided.second_home = std::exchange(divided.home, item.get());
+        } else if (score >= second_best) {
+            second_best = score;
+            divided.second_home = item.get();
         }
     }
     return divided;
@@ -179,6 +187,12 @@
         into.cold_tokens = &candidate == divided.home
                                ? 0
                                : cold_tokens(*request.prompt, candidate, now);
+        // What one home can't take goes to the same second one from all
+        // hosts: spread over all engines it would be read anew at each, and
+        // an overload would feed itself.
+        if (&candidate == divided.second_home) {
+            into.cold_tokens /= 2;
+        }
         double const unread =
             static_cast<double>(candidate.unread_tokens() + into.cold_tokens
                                 + request.prompt->tokens)
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -42,8 +42,10 @@
     {
         /// Upstreams of the most urgent streams, the others of the rest.
         std::vector<upstream_state const*> urgent;
-        /// The one where the request's shared prompt is kept.
+        /// The one where the request's shared prompt is kept, and the one
+        /// that takes what that can't.
         upstream_state const* home = nullptr;
+        upstream_state const* second_home = nullptr;
     };
 
     lanes divide(pick_request const& request,
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -5,6 +5,16 @@
 #include <utility>
 
 namespace caperjunction::routing {
+namespace {
+
+/// Teams without a rank stand where engines put requests without one.
+std::uint32_t rank_of(team const* by)
+{
+    constexpr std::uint32_t usual = 5;
+    return by == nullptr ? usual : by->rank.value_or(usual);
+}
+
+} // namespace
 
 route_table::route_table(configuration read)
     : m_lists(std::move(read))
@@ -26,6 +36,30 @@
     for (service const& item : m_lists.services) {
         m_by_service.emplace(item.name, &item);
     }
+    for (route const& asked : m_lists.routes) {
+        m_ranks.emplace_back(rank_of(nullptr), asked.rank);
+        for (team const& by : m_lists.teams) {
+            m_ranks.emplace_back(rank_of(&by), asked.rank);
+        }
+    }
+    std::sort(m_ranks.begin(), m_ranks.end());
+    m_ranks.erase(std::unique(m_ranks.begin(), m_ranks.end()), m_ranks.end());
+}
+
+std::uint32_t route_table::urgency(route const& asked, team const* by) const
+{
+    auto const place = std::lower_bound(
+        m_ranks.begin(),
+        m_ranks.end(),
+        std::pair<std::uint32_t, std::uint32_t>(rank_of(by), asked.rank));
+    auto const before =
+        static_cast<std::size_t>(std::distance(m_ranks.begin(), place));
+    if (m_ranks.size() <= least_urgent + 1) {
+        return static_cast<std::uint32_t>(before);
+    }
+    // More pairs than places: neighbours share one.
+    return static_cast<std::uint32_t>(before * least_urgent
+                                      / (m_ranks.size() - 1));
 }
 
 route const* route_table::match(std::string_view authority,
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace caperjunction::routing {
@@ -37,6 +38,15 @@
     /// Null if no such service is known.
     service const* find_service(std::string_view name) const;
 
+    /// How urgent a request is among all that this configuration allows, 0
+    /// first, at most `least_urgent`: the team's rank decides, and among equal
+    /// ones the route's. Engines order by it, and by it alone: with the team's
+    /// rank only, a short question waits behind and is preempted for the long
+    /// prompts of its own team.
+    std::uint32_t urgency(route const& asked, team const* by) const;
+
+    static constexpr std::uint32_t least_urgent = 9;
+
     /// The service that takes a request of `chosen`; `draw` spreads requests
     /// by weight and must be the same for the same request.
     static std::string const& pick_service(route const& chosen,
@@ -48,6 +58,8 @@
     std::unordered_map<std::string, std::vector<route const*>> m_by_authority;
     std::unordered_map<std::string_view, team const*> m_by_key;
     std::unordered_map<std::string_view, service const*> m_by_service;
+    /// All pairs of ranks that there are, the most urgent first.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> m_ranks;
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -32,6 +32,8 @@
     upstream_load others;
     /// Time to the first event against what was forecast; 1: as forecast.
     double slowness = 1.0;
+    /// When anything last came from it to this host.
+    model::time_point heard_at{};
     /// No longer published, or leaving.
     bool gone = false;
 
