--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -7,11 +7,14 @@
 namespace caperjunction::routing {
 namespace {
 
-/// Teams without a rank stand where engines put requests without one.
-std::uint32_t rank_of(team const* by)
+using rank_pair = std::pair<std::uint32_t, std::uint32_t>;
+
+/// Without a team, or a rank of it, the route's rank stands in for it.
+rank_pair ranks_of(route const& asked, team const* by)
 {
-    constexpr std::uint32_t usual = 5;
-    return by == nullptr ? usual : by->rank.value_or(usual);
+    std::uint32_t const second =
+        by == nullptr ? asked.rank : by->rank.value_or(asked.rank);
+    return {asked.rank, second};
 }
 
 } // namespace
@@ -37,9 +40,9 @@
         m_by_service.emplace(item.name, &item);
     }
     for (route const& asked : m_lists.routes) {
-        m_ranks.emplace_back(rank_of(nullptr), asked.rank);
+        m_ranks.push_back(ranks_of(asked, nullptr));
         for (team const& by : m_lists.teams) {
-            m_ranks.emplace_back(rank_of(&by), asked.rank);
+            m_ranks.push_back(ranks_of(asked, &by));
         }
     }
     std::sort(m_ranks.begin(), m_ranks.end());
@@ -48,10 +51,8 @@
 
 std::uint32_t route_table::urgency(route const& asked, team const* by) const
 {
-    auto const place = std::lower_bound(
-        m_ranks.begin(),
-        m_ranks.end(),
-        std::pair<std::uint32_t, std::uint32_t>(rank_of(by), asked.rank));
+    auto const place =
+        std::lower_bound(m_ranks.begin(), m_ranks.end(), ranks_of(asked, by));
     auto const before =
         static_cast<std::size_t>(std::distance(m_ranks.begin(), place));
     if (m_ranks.size() <= least_urgent + 1) {
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -39,10 +39,10 @@
     service const* find_service(std::string_view name) const;
 
     /// How urgent a request is among all that this configuration allows, 0
-    /// first, at most `least_urgent`: the team's rank decides, and among equal
-    /// ones the route's. Engines order by it, and by it alone: with the team's
-    /// rank only, a short question waits behind and is preempted for the long
-    /// prompts of its own team.
+    /// first, at most `least_urgent`: the route's rank decides, and among
+    /// equal ones the team's. Engines order by it, and by it alone: with the
+    /// team's rank first, a short question waits behind and is preempted for
+    /// the long prompts of its own team or of a team that ranks higher.
     std::uint32_t urgency(route const& asked, team const* by) const;
 
     static constexpr std::uint32_t least_urgent = 9;
