Spread loads within a data centre and sums between them

Cause: in a fleet of 71 a host heard each other host only every 1.2 s, and placed by loads that were older than a prompt takes to be read; overflow went to engines that were full too, cold. Change: hosts of one data centre tell each other their loads every 100 to 200 ms; one of them exchanges sums with those of the others.

--- a/src/program/routed_flags.cpp
+++ b/src/program/routed_flags.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 ABSL_FLAG(std::string,
           regions,
@@ -124,6 +125,8 @@
     loaded.metrics_listen = absl::GetFlag(FLAGS_metrics_listen).value;
     loaded.platform = absl::GetFlag(FLAGS_platform).value;
     need_text(loaded.platform.address, "platform");
+    loaded.relay.data_centre =
+        XXH3_64bits(loaded.data_centre.data(), loaded.data_centre.size());
     loaded.relay.peer_listen = absl::GetFlag(FLAGS_peer_listen).value;
     loaded.relay.seeds = read_seeds(absl::GetFlag(FLAGS_seeds));
     loaded.relay.listen = absl::GetFlag(FLAGS_listen).value;
--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -36,6 +36,34 @@
     return {text, from.port()};
 }
 
+using load_list = flatbuffers::Vector<wire::Load const*>;
+
+flatbuffers::Offset<load_list>
+to_wire(flatbuffers::FlatBufferBuilder& builder,
+        std::vector<routing::peer_load> const& from)
+{
+    std::vector<wire::Load> loads;
+    loads.reserve(from.size());
+    for (routing::peer_load const& item : from) {
+        loads.emplace_back(item.upstream,
+                           static_cast<std::uint32_t>(item.load.unread_tokens),
+                           item.load.running);
+    }
+    return builder.CreateVectorOfStructs(loads);
+}
+
+std::vector<routing::peer_load> from_wire(load_list const* from)
+{
+    std::vector<routing::peer_load> loads;
+    if (from != nullptr) {
+        for (wire::Load const* const item : *from) {
+            loads.push_back(
+                {item->upstream(), {item->running(), item->unread_tokens()}});
+        }
+    }
+    return loads;
+}
+
 template <typename Message>
 Message const* verified(std::string_view bytes)
 {
@@ -58,12 +86,6 @@
 std::string encode_digest(digest_frame const& frame)
 {
     routing::peer_digest const& from = frame.digest;
-    std::vector<wire::Load> loads;
-    for (routing::peer_load const& item : from.loads) {
-        loads.emplace_back(item.upstream,
-                           static_cast<std::uint32_t>(item.load.unread_tokens),
-                           item.load.running);
-    }
     std::vector<wire::Suspect> suspects;
     for (routing::crash_suspect const& item : from.suspects) {
         suspects.emplace_back(item.fingerprint, item.crashes);
@@ -73,7 +95,9 @@
         peers.push_back(to_wire(item));
     }
     flatbuffers::FlatBufferBuilder builder;
-    auto const load_list = builder.CreateVectorOfStructs(loads);
+    auto const load_list = to_wire(builder, from.loads);
+    auto const sum_list = to_wire(builder, from.sums);
+    auto const beyond_list = to_wire(builder, from.beyond);
     auto const suspect_list = builder.CreateVectorOfStructs(suspects);
     auto const peer_list = builder.CreateVectorOfStructs(peers);
     wire::DigestBuilder made(builder);
@@ -96,6 +120,10 @@
     made.add_suspects(suspect_list);
     made.add_peers(peer_list);
     made.add_revision(from.revision);
+    made.add_data_centre(from.data_centre);
+    made.add_speaks(from.speaks);
+    made.add_sums(sum_list);
+    made.add_beyond(beyond_list);
     builder.Finish(made.Finish());
     return text_of(builder);
 }
@@ -122,12 +150,11 @@
         frame.confirmed_age =
             std::chrono::microseconds(from->confirmed_age_us());
     }
-    if (from->loads() != nullptr) {
-        for (wire::Load const* const item : *from->loads()) {
-            digest.loads.push_back(
-                {item->upstream(), {item->running(), item->unread_tokens()}});
-        }
-    }
+    digest.data_centre = from->data_centre();
+    digest.speaks = from->speaks();
+    digest.loads = from_wire(from->loads());
+    digest.sums = from_wire(from->sums());
+    digest.beyond = from_wire(from->beyond());
     if (from->suspects() != nullptr) {
         for (wire::Suspect const* const item : *from->suspects()) {
             digest.suspects.push_back({item->fingerprint(), item->crashes()});
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -20,11 +20,9 @@
 /// How often a small fleet's hosts tell each other: a prompt is read in some
 /// 100 ms, and loads that are older mislead.
 constexpr model::milliseconds shortest_period{100};
-/// A host of a large fleet hears at most this many datagrams a second, some
+/// A host hears at most about this many datagrams a second with loads, some
 /// thousandths of a core.
 constexpr double most_heard_a_second = 60.0;
-/// Those that watch the store for the others are few and tell more often.
-constexpr double most_heard_of_readers = 240.0;
 
 constexpr std::size_t largest_datagram = 65'536;
 constexpr std::size_t most_suspects = 32;
@@ -35,6 +33,25 @@
     return XXH3_64bits(id.data(), id.size());
 }
 
+std::vector<routing::peer_load>
+with_own(std::vector<routing::peer_load> sums,
+         std::vector<routing::peer_load> const& own)
+{
+    for (routing::peer_load const& item : own) {
+        auto const found =
+            std::find_if(sums.begin(), sums.end(), [&item](auto const& sum) {
+                return sum.upstream == item.upstream;
+            });
+        if (found == sums.end()) {
+            sums.push_back(item);
+            continue;
+        }
+        found->load.running += item.load.running;
+        found->load.unread_tokens += item.load.unread_tokens;
+    }
+    return sums;
+}
+
 sockaddr_in to_socket(model::endpoint const& at)
 {
     sockaddr_in address{};
@@ -92,6 +109,7 @@
     digest.generation = m_generation;
     digest.sequence = ++m_sequence;
     digest.revision = m_context.revision;
+    digest.data_centre = m_context.settings.data_centre;
     digest.hosts_seen = static_cast<std::uint32_t>(m_context.peers.most_seen());
     m_context.directory.each([&digest](routing::upstream_state const& state) {
         if (state.own.running > 0) {
@@ -125,38 +143,54 @@
 void peer_link::tell()
 {
     auto const now = m_context.loop.now();
-    m_context.peers.forget_silent(now);
-    digest_frame frame = own_frame();
-    for (model::endpoint const& to : m_context.peers.audience(now)) {
-        auto const heard =
-            m_echoes.find(fmt::format("{}:{}", to.address, to.port));
-        frame.echoed.reset();
-        if (heard != m_echoes.end()) {
-            frame.echoed = heard->second.stamp;
-            frame.echo_held =
-                std::chrono::duration_cast<std::chrono::microseconds>(
-                    frame.stamp - heard->second.got_at);
+    routing::peer_table& peers = m_context.peers;
+    peers.forget_silent(now);
+    digest_frame const base = own_frame();
+    bool const speaks = peers.speaks();
+    auto const sums = speaks ? with_own(peers.sums(), base.digest.loads)
+                             : std::vector<routing::peer_load>();
+    auto const beyond =
+        speaks ? peers.beyond() : std::vector<routing::peer_load>();
+    for (routing::peer_table::listener const& to : peers.audience(now)) {
+        digest_frame frame = base;
+        frame.digest.speaks = speaks;
+        if (to.what == routing::peer_table::share::loads) {
+            frame.digest.beyond = beyond;
+        } else {
+            frame.digest.loads.clear();
         }
-        std::string const bytes = encode_digest(frame);
-        sockaddr_in const address = to_socket(to);
-        // What doesn't go out is made good by the next.
-        sendto(m_socket,
-               bytes.data(),
-               bytes.size(),
-               0,
-               reinterpret_cast<sockaddr const*>(&address),
-               sizeof address);
+        if (to.what == routing::peer_table::share::sums) {
+            frame.digest.sums = sums;
+        }
+        send_to(to.at, frame);
     }
     apply_loads();
-    double const pace = m_context.peers.is_reader() ? most_heard_of_readers
-                                                    : most_heard_a_second;
     model::milliseconds const by_size{static_cast<std::int64_t>(
-        1'000.0 * static_cast<double>(m_context.peers.alive()) / pace)};
+        1'000.0 * static_cast<double>(peers.nearby()) / most_heard_a_second)};
     m_timer = m_context.loop.after(std::max(shortest_period, by_size), [this] {
         tell();
     });
 }
 
+void peer_link::send_to(model::endpoint const& to, digest_frame& frame)
+{
+    auto const heard = m_echoes.find(fmt::format("{}:{}", to.address, to.port));
+    if (heard != m_echoes.end()) {
+        frame.echoed = heard->second.stamp;
+        frame.echo_held = std::chrono::duration_cast<std::chrono::microseconds>(
+            frame.stamp - heard->second.got_at);
+    }
+    std::string const bytes = encode_digest(frame);
+    sockaddr_in const address = to_socket(to);
+    // What doesn't go out is made good by the next.
+    sendto(m_socket,
+           bytes.data(),
+           bytes.size(),
+           0,
+           reinterpret_cast<sockaddr const*>(&address),
+           sizeof address);
+}
+
 void peer_link::hear()
 {
     static std::array<char, largest_datagram> s_bytes;
@@ -208,6 +242,7 @@
 
 void peer_link::apply_loads()
 {
+    m_context.peers.add_up();
     m_context.directory.each([this](routing::upstream_state& state) {
         state.others = m_context.peers.load_of(hash_of(state.about.id));
     });
--- a/src/proxy/peer_link.hpp
+++ b/src/proxy/peer_link.hpp
@@ -52,6 +52,7 @@
     };
 
     void tell();
+    void send_to(model::endpoint const& to, digest_frame& frame);
     void hear();
     void take(std::string_view bytes, model::endpoint const& from);
     void apply_loads();
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -64,7 +64,7 @@
         , directory(std::move(measure))
         , picker(directory)
         , pool(on)
-        , peers(given.peer_listen, given.seeds)
+        , peers(given.peer_listen, given.data_centre, given.seeds)
     {
     }
 
--- a/src/proxy/relay_settings.hpp
+++ b/src/proxy/relay_settings.hpp
@@ -5,6 +5,7 @@
 #include "model/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace caperjunction::proxy {
@@ -15,6 +16,8 @@
     model::endpoint listen;
     /// Where the other hosts reach this one; port 0: peers are not spoken to.
     model::endpoint peer_listen;
+    /// Hash of the name of this host's data centre.
+    std::uint64_t data_centre = 0;
     /// Hosts that know of others.
     std::vector<model::endpoint> seeds;
     /// How long keys may be acted on without the store confirming them.
--- a/src/proxy/wire/digest_generated.h
+++ b/src/proxy/wire/digest_generated.h
@@ -131,7 +131,11 @@
     VT_LOADS = 20,
     VT_SUSPECTS = 22,
     VT_PEERS = 24,
-    VT_REVISION = 26
+    VT_REVISION = 26,
+    VT_DATA_CENTRE = 28,
+    VT_SPEAKS = 30,
+    VT_SUMS = 32,
+    VT_BEYOND = 34
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -169,6 +173,18 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint64_t data_centre() const {
+    return GetField<uint64_t>(VT_DATA_CENTRE, 0);
+  }
+  bool speaks() const {
+    return GetField<uint8_t>(VT_SPEAKS, 0) != 0;
+  }
+  const flatbuffers::Vector<const caperjunction::proxy::wire::Load *> *sums() const {
+    return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Load *> *>(VT_SUMS);
+  }
+  const flatbuffers::Vector<const caperjunction::proxy::wire::Load *> *beyond() const {
+    return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Load *> *>(VT_BEYOND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
@@ -186,6 +202,12 @@
            VerifyOffset(verifier, VT_PEERS) &&
            verifier.VerifyVector(peers()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DATA_CENTRE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SPEAKS, 1) &&
+           VerifyOffset(verifier, VT_SUMS) &&
+           verifier.VerifyVector(sums()) &&
+           VerifyOffset(verifier, VT_BEYOND) &&
+           verifier.VerifyVector(beyond()) &&
            verifier.EndTable();
   }
 };
@@ -230,6 +252,18 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(Digest::VT_REVISION, revision, 0);
   }
+  void add_data_centre(uint64_t data_centre) {
+    fbb_.AddElement<uint64_t>(Digest::VT_DATA_CENTRE, data_centre, 0);
+  }
+  void add_speaks(bool speaks) {
+    fbb_.AddElement<uint8_t>(Digest::VT_SPEAKS, static_cast<uint8_t>(speaks), 0);
+  }
+  void add_sums(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Load *>> sums) {
+    fbb_.AddOffset(Digest::VT_SUMS, sums);
+  }
+  void add_beyond(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Load *>> beyond) {
+    fbb_.AddOffset(Digest::VT_BEYOND, beyond);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -254,19 +288,27 @@
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Address *>> peers = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint64_t data_centre = 0,
+    bool speaks = false,
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Load *>> sums = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Load *>> beyond = 0) {
   DigestBuilder builder_(_fbb);
+  builder_.add_data_centre(data_centre);
   builder_.add_revision(revision);
   builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_echoed_stamp(echoed_stamp);
   builder_.add_stamp(stamp);
   builder_.add_sequence(sequence);
   builder_.add_generation(generation);
+  builder_.add_beyond(beyond);
+  builder_.add_sums(sums);
   builder_.add_peers(peers);
   builder_.add_suspects(suspects);
   builder_.add_loads(loads);
   builder_.add_hosts_seen(hosts_seen);
   builder_.add_echo_held_us(echo_held_us);
+  builder_.add_speaks(speaks);
   builder_.add_has_confirmed(has_confirmed);
   return builder_.Finish();
 }
@@ -284,10 +326,16 @@
     const std::vector<caperjunction::proxy::wire::Load> *loads = nullptr,
     const std::vector<caperjunction::proxy::wire::Suspect> *suspects = nullptr,
     const std::vector<caperjunction::proxy::wire::Address> *peers = nullptr,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint64_t data_centre = 0,
+    bool speaks = false,
+    const std::vector<caperjunction::proxy::wire::Load> *sums = nullptr,
+    const std::vector<caperjunction::proxy::wire::Load> *beyond = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Suspect>(*suspects) : 0;
   auto peers__ = peers ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Address>(*peers) : 0;
+  auto sums__ = sums ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*sums) : 0;
+  auto beyond__ = beyond ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*beyond) : 0;
   return caperjunction::proxy::wire::CreateDigest(
       _fbb,
       generation,
@@ -301,7 +349,11 @@
       loads__,
       suspects__,
       peers__,
-      revision);
+      revision,
+      data_centre,
+      speaks,
+      sums__,
+      beyond__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -40,7 +40,18 @@
     std::optional<model::time_point> confirmed;
     /// Hosts that the sender has known at one time.
     std::uint32_t hosts_seen = 0;
+    /// Hash of the name of the sender's data centre.
+    std::uint64_t data_centre = 0;
+    /// Told to hosts nearby: what the sender itself has sent.
     std::vector<peer_load> loads;
+    /// The sender speaks for its data centre.
+    bool speaks = false;
+    /// Told to those that speak for other data centres: what all hosts of the
+    /// sender's have sent.
+    std::vector<peer_load> sums;
+    /// Told by the one that speaks to hosts nearby: what all hosts of all
+    /// other data centres have sent.
+    std::vector<peer_load> beyond;
     std::vector<crash_suspect> suspects;
     /// Other hosts that the sender hears.
     std::vector<model::endpoint> peers;
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -12,6 +12,8 @@
 constexpr model::milliseconds silence{4'000};
 /// A silent host is asked this often: it may have started anew.
 constexpr model::milliseconds ask_period{1'000};
+/// Hosts that watch the store tell all others this often.
+constexpr model::milliseconds reader_period{300};
 /// Silent for so long, a host that isn't a seed is taken for replaced.
 constexpr model::milliseconds gone_after{30'000};
 /// Hosts that are known at once; a stranger can't fill the memory.
@@ -23,8 +25,11 @@
 
 } // namespace
 
-peer_table::peer_table(model::endpoint own, std::vector<model::endpoint> seeds)
+peer_table::peer_table(model::endpoint own,
+                       std::uint64_t data_centre,
+                       std::vector<model::endpoint> seeds)
     : m_own(std::move(own))
+    , m_data_centre(data_centre)
 {
     this->seeds(std::move(seeds));
 }
@@ -43,23 +48,6 @@
     }
 }
 
-void peer_table::count(peer_digest const& told, int sign)
-{
-    auto const factor = static_cast<std::uint64_t>(sign);
-    for (peer_load const& item : told.loads) {
-        upstream_load& sum = m_loads[item.upstream];
-        sum.running += static_cast<std::uint32_t>(factor) * item.load.running;
-        sum.unread_tokens += factor * item.load.unread_tokens;
-    }
-    for (crash_suspect const& item : told.suspects) {
-        m_crashes[item.fingerprint] +=
-            static_cast<std::uint32_t>(factor) * item.crashes;
-        if (m_crashes[item.fingerprint] == 0) {
-            m_crashes.erase(item.fingerprint);
-        }
-    }
-}
-
 void peer_table::hear(model::endpoint const& from,
                       peer_digest const& told,
                       model::time_point now)
@@ -77,15 +65,13 @@
     if (is_old) {
         return;
     }
-    if (sender.is_heard) {
-        count(sender.told, -1);
-    } else {
+    if (!sender.is_heard) {
         ++m_alive;
     }
     sender.told = told;
     sender.is_heard = true;
     sender.heard_at = now;
-    count(told, 1);
+
     for (model::endpoint const& other : told.peers) {
         learn(other);
     }
@@ -100,7 +86,7 @@
     for (auto item = m_peers.begin(); item != m_peers.end();) {
         peer& known = item->second;
         if (known.is_heard && now - known.heard_at > silence) {
-            count(known.told, -1);
+
             known.is_heard = false;
             --m_alive;
         }
@@ -110,18 +96,148 @@
     }
 }
 
-std::vector<model::endpoint> peer_table::audience(model::time_point now)
+bool peer_table::is_near(peer const& known) const
 {
-    std::vector<model::endpoint> told;
+    return known.is_heard
+           && (m_alive < least_to_share
+               || known.told.data_centre == m_data_centre);
+}
+
+bool peer_table::ranks_before(model::endpoint const& a,
+                              model::endpoint const& b) const
+{
+    auto const rank = [](model::endpoint const& at) {
+        return XXH3_64bits_withSeed(
+            at.address.data(), at.address.size(), at.port);
+    };
+    return rank(a) < rank(b);
+}
+
+std::size_t peer_table::nearby() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [this](auto const& item) {
+            return is_near(item.second);
+        }));
+}
+
+bool peer_table::speaks() const
+{
+    return m_alive >= least_to_share
+           && std::none_of(
+               m_peers.begin(), m_peers.end(), [this](auto const& item) {
+                   return is_near(item.second)
+                          && ranks_before(item.first, m_own);
+               });
+}
+
+std::vector<peer_table::listener> peer_table::audience(model::time_point now)
+{
+    bool const speaks_for_all = speaks();
+    auto const far_period = is_reader() ? reader_period : ask_period;
+    std::vector<listener> told;
     for (auto& [address, known] : m_peers) {
-        if (known.is_heard || now - known.asked_at >= ask_period) {
+        listener to{address, share::beliefs};
+        bool is_due = now - known.asked_at >= far_period;
+        if (is_near(known)) {
+            to.what = share::loads;
+            is_due = true;
+        } else if (known.is_heard && known.told.speaks && speaks_for_all) {
+            to.what = share::sums;
+            is_due = true;
+        }
+        if (is_due) {
             known.asked_at = now;
-            told.push_back(address);
+            told.push_back(to);
         }
     }
     return told;
 }
 
+namespace {
+
+void add(std::unordered_map<std::uint64_t, upstream_load>& sum,
+         std::vector<peer_load> const& loads)
+{
+    for (peer_load const& item : loads) {
+        upstream_load& total = sum[item.upstream];
+        total.running += item.load.running;
+        total.unread_tokens += item.load.unread_tokens;
+    }
+}
+
+std::vector<peer_load>
+listed(std::unordered_map<std::uint64_t, upstream_load> const& sum)
+{
+    std::vector<peer_load> list;
+    list.reserve(sum.size());
+    for (auto const& [upstream, load] : sum) {
+        list.push_back({upstream, load});
+    }
+    return list;
+}
+
+} // namespace
+
+std::vector<peer_load> peer_table::sums() const
+{
+    std::unordered_map<std::uint64_t, upstream_load> sum;
+    for (auto const& [address, known] : m_peers) {
+        if (is_near(known)) {
+            add(sum, known.told.loads);
+        }
+    }
+    return listed(sum);
+}
+
+std::vector<peer_load> peer_table::beyond() const
+{
+    // Two of one data centre may both think that they speak for it, while
+    // one of them is new: only one is counted.
+    std::unordered_map<std::uint64_t, peer const*> speakers;
+    for (auto const& [address, known] : m_peers) {
+        if (known.is_heard && !is_near(known) && known.told.speaks) {
+            speakers.try_emplace(known.told.data_centre, &known);
+        }
+    }
+    std::unordered_map<std::uint64_t, upstream_load> sum;
+    for (auto const& [data_centre, known] : speakers) {
+        add(sum, known->told.sums);
+    }
+    return listed(sum);
+}
+
+void peer_table::add_up()
+{
+    m_loads.clear();
+    m_crashes.clear();
+    peer const* speaker = nullptr;
+    model::endpoint const* speaker_at = nullptr;
+    for (auto const& [address, known] : m_peers) {
+        if (!known.is_heard) {
+            continue;
+        }
+        for (crash_suspect const& item : known.told.suspects) {
+            m_crashes[item.fingerprint] += item.crashes;
+        }
+        if (!is_near(known)) {
+            continue;
+        }
+        add(m_loads, known.told.loads);
+        bool const is_better =
+            speaker_at == nullptr || ranks_before(address, *speaker_at);
+        if (known.told.speaks && is_better) {
+            speaker = &known;
+            speaker_at = &address;
+        }
+    }
+    if (speaks()) {
+        add(m_loads, beyond());
+    } else if (speaker != nullptr) {
+        add(m_loads, speaker->told.beyond);
+    }
+}
+
 std::vector<model::endpoint> peer_table::heard(std::size_t most) const
 {
     std::vector<model::endpoint> list;
@@ -160,14 +276,9 @@
     if (m_alive < least_to_share) {
         return true;
     }
-    auto const rank = [](model::endpoint const& at) {
-        return XXH3_64bits_withSeed(
-            at.address.data(), at.address.size(), at.port);
-    };
-    std::uint64_t const own = rank(m_own);
     auto const before =
-        std::count_if(m_peers.begin(), m_peers.end(), [&](auto const& item) {
-            return item.second.is_heard && rank(item.first) < own;
+        std::count_if(m_peers.begin(), m_peers.end(), [this](auto const& item) {
+            return item.second.is_heard && ranks_before(item.first, m_own);
         });
     return static_cast<std::size_t>(before) < readers;
 }
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -28,7 +28,10 @@
     static constexpr std::size_t least_to_share = 12;
 
     /// `own` is never taken for a peer; `seeds` are asked until they answer.
-    peer_table(model::endpoint own, std::vector<model::endpoint> seeds);
+    /// `data_centre` is a hash of its name.
+    peer_table(model::endpoint own,
+               std::uint64_t data_centre,
+               std::vector<model::endpoint> seeds);
 
     /// Seeds may name hosts that start later, or be replaced.
     void seeds(std::vector<model::endpoint> seeds);
@@ -40,8 +43,45 @@
     /// Drops what silent hosts have told.
     void forget_silent(model::time_point now);
 
-    /// Whom to tell now. Those that don't answer are told more seldom.
-    std::vector<model::endpoint> audience(model::time_point now);
+    /// What a host is told.
+    enum class share : std::uint8_t
+    {
+        /// It places by loads: those of this host, and beyond if this speaks.
+        loads,
+        /// It speaks for another data centre: the sums of this one.
+        sums,
+        /// That this host is there, and what it knows of the store.
+        beliefs,
+    };
+
+    struct listener
+    {
+        model::endpoint at;
+        share what = share::beliefs;
+    };
+
+    /// Whom to tell what now. Those that don't answer, and those far away
+    /// that need no loads, are told more seldom.
+    std::vector<listener> audience(model::time_point now);
+
+    /// Adds up what the others have told; to be called before `load_of`.
+    void add_up();
+
+    /// Whether this host speaks for its data centre.
+    ///
+    /// Loads that are older than a prompt takes to be read mislead, and in a
+    /// large fleet each host can't hear all others that often: one in each
+    /// data centre exchanges sums with those of the others.
+    bool speaks() const;
+
+    /// What this data centre's hosts have sent, but for this one.
+    std::vector<peer_load> sums() const;
+
+    /// What the other data centres' hosts have sent.
+    std::vector<peer_load> beyond() const;
+
+    /// Hosts that tell this one their loads.
+    std::size_t nearby() const;
 
     /// Hosts that are heard, at most `most`, for the audience to learn of.
     std::vector<model::endpoint> heard(std::size_t most) const;
@@ -104,9 +144,11 @@
     };
 
     void learn(model::endpoint const& address);
-    void count(peer_digest const& told, int sign);
+    bool is_near(peer const& known) const;
+    bool ranks_before(model::endpoint const& a, model::endpoint const& b) const;
 
     model::endpoint m_own;
+    std::uint64_t m_data_centre;
     std::map<model::endpoint, peer, by_address> m_peers;
     std::unordered_map<std::uint64_t, upstream_load> m_loads;
     std::unordered_map<std::uint64_t, std::uint32_t> m_crashes;
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -100,7 +100,8 @@
 {
     std::vector<upstream_ptr> const able =
         able_of(m_directory.of_service(request.service), request, now);
-    lanes const divided = divide(request, able);
+    lanes const divided =
+        divide(request, m_directory.of_service(request.service), able);
     pick best;
     for (upstream_ptr const& item : able) {
         pick option;
@@ -115,16 +116,18 @@
 }
 
 picker::lanes picker::divide(pick_request const& request,
+                             std::vector<upstream_ptr> const& all,
                              std::vector<upstream_ptr> const& able) const
 {
     lanes divided;
     if (request.prompt->tokens == 0) {
         return divided;
     }
-    // Each host sorts alike, so that all agree without a message.
+    // Each host sorts alike, so that all agree without a message. Engines
+    // that rest keep their lane: else the others' prompts would move too.
     for (bool const far : {false, true}) {
         std::vector<upstream_state const*> region;
-        for (upstream_ptr const& item : able) {
+        for (upstream_ptr const& item : all) {
             if ((item->away == distance::other_region) == far) {
                 region.push_back(item.get());
             }
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -49,6 +49,7 @@
     };
 
     lanes divide(pick_request const& request,
+                 std::vector<upstream_ptr> const& all,
                  std::vector<upstream_ptr> const& able) const;
     std::uint32_t cold_tokens(prompt const& asked,
                               upstream_state const& candidate,
