--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -171,8 +171,9 @@
     m_exchange.reset();
     m_since = m_context.loop.now();
     if (!whole) {
+        // A plain end could be taken for that of a body without length.
         m_closing = true;
-        m_stream->close();
+        m_stream->reset();
         m_on_closed(this);
         return;
     }
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -25,7 +25,7 @@
 
 /// Time in which the other side may close after an answer that ends the
 /// connection.
-constexpr model::milliseconds linger{1'000};
+constexpr model::milliseconds closing_time{1'000};
 
 void set_option(int socket, int level, int name, int value)
 {
@@ -230,6 +230,15 @@
     return evbuffer_get_length(m_unsent);
 }
 
+void stream::reset()
+{
+    linger const at_once{1, 0};
+    if (is_open()) {
+        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+    close();
+}
+
 void stream::finish()
 {
     if (!is_open() || m_finishing) {
@@ -238,7 +247,7 @@
     m_finishing = true;
     read(true);
     auto const keep = shared_from_this();
-    m_timer = m_loop.after(linger, [keep] {
+    m_timer = m_loop.after(closing_time, [keep] {
         keep->close();
     });
     if (unsent() == 0) {
--- a/src/proxy/stream.hpp
+++ b/src/proxy/stream.hpp
@@ -73,6 +73,9 @@
     /// Ends the connection without a word; no hook is called any more.
     void close();
 
+    /// Ends the connection so that the other side learns that bytes are lost.
+    void reset();
+
     /// Sends what is left, says that nothing follows, and closes when the
     /// other side has closed too. Closing at once, with bytes of the caller
     /// unread, would reset the connection and the answer with it.
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -136,6 +136,12 @@
     }
 }
 
+void event_loop::run_once()
+{
+    arm();
+    event_base_loop(m_base, EVLOOP_ONCE);
+}
+
 void event_loop::stop()
 {
     m_stopping.store(true);
--- a/src/runtime/event_loop.hpp
+++ b/src/runtime/event_loop.hpp
@@ -78,6 +78,9 @@
     void run();
     void stop();
 
+    /// Waits for something to happen and handles it.
+    void run_once();
+
     /// Handles what is ready and the timers that are due, without waiting:
     /// for tests that advance the clock.
     void poll();
--- a/tests/house/layout_test.cpp
+++ b/tests/house/layout_test.cpp
@@ -19,7 +19,18 @@
     {"runtime", {"model", "runtime"}},
     {"net", {"model", "lists", "decide", "fleet", "runtime", "net"}},
     {"program",
-     {"model", "lists", "decide", "fleet", "runtime", "net", "program"}}};
+     {"model",
+      "lists",
+      "decide",
+      "fleet",
+      "runtime",
+      "net",
+      "routing",
+      "proxy",
+      "platform",
+      "program"}},
+    {"routing", {"model", "routing"}},
+    {"proxy", {"model", "routing", "runtime", "proxy"}}};
 
 /// The folder of a path such as src/lists/parse.cpp.
 std::string folder_of(std::string const& path)
@@ -65,7 +76,8 @@
 
 TEST_CASE("decisions and the fleet touch no socket, clock, thread or log")
 {
-    for (char const* const folder : {"src/decide", "src/fleet"}) {
+    for (char const* const folder :
+         {"src/decide", "src/fleet", "src/routing"}) {
         for (house::source_file const& file : house::read_sources(folder)) {
             CAPTURE(file.path);
             CHECK(house::find_all(file.text,
@@ -80,7 +92,7 @@
 
 TEST_CASE("each header is guarded by the name of its file")
 {
-    for (char const* const root : {"src", "stand_ins"}) {
+    for (char const* const root : {"src", "stand_ins", "platform"}) {
         for (house::source_file const& file : house::read_sources(root)) {
             if (file.path.find(".hpp") == std::string::npos) {
                 continue;
@@ -98,7 +110,8 @@
 TEST_CASE("no two headers share a guard")
 {
     std::set<std::string> taken;
-    for (char const* const root : {"src", "stand_ins", "bench", "tests"}) {
+    for (char const* const root :
+         {"src", "stand_ins", "bench", "tests", "platform"}) {
         for (house::source_file const& file : house::read_sources(root)) {
             for (std::string const& guard :
                  house::find_all(file.text, "#ifndef (CAPERJUNCTION_\\w+)")) {
@@ -113,7 +126,7 @@
 TEST_CASE("no file is longer than 300 lines")
 {
     constexpr std::ptrdiff_t most = 300;
-    for (char const* const root : {"src", "stand_ins", "bench"}) {
+    for (char const* const root : {"src", "stand_ins", "bench", "platform"}) {
         for (house::source_file const& file : house::read_sources(root)) {
             CAPTURE(file.path);
             CHECK(std::count(file.text.begin(), file.text.end(), '\n') <= most);
--- /dev/null
+++ b/tests/platform/decode_test.cpp
@@ -0,0 +1,121 @@
+#include "platform/configuration.hpp"
+#include "platform/platform.hpp"
+
+#include "model/error.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace caperjunction;
+using namespace std::chrono_literals;
+
+namespace {
+
+char const* const sound_upstream =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4,)"
+    R"("state":"ready","born":1700000000000})";
+
+} // namespace
+
+TEST_CASE("a configuration's fields are decoded into ours")
+{
+    auto const read = platform::decode_configuration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+        R"("route_type":"streaming","timeout_ms":6000,"target_latency_ms":1500,)"
+        R"("priority":2,"traffic_split":[{"service":"a","weight":90},)"
+        R"({"service":"b","weight":10}],"max_attempts":2,"public":true,)"
+        R"("session_affinity":true,"stream_resume":true,"gap_aim_ms":1000}],)"
+        R"("services":[{"name":"a","max_connections":620,)"
+        R"("engine":{"slots":128,"kv_capacity":375021}}],)"
+        R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+        R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+        R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1},)"
+        R"({"name":"u","api_keys":[]}]})");
+    CHECK(read.version == 7);
+    REQUIRE(read.routes.size() == 1);
+    auto const& route = read.routes[0];
+    CHECK(route.authority == "h");
+    CHECK(route.prefix == "/p/");
+    CHECK(route.kind == routing::request_kind::stream);
+    CHECK(route.timeout == 6'000ms);
+    CHECK(route.latency_target == 1'500ms);
+    CHECK(route.pause_target == 1'000ms);
+    CHECK(route.rank == 2);
+    CHECK(route.max_attempts == 2);
+    CHECK(route.open);
+    CHECK(route.by_prompt);
+    CHECK(route.resumable);
+    REQUIRE(route.split.size() == 2);
+    CHECK(route.split[1].weight == 10);
+    CHECK(read.services[0].slots == 128);
+    CHECK(read.services[0].memory_tokens == 375'021);
+    CHECK(read.limits.idle_timeout == 15s);
+    CHECK(read.teams[0].keys.size() == 2);
+    CHECK(read.teams[0].rank == 1U);
+    CHECK(!read.teams[1].rank);
+}
+
+TEST_CASE("a configuration that can't be read is refused with a remedy")
+{
+    for (char const* const bad : {"", "[]", "{}", R"({"version":"x"})"}) {
+        CAPTURE(bad);
+        try {
+            platform::decode_configuration(bad);
+            FAIL("was read");
+        } catch (model::error const& failure) {
+            CHECK(failure.kind() == model::error_kind::bad_list);
+            CHECK(!failure.remedy().empty());
+        }
+    }
+}
+
+TEST_CASE("an upstream's entry is decoded")
+{
+    auto const read = platform::decode_upstream("i-1", sound_upstream);
+    REQUIRE(read);
+    CHECK(read->id == "i-1");
+    CHECK(read->at == model::endpoint{"10.0.0.9", 8080});
+    CHECK(read->data_centre == "z");
+    CHECK(read->started == 1'700'000'000'000);
+    CHECK(!read->draining);
+}
+
+// Another writer leaves entries of its own among those of the engines. One
+// that is taken for an engine gets requests that nobody answers.
+TEST_CASE("entries that are no upstream's name none")
+{
+    for (
+        char const* const bad :
+        {"",
+         "\xff\xfe",
+         "[]",
+         R"({"service":"s"})",
+         R"({"service":3,"address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1","zone":"z","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:x","zone":"z","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":"4","state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"lost"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","born":1.5})"}) {
+        CAPTURE(bad);
+        CHECK(!platform::decode_upstream("i-1", bad));
+    }
+    CHECK(rc::check([](std::string const& bytes) {
+        platform::decode_upstream("i-1", bytes);
+    }));
+}
+
+TEST_CASE("store items become records")
+{
+    auto const codec = platform::store_codec();
+    proxy::store_item item{"servers/i-1", sound_upstream, 5, false};
+    CHECK(std::holds_alternative<routing::upstream>(codec.decode(item)));
+    item.removed = true;
+    CHECK(std::holds_alternative<proxy::removed_upstream>(codec.decode(item)));
+    item = {"servers/i-1", "junk", 5, false};
+    CHECK(
+        std::holds_alternative<proxy::unreadable_upstream>(codec.decode(item)));
+    item = {"someone/else", "junk", 5, false};
+    CHECK(std::holds_alternative<std::monostate>(codec.decode(item)));
+    CHECK(codec.upstream_id("servers/i-1") == "i-1");
+    CHECK(codec.upstream_id("op/config").empty());
+}
--- /dev/null
+++ b/tests/proxy/relay_fixture.cpp
@@ -0,0 +1,179 @@
+#include "proxy/relay_fixture.hpp"
+
+#include <fmt/format.h>
+
+namespace caperjunction::test {
+namespace {
+
+proxy::relay_settings settings()
+{
+    proxy::relay_settings made;
+    made.listen = {"127.0.0.1", 0};
+    made.connect_timeout = 200ms;
+    return made;
+}
+
+routing::route make(std::string const& prefix,
+                    routing::request_kind kind,
+                    std::uint32_t attempts)
+{
+    routing::route made;
+    made.name = prefix;
+    made.authority = "desk.example";
+    made.prefix = prefix;
+    made.kind = kind;
+    made.max_attempts = attempts;
+    made.timeout = 2'000ms;
+    made.latency_target = 100ms;
+    made.split = {{"ledger", 1}};
+    return made;
+}
+
+routing::configuration lists()
+{
+    using routing::request_kind;
+    routing::configuration made;
+    made.version = 1;
+    made.routes = {make("/book/", request_kind::at_most_once, 2),
+                   make("/view/", request_kind::idempotent, 2),
+                   make("/stream/", request_kind::stream, 1),
+                   make("/resume/", request_kind::stream, 3),
+                   make("/short/", request_kind::at_most_once, 1)};
+    made.routes[3].resumable = true;
+    made.routes[4].timeout = 300ms;
+    made.teams = {{"desk", {"secret"}, {}}};
+    made.limits.header_bytes = 4'096;
+    made.limits.body_bytes = 100'000;
+    return made;
+}
+
+} // namespace
+
+relay_fixture::relay_fixture()
+    : context(
+        loop,
+        names,
+        settings(),
+        [this] {
+            return loop.now() + boot_offset;
+        },
+        [](std::string const&) {
+            return routing::distance::same_data_centre;
+        })
+    , relay(context)
+{
+    context.table = std::make_shared<routing::route_table const>(lists());
+    context.keys.confirm(loop.now());
+    context.on_ended = [this](proxy::exchange_report const& ended) {
+        reports.push_back(ended);
+        outcomes.emplace_back(ended.outcome);
+    };
+}
+
+scripted_upstream&
+relay_fixture::add(std::string const& id,
+                   std::string const& service,
+                   std::function<script(received const&)> answer)
+{
+    m_upstreams.push_back(
+        std::make_unique<scripted_upstream>(loop, std::move(answer)));
+    routing::upstream described;
+    described.id = id;
+    described.service = service;
+    described.at = m_upstreams.back()->at();
+    described.slots = 4;
+    context.directory.put(described);
+    return *m_upstreams.back();
+}
+
+std::shared_ptr<plain_client> relay_fixture::connect()
+{
+    auto const made = std::make_shared<plain_client>();
+    auto* const raw = made.get();
+    made->stream =
+        proxy::stream::connect(loop,
+                               {"127.0.0.1", relay.port()},
+                               1'000ms,
+                               {nullptr,
+                                [raw](std::string_view bytes) {
+                                    raw->got.append(bytes);
+                                },
+                                [raw](proxy::stream_end how) {
+                                    raw->closed = true;
+                                    raw->broken =
+                                        how != proxy::stream_end::closed;
+                                },
+                                nullptr});
+    return made;
+}
+
+std::shared_ptr<plain_client> relay_fixture::send(std::string const& text)
+{
+    auto const made = connect();
+    made->stream->write(text);
+    return made;
+}
+
+bool relay_fixture::run_until(std::function<bool()> const& done)
+{
+    auto const limit = loop.now() + 5s;
+    bool late = false;
+    auto const timer = loop.after(5s, [&late] {
+        late = true;
+    });
+    while (!done() && !late && loop.now() < limit) {
+        loop.run_once();
+    }
+    loop.cancel(timer);
+    return done();
+}
+
+void relay_fixture::run_for(model::milliseconds time)
+{
+    bool over = false;
+    loop.after(time, [&over] {
+        over = true;
+    });
+    run_until([&over] {
+        return over;
+    });
+}
+
+std::string relay_fixture::request(std::string const& path,
+                                   std::string const& id,
+                                   std::string const& more,
+                                   std::string const& body)
+{
+    return fmt::format("POST {}x?q=1 HTTP/1.1\r\nHost: desk.example\r\n"
+                       "Attempt-Id: {}\r\nDeadline-Ms: 1500\r\n"
+                       "Authorization: Bearer secret\r\n{}"
+                       "Content-Length: {}\r\n\r\n{}",
+                       path,
+                       id,
+                       more,
+                       body.size(),
+                       body);
+}
+
+std::string sound(std::string const& body, std::string const& more)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: @ID@\r\n"
+                       "Response-Seal: s1\r\n{}Content-Length: {}\r\n\r\n{}",
+                       more,
+                       body.size(),
+                       body);
+}
+
+std::string stream_head()
+{
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: @ID@\r\nResponse-Seal: s1\r\n"
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(std::string const& bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+} // namespace caperjunction::test
--- /dev/null
+++ b/tests/proxy/relay_fixture.hpp
@@ -0,0 +1,80 @@
+#ifndef CAPERJUNCTION_TESTS_PROXY_RELAY_FIXTURE_HPP
+#define CAPERJUNCTION_TESTS_PROXY_RELAY_FIXTURE_HPP
+
+#include "platform/platform.hpp"
+#include "proxy/relay.hpp"
+#include "proxy/scripted_upstream.hpp"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperjunction::test {
+
+using namespace std::chrono_literals;
+
+/// A caller's connection that keeps all that it gets.
+struct plain_client
+{
+    std::shared_ptr<proxy::stream> stream;
+    std::string got;
+    bool closed = false;
+    bool broken = false;
+};
+
+/// A relay on loopback with routes, keys and scripted upstreams.
+class relay_fixture
+{
+public:
+    relay_fixture();
+
+    /// Adds an upstream of `service` that answers so.
+    scripted_upstream& add(std::string const& id,
+                           std::string const& service,
+                           std::function<script(received const&)> answer);
+
+    std::shared_ptr<plain_client> connect();
+
+    /// Sends `text` on a new connection.
+    std::shared_ptr<plain_client> send(std::string const& text);
+
+    /// Runs the loop until `done`, at most some seconds. False if it never
+    /// was.
+    bool run_until(std::function<bool()> const& done);
+
+    /// Runs the loop for `time`.
+    void run_for(model::milliseconds time);
+
+    /// A request to /book/, /view/, /stream/ or /resume/ with a key.
+    static std::string request(std::string const& path,
+                               std::string const& id = "a1",
+                               std::string const& more = "",
+                               std::string const& body = "order");
+
+    runtime::event_loop loop;
+    proxy::wire_names names = platform::wire_names();
+    model::milliseconds boot_offset{0};
+    proxy::relay_context context;
+    std::vector<proxy::exchange_report> reports;
+    std::vector<std::string> outcomes;
+
+private:
+    std::vector<std::unique_ptr<scripted_upstream>> m_upstreams;
+
+public:
+    proxy::relay relay;
+};
+
+/// A whole answer with the marks of a sound upstream.
+std::string sound(std::string const& body, std::string const& more = "");
+
+/// The head of a sound stream, in chunks.
+std::string stream_head();
+
+std::string chunk(std::string const& bytes);
+
+} // namespace caperjunction::test
+
+#endif
--- /dev/null
+++ b/tests/proxy/scripted_upstream.cpp
@@ -0,0 +1,113 @@
+#include "proxy/scripted_upstream.hpp"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace caperjunction::test {
+namespace {
+
+constexpr std::string_view id_mark = "@ID@";
+
+std::string with_id(std::string text, std::string const& id)
+{
+    for (std::size_t at = text.find(id_mark); at != std::string::npos;
+         at = text.find(id_mark)) {
+        text.replace(at, id_mark.size(), id);
+    }
+    return text;
+}
+
+} // namespace
+
+scripted_upstream::scripted_upstream(
+    runtime::event_loop& loop, std::function<script(received const&)> answer)
+    : m_loop(loop)
+    , m_answer(std::move(answer))
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    m_listener = evconnlistener_new_bind(
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* own) {
+            static_cast<scripted_upstream*>(own)->accept(socket);
+        },
+        this,
+        LEV_OPT_CLOSE_ON_FREE,
+        -1,
+        reinterpret_cast<sockaddr*>(&address),
+        sizeof address);
+    socklen_t size = sizeof address;
+    getsockname(evconnlistener_get_fd(m_listener),
+                reinterpret_cast<sockaddr*>(&address),
+                &size);
+    m_port = ntohs(address.sin_port);
+}
+
+scripted_upstream::~scripted_upstream()
+{
+    for (auto const& item : m_clients) {
+        item->stream->close();
+    }
+    evconnlistener_free(m_listener);
+}
+
+model::endpoint scripted_upstream::at() const
+{
+    return {"127.0.0.1", m_port};
+}
+
+void scripted_upstream::accept(int socket)
+{
+    auto const made = std::make_shared<client>();
+    made->now.connection = ++connections;
+    auto* const raw = made.get();
+    std::weak_ptr<client> const weak = made;
+    made->reader = std::make_unique<proxy::http_reader>(
+        HTTP_REQUEST,
+        proxy::http_reader::hooks{[raw](proxy::message_head&& head) {
+                                      raw->now.head = std::move(head);
+                                      raw->now.body.clear();
+                                  },
+                                  [raw](std::string_view bytes) {
+                                      raw->now.body.append(bytes);
+                                  },
+                                  [this, weak] {
+                                      answer(weak.lock());
+                                  }});
+    made->stream = proxy::stream::adopt(
+        m_loop,
+        socket,
+        {nullptr,
+         [raw](std::string_view bytes) {
+             while (!bytes.empty()
+                    && raw->reader->fault() == proxy::read_fault::none) {
+                 bytes.remove_prefix(raw->reader->feed(bytes));
+             }
+         },
+         [this](proxy::stream_end) {
+             ++ended;
+         },
+         nullptr});
+    m_clients.push_back(made);
+}
+
+void scripted_upstream::answer(std::shared_ptr<client> const& from)
+{
+    requests.push_back(from->now);
+    std::string const* const id = from->now.head.find("Attempt-Id");
+    script const play = m_answer(from->now);
+    from->stream->write(with_id(play.answer, id == nullptr ? "" : *id));
+    if (play.closes) {
+        from->stream->finish();
+    }
+    if (play.resets) {
+        from->stream->reset();
+    }
+}
+
+} // namespace caperjunction::test
--- /dev/null
+++ b/tests/proxy/store_reader_test.cpp
@@ -0,0 +1,190 @@
+#include "proxy/store_reader.hpp"
+
+#include "platform/platform.hpp"
+#include "proxy/relay_fixture.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <deque>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+
+namespace {
+
+std::string json(std::string const& body, int status = 200)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
+                       status,
+                       body.size(),
+                       body);
+}
+
+std::string const one_item =
+    R"({"items":[{"key":"servers/i-1","value":"e30=","revision":4}],)"
+    R"("more_pages":false,"store_revision":9})";
+
+std::string const no_events = R"({"events":[],"store_revision":9})";
+
+/// A reader on a scripted store; what it tells is kept.
+struct reading
+{
+    runtime::event_loop loop;
+    std::deque<std::string> answers;
+    std::vector<std::string> asked;
+    scripted_upstream store;
+    proxy::store_codec codec = platform::store_codec();
+    std::vector<std::string> told;
+    std::optional<model::time_point> confirmed;
+    proxy::store_reader reader;
+
+    explicit reading(std::deque<std::string> script_of_store)
+        : answers(std::move(script_of_store))
+        , store(loop,
+                [this](received const& request) -> script {
+                    asked.push_back(request.head.target);
+                    if (answers.empty()) {
+                        return {};
+                    }
+                    std::string const next = answers.front();
+                    answers.pop_front();
+                    return next == "reset" ? script{"", false, true}
+                                           : script{next};
+                })
+        , reader(loop,
+                 store.at(),
+                 codec,
+                 "",
+                 {[this](proxy::store_item const& item) {
+                      told.push_back((item.removed ? "-" : "+") + item.key);
+                  },
+                  [this](std::vector<std::string> const& keys) {
+                      told.push_back("all " + std::to_string(keys.size()));
+                  },
+                  [this](model::time_point as_of) {
+                      confirmed = as_of;
+                  },
+                  [this](std::string_view why) {
+                      told.push_back("lost " + std::string(why));
+                  },
+                  [this] {
+                      told.emplace_back("regained");
+                  }})
+    {
+        reader.start(200ms, [this] {
+            return loop.now();
+        });
+    }
+
+    bool run_until_asked(std::size_t times)
+    {
+        auto const limit = loop.now() + 5s;
+        while (asked.size() < times && loop.now() < limit) {
+            loop.run_once();
+        }
+        return asked.size() >= times;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a whole read is followed by a watch from its revision")
+{
+    reading site({json(one_item), json(no_events)});
+    REQUIRE(site.run_until_asked(3));
+    CHECK(site.told == std::vector<std::string>{"+servers/i-1", "all 1"});
+    CHECK(site.asked[0] == "/kv-range?prefix=");
+    CHECK(site.asked[1].find("after=9") != std::string::npos);
+}
+
+TEST_CASE("pages are read one after the other")
+{
+    reading site({json(R"({"items":[{"key":"a","value":"","revision":4}],)"
+                       R"("more_pages":true,"store_revision":9})"),
+                  json(R"({"items":[{"key":"b","value":"","revision":12}],)"
+                       R"("more_pages":false,"store_revision":13})")});
+    REQUIRE(site.run_until_asked(3));
+    CHECK(site.asked[1] == "/kv-range?prefix=&after=a");
+    CHECK(site.told == std::vector<std::string>{"+a", "+b", "all 2"});
+    // What changed while the pages were read must not be missed.
+    CHECK(site.asked[2].find("after=9&") != std::string::npos);
+}
+
+TEST_CASE("changes and removals are told in order")
+{
+    reading site(
+        {json(one_item),
+         json(R"({"events":[{"key":"x","value":"","revision":10},)"
+              R"({"key":"servers/i-1","revision":11,"tombstone":true}],)"
+              R"("store_revision":11})")});
+    REQUIRE(site.run_until_asked(3));
+    CHECK(site.told
+          == std::vector<std::string>{
+              "+servers/i-1", "all 1", "+x", "-servers/i-1"});
+    CHECK(site.asked[2].find("after=11") != std::string::npos);
+}
+
+// The store drops its history while a watch is away. Going on from there
+// would miss the changes between.
+TEST_CASE("a forgotten history leads to a whole read")
+{
+    reading site({json(one_item), json("{}", 410), json(one_item)});
+    REQUIRE(site.run_until_asked(4));
+    CHECK(site.asked[2] == "/kv-range?prefix=");
+}
+
+TEST_CASE("a refusal, a reset and bytes that can't be read are tried again")
+{
+    for (std::string const& bad :
+         {json("", 503), json("", 429), std::string("reset"), json("[")}) {
+        CAPTURE(bad);
+        reading site({json(one_item), bad, json(no_events)});
+        REQUIRE(site.run_until_asked(4));
+        REQUIRE(site.told.size() >= 4);
+        CHECK(site.told[2].find("lost") == 0);
+        CHECK(site.told[3] == "regained");
+    }
+}
+
+// The connection to the store goes silent for good, and new ones work. Only
+// a time limit shows it.
+TEST_CASE("a silent store is found out and asked on a new connection")
+{
+    reading site({json(one_item)});
+    REQUIRE(site.run_until_asked(3));
+    CHECK(site.told.back() == "lost silent");
+    CHECK(site.store.connections == 2);
+}
+
+// A watch that returns early with changes was answered at an unknown moment
+// after it was sent; taken for later, a removed key would live too long.
+TEST_CASE("a confirmation is never later than what the store can have seen")
+{
+    reading site({json(one_item),
+                  json(R"({"events":[{"key":"x","value":"","revision":10}],)"
+                       R"("store_revision":10})")});
+    auto const before = site.loop.now();
+    REQUIRE(site.run_until_asked(3));
+    REQUIRE(site.confirmed);
+    CHECK(*site.confirmed >= before);
+    CHECK(*site.confirmed < site.loop.now() - 90ms);
+}
+
+TEST_CASE("a reader that rests asks only when told to")
+{
+    reading site({json(one_item), json(no_events), json(no_events)});
+    site.reader.keep_watching(false);
+    REQUIRE(site.run_until_asked(1));
+    bool over = false;
+    site.loop.after(400ms, [&over] {
+        over = true;
+    });
+    while (!over) {
+        site.loop.run_once();
+    }
+    CHECK(site.asked.size() == 1);
+    site.reader.look_once();
+    REQUIRE(site.run_until_asked(2));
+    CHECK(site.asked[1].find("wait_ms=1") != std::string::npos);
+}
--- /dev/null
+++ b/tests/routing/admission_test.cpp
@@ -0,0 +1,159 @@
+#include "routing/admission.hpp"
+
+#include "routing/retry_allowance.hpp"
+#include "routing/retry_rule.hpp"
+#include "routing/stop_rule.hpp"
+#include "routing/support.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+using routing::refusal_reason;
+using routing::request_kind;
+using routing::try_end;
+
+namespace {
+
+routing::configuration keyed()
+{
+    routing::configuration lists;
+    lists.routes = {make_route("/a/", request_kind::at_most_once),
+                    make_route("/open/", request_kind::at_most_once)};
+    lists.routes[1].open = true;
+    lists.teams = {{"desk", {"secret"}, {}}};
+    return lists;
+}
+
+} // namespace
+
+TEST_CASE("a host without a configuration refuses and says when to come back")
+{
+    routing::freshness const keys(5'000ms);
+    auto const made = routing::admit(nullptr, keys, {"desk.example", "/a/x"});
+    REQUIRE(made.refused);
+    auto const refused = routing::refuse(*made.refused, false);
+    CHECK(refused.status == 503);
+    CHECK(refused.retry_after.has_value());
+}
+
+// A host loses its way to the store, and a key is taken away meanwhile. Its
+// holder's requests would be served for as long as the cut lasts, and nobody
+// would notice.
+TEST_CASE("keys that were confirmed too long ago are not acted on")
+{
+    routing::route_table const table(keyed());
+    routing::freshness keys(5'000ms);
+    keys.confirm(start);
+    routing::admission_request request{
+        "desk.example", "/a/x", "secret", start + 4'800ms};
+    CHECK(routing::admit(&table, keys, request).team != nullptr);
+    request.now = start + 5'000ms;
+    CHECK(routing::admit(&table, keys, request).refused
+          == refusal_reason::keys_stale);
+    request.path = "/open/x";
+    CHECK(!routing::admit(&table, keys, request).refused);
+}
+
+TEST_CASE("a confirmation that comes late never makes a belief older")
+{
+    routing::freshness keys(5'000ms);
+    keys.confirm(start + 3'000ms);
+    keys.confirm(start);
+    CHECK(keys.may_use_keys(start + 7'000ms));
+}
+
+TEST_CASE("keys are looked up, and their absence is told apart")
+{
+    routing::route_table const table(keyed());
+    routing::freshness keys(5'000ms);
+    keys.confirm(start);
+    auto const outcome = [&](char const* path, char const* key) {
+        return routing::admit(&table, keys, {"desk.example", path, key, start})
+            .refused;
+    };
+    CHECK(outcome("/a/x", "") == refusal_reason::key_missing);
+    CHECK(outcome("/a/x", "old") == refusal_reason::key_unknown);
+    CHECK(outcome("/b/x", "secret") == refusal_reason::no_route);
+    CHECK(!outcome("/a/x", "secret"));
+}
+
+// A booking's connection breaks after the booking was sent. Told "not run",
+// the caller would book again.
+TEST_CASE("what may have run is never answered with a promise")
+{
+    for (auto const reason : {refusal_reason::no_upstream,
+                              refusal_reason::too_late,
+                              refusal_reason::upstream_full,
+                              refusal_reason::keys_stale,
+                              refusal_reason::quarantined,
+                              refusal_reason::stopping,
+                              refusal_reason::upstream_failed,
+                              refusal_reason::timed_out}) {
+        CAPTURE(routing::to_string(reason));
+        auto const unknown = routing::refuse(reason, true);
+        CHECK(unknown.status != 503);
+        CHECK(unknown.status != 429);
+        CHECK(!unknown.retry_after);
+        auto const not_run = routing::refuse(reason, false);
+        CHECK(not_run.status == 503);
+        CHECK(not_run.retry_after.has_value());
+    }
+}
+
+TEST_CASE("what must not run twice is sent again only if it has not run")
+{
+    auto booking = make_route("/a/", request_kind::at_most_once);
+    booking.max_attempts = 2;
+    routing::try_state const once{1, 0, false};
+    CHECK(routing::may_try_again(booking, try_end::not_run, once));
+    for (auto const end : {try_end::broken, try_end::failed, try_end::silent}) {
+        CHECK(!routing::may_try_again(booking, end, once));
+    }
+    CHECK(routing::may_try_again(booking, try_end::unreachable, {0, 1, false}));
+    CHECK(!routing::may_try_again(booking, try_end::not_run, {2, 0, false}));
+    auto stream = make_route("/s/", request_kind::stream);
+    stream.max_attempts = 2;
+    CHECK(!routing::may_try_again(stream, try_end::broken, once));
+    stream.resumable = true;
+    CHECK(routing::may_try_again(stream, try_end::broken, once));
+}
+
+// All engines of a service fail at once on every host. Unbounded, each
+// request would be sent twice, when there is least room for it.
+TEST_CASE("second sends keep to their share of the requests")
+{
+    routing::retry_allowance allowance(0.2, 3.0);
+    int taken = 0;
+    constexpr int requests = 1'000;
+    for (int sent = 0; sent < requests; ++sent) {
+        allowance.record_request();
+        taken += allowance.try_take() ? 1 : 0;
+    }
+    CHECK(taken <= requests / 5 + 3);
+    CHECK(taken >= requests / 10);
+}
+
+TEST_CASE("an idle host's budget doesn't grow beyond its part")
+{
+    routing::retry_allowance allowance(0.2, 2.0);
+    for (int sent = 0; sent < 1'000; ++sent) {
+        allowance.record_request();
+    }
+    int taken = 0;
+    while (allowance.try_take()) {
+        ++taken;
+    }
+    CHECK(taken == 2);
+}
+
+// A host is told to stop while a caller still opens long streams: one that
+// begins four seconds before the end is cut off in the middle.
+TEST_CASE("a stopping host takes only what it can finish")
+{
+    CHECK(routing::takes_new(1'000ms, 8'000ms, 15'000ms));
+    CHECK(!routing::takes_new(3'500ms, 8'000ms, 15'000ms));
+    CHECK(routing::takes_new(3'500ms, 8'000ms, 800ms));
+    CHECK(!routing::takes_new(7'500ms, 8'000ms, 800ms));
+    CHECK(!routing::takes_new(1'500ms, 2'000ms, 15'000ms));
+}
--- /dev/null
+++ b/tests/routing/picker_test.cpp
@@ -0,0 +1,221 @@
+#include "routing/picker.hpp"
+
+#include "routing/support.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+using routing::request_kind;
+
+namespace {
+
+/// Engines of one service in two regions, and requests to place on them.
+struct site
+{
+    routing::upstream_directory directory{measure};
+    routing::picker picker{directory};
+    routing::route bulk = make_route("/bulk/", request_kind::stream, 2);
+    routing::route chat = make_route("/chat/", request_kind::stream, 0);
+    routing::prompt prompt;
+    std::vector<std::string> tried;
+
+    explicit site(int engines)
+    {
+        for (int number = 0; number < engines; ++number) {
+            directory.put(engine("e" + std::to_string(number),
+                                 number % 3 == 2 ? "c" : "a"));
+        }
+        bulk.latency_target = 1'500ms;
+        chat.latency_target = 400ms;
+    }
+
+    routing::pick place(routing::route const& route,
+                        std::uint64_t subject,
+                        std::uint32_t shared,
+                        std::uint32_t own)
+    {
+        prompt.parts = {{1, 100}, {subject, shared}, {999, own}};
+        prompt.tokens = 100 + shared + own;
+        routing::pick_request request;
+        request.route = &route;
+        request.prompt = &prompt;
+        request.service = "llm";
+        request.body_bytes = prompt.tokens * 2;
+        request.tried = &tried;
+        request.is_most_urgent = route.rank == 0;
+        auto const chosen = picker.choose(request, start);
+        if (chosen.to) {
+            picker.record_sent(request, *chosen.to, start);
+        }
+        return chosen;
+    }
+};
+
+} // namespace
+
+TEST_CASE("prompts that share parts go to one engine, from every host")
+{
+    site one(12);
+    site other(12);
+    std::set<std::string> used;
+    for (std::uint64_t subject = 10; subject < 60; ++subject) {
+        auto const first = one.place(one.bulk, subject, 4'000, 2'000);
+        REQUIRE(first.to);
+        CHECK(first.cold_tokens == 0);
+        CHECK(first.to->about.id
+              == one.place(one.bulk, subject, 4'000, 2'000).to->about.id);
+        CHECK(first.to->about.id
+              == other.place(other.bulk, subject, 4'000, 2'000).to->about.id);
+        used.insert(first.to->about.id);
+    }
+    CHECK(used.size() >= 6);
+}
+
+// One engine breaks down. If that moved the prompts of all others, every
+// engine would read everything anew just when one is missing.
+TEST_CASE("an engine that rests moves only its own prompts")
+{
+    site whole(12);
+    std::map<std::uint64_t, std::string> homes;
+    for (std::uint64_t subject = 10; subject < 110; ++subject) {
+        homes[subject] =
+            whole.place(whole.bulk, subject, 4'000, 2'000).to->about.id;
+    }
+    site broken(12);
+    std::string const lost = homes.begin()->second;
+    broken.directory.find(lost)->health.record_unreachable(start);
+    for (auto const& [subject, home] : homes) {
+        auto const now = broken.place(broken.bulk, subject, 4'000, 2'000);
+        CHECK(now.to->about.id != lost);
+        if (home != lost) {
+            CHECK(now.to->about.id == home);
+        }
+    }
+}
+
+// Long prompts stretch the steps of every stream on their engine: a chat
+// beside them pauses, and its caller sees words come in jerks.
+TEST_CASE("chats and long prompts use different engines")
+{
+    site calm(12);
+    std::set<std::string> chats;
+    std::set<std::string> bulks;
+    for (std::uint64_t subject = 10; subject < 110; ++subject) {
+        chats.insert(calm.place(calm.chat, subject, 60, 500).to->about.id);
+        bulks.insert(calm.place(calm.bulk, subject, 4'000, 2'000).to->about.id);
+    }
+    for (std::string const& id : chats) {
+        CHECK(bulks.count(id) == 0);
+    }
+}
+
+TEST_CASE("a prompt leaves a full home before it is late, for one other")
+{
+    site full(12);
+    auto const home = full.place(full.bulk, 10, 4'000, 2'000).to;
+    home->others.unread_tokens = 500'000;
+    auto const away = full.place(full.bulk, 10, 4'000, 2'000);
+    CHECK(away.to != home);
+    site same(12);
+    same.directory.find(home->about.id)->others.unread_tokens = 500'000;
+    CHECK(same.place(same.bulk, 10, 4'000, 2'000).to->about.id
+          == away.to->about.id);
+}
+
+TEST_CASE("a little load is no reason to read a prompt anew elsewhere")
+{
+    site calm(12);
+    auto const home = calm.place(calm.bulk, 10, 4'000, 2'000).to;
+    home->own.unread_tokens = 8'000;
+    CHECK(calm.place(calm.bulk, 10, 4'000, 2'000).to == home);
+}
+
+// An engine fails part of its requests while its health check is good.
+TEST_CASE("an engine that fails requests is left for another")
+{
+    site grey(12);
+    auto const home = grey.place(grey.bulk, 10, 4'000, 2'000).to;
+    for (int failed = 0; failed < 4; ++failed) {
+        home->health.record_failure(start);
+    }
+    CHECK(grey.place(grey.bulk, 10, 4'000, 2'000).to != home);
+}
+
+TEST_CASE("an engine that was left alone is tried again")
+{
+    routing::upstream_health health;
+    health.record_unreachable(start);
+    CHECK(health.is_resting(start));
+    CHECK(!health.is_resting(start + 500ms));
+    for (int again = 0; again < 10; ++again) {
+        health.record_unreachable(start + 1s);
+    }
+    CHECK(health.is_resting(start + 3s));
+    CHECK(!health.is_resting(start + 5s));
+    CHECK(health.failure_share(start + 60s) < 0.01);
+}
+
+TEST_CASE("an upstream that was tried is not picked again")
+{
+    site small(2);
+    auto const first = small.place(small.bulk, 10, 4'000, 2'000);
+    small.tried.push_back(first.to->about.id);
+    auto const second = small.place(small.bulk, 10, 4'000, 2'000);
+    REQUIRE(second.to);
+    CHECK(second.to != first.to);
+    small.tried.push_back(second.to->about.id);
+    CHECK(!small.place(small.bulk, 10, 4'000, 2'000).to);
+}
+
+TEST_CASE("where all rest, one is picked rather than none")
+{
+    site dark(3);
+    dark.directory.each([](routing::upstream_state& state) {
+        state.health.record_unreachable(start);
+    });
+    CHECK(dark.place(dark.bulk, 10, 4'000, 2'000).to);
+}
+
+// A burst of long prompts, some subjects far more asked for than others, one
+// engine slow. Callers want their first event in time.
+TEST_CASE("a skewed burst is spread before engines are far behind")
+{
+    site busy(12);
+    std::map<std::string, std::uint64_t> sent;
+    for (int number = 0; number < 240; ++number) {
+        auto const subject = static_cast<std::uint64_t>(10 + number % 7);
+        auto const chosen = busy.place(busy.bulk, subject, 4'000, 2'000);
+        REQUIRE(chosen.to);
+        std::uint64_t const work = 2'000 + chosen.cold_tokens;
+        chosen.to->own.unread_tokens += work;
+        sent[chosen.to->about.id] += work;
+    }
+    std::uint64_t most = 0;
+    for (auto const& [id, work] : sent) {
+        most = std::max(most, work);
+    }
+    // Seven homes alone would have 70,000 and more each.
+    CHECK(most < 110'000);
+    CHECK(sent.size() >= 7);
+}
+
+TEST_CASE("plain calls go to the nearest free server")
+{
+    routing::upstream_directory directory(measure);
+    directory.put(engine("far", "c", "ledger"));
+    directory.put(engine("near", "a", "ledger"));
+    routing::picker picker(directory);
+    auto const route = make_route("/book/", request_kind::at_most_once);
+    routing::prompt const none;
+    routing::pick_request request;
+    request.route = &route;
+    request.prompt = &none;
+    request.service = "ledger";
+    CHECK(picker.choose(request, start).to->about.id == "near");
+    directory.find("near")->own.running = 2'000;
+    CHECK(picker.choose(request, start).to->about.id == "far");
+}
--- /dev/null
+++ b/tests/routing/route_table_test.cpp
@@ -0,0 +1,74 @@
+#include "routing/support.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+using routing::request_kind;
+
+TEST_CASE("the longest prefix that begins the path is chosen")
+{
+    routing::configuration lists;
+    lists.routes = {make_route("/a/", request_kind::idempotent),
+                    make_route("/a/b/", request_kind::idempotent)};
+    routing::route_table const table(lists);
+    REQUIRE(table.match("desk.example", "/a/b/c") != nullptr);
+    CHECK(table.match("desk.example", "/a/b/c")->prefix == "/a/b/");
+    CHECK(table.match("desk.example", "/a/x")->prefix == "/a/");
+    CHECK(table.match("desk.example", "/a") == nullptr);
+    CHECK(table.match("other.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("requests are split over services by weight")
+{
+    routing::route split = make_route("/a/", request_kind::idempotent);
+    split.split = {{"old", 90}, {"new", 10}};
+    std::map<std::string, int> taken;
+    for (std::uint64_t draw = 0; draw < 1'000; ++draw) {
+        ++taken[routing::route_table::pick_service(split, draw)];
+    }
+    CHECK(taken["old"] == 900);
+    CHECK(taken["new"] == 100);
+}
+
+// A chat and a long prompt of one team reach the same engine. With equal
+// urgency the engine takes memory from the chat that came last, and its
+// caller sees the answer stop in the middle of a word.
+TEST_CASE("a route's rank decides before the team's")
+{
+    routing::configuration lists;
+    lists.routes = {make_route("/chat/", request_kind::stream, 0),
+                    make_route("/long/", request_kind::stream, 2)};
+    lists.teams = {{"high", {"k1"}, 0U}, {"low", {"k2"}, 1U}, {"none", {}, {}}};
+    routing::route_table const table(lists);
+    auto const& chat = table.lists().routes[0];
+    auto const& bulk = table.lists().routes[1];
+    auto const& high = table.lists().teams[0];
+    auto const& low = table.lists().teams[1];
+    CHECK(table.urgency(chat, &high) < table.urgency(chat, &low));
+    CHECK(table.urgency(chat, &low) < table.urgency(bulk, &high));
+    CHECK(table.urgency(bulk, &high) < table.urgency(bulk, &low));
+    CHECK(table.urgency(bulk, &low) <= routing::route_table::least_urgent);
+}
+
+TEST_CASE("more pairs of ranks than an engine has keep their order")
+{
+    routing::configuration lists;
+    for (std::uint32_t rank = 0; rank < 5; ++rank) {
+        lists.routes.push_back(make_route(
+            "/" + std::to_string(rank) + "/", request_kind::stream, rank));
+        lists.teams.push_back({std::to_string(rank), {}, rank});
+    }
+    routing::route_table const table(lists);
+    std::uint32_t before = 0;
+    for (auto const& route : table.lists().routes) {
+        for (auto const& team : table.lists().teams) {
+            std::uint32_t const now = table.urgency(route, &team);
+            CHECK(now >= before);
+            CHECK(now <= routing::route_table::least_urgent);
+            before = now;
+        }
+    }
+}
