--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -68,6 +68,7 @@
     }
     std::uint64_t const before = m_context.revision;
     std::vector<std::string> keys;
+    keys.reserve(list.items.size());
     for (proxy::store_item const& item : list.items) {
         keys.push_back(item.key);
         auto const held = m_items.find(item.key);
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -67,6 +67,9 @@
         log_ended(ended);
         m_metrics.count(ended);
     };
+    m_context.on_retried = [this](proxy::exchange_report const& tried) {
+        log_retried(tried);
+    };
     m_admin.serve(m_names.readiness_path, [this](std::string const&) {
         return is_ready() ? net::admin_answer{200, "text/plain", "ready\n"}
                           : net::admin_answer{503, "text/plain", "not ready\n"};
@@ -198,6 +201,20 @@
     }
 }
 
+void routed_host::log_retried(proxy::exchange_report const& tried)
+{
+    runtime::log_line("request_retried")
+        .field("id", tried.id)
+        .field("route", tried.route)
+        .field("service", tried.service)
+        .field("last_try", tried.last_try)
+        .field("upstream", tried.upstream)
+        .field("sent", tried.sent)
+        .field("unreached", tried.unreached)
+        .field("budget_left", tried.budget_left)
+        .field("total_ms", tried.total.count());
+}
+
 void routed_host::log_ended(proxy::exchange_report const& ended)
 {
     runtime::log_line line("request_ended");
@@ -208,6 +225,7 @@
         .field("status", ended.status)
         .field("outcome", ended.outcome)
         .field("reason", ended.reason)
+        .field("last_try", ended.last_try)
         .field("upstream", ended.upstream)
         .field("sent", ended.sent)
         .field("unreached", ended.unreached)
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -39,6 +39,7 @@
     void share_reading();
     model::milliseconds watch_wait() const;
     void note_read();
+    void log_retried(proxy::exchange_report const& tried);
     void log_ended(proxy::exchange_report const& ended);
     void plan_stop();
     void reload();
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -37,6 +37,16 @@
     return m_context.table ? m_context.table->lists().limits : s_defaults;
 }
 
+caller::~caller()
+{
+    release_body();
+}
+
+void caller::release_body()
+{
+    m_context.held_bytes -= std::exchange(m_held, 0);
+}
+
 void caller::serve(int socket)
 {
     m_since = m_context.loop.now();
@@ -118,6 +128,12 @@
         return;
     }
     m_body.append(bytes);
+    m_held += bytes.size();
+    m_context.held_bytes += bytes.size();
+    if (m_context.held_bytes > m_context.settings.held_bytes) {
+        reject(routing::refusal_reason::host_full);
+        return;
+    }
     if (m_body.size() > limits().body_bytes) {
         reject(routing::refusal_reason::body_too_long);
     }
@@ -169,6 +185,7 @@
 {
     auto const keep = shared_from_this();
     m_exchange.reset();
+    release_body();
     m_since = m_context.loop.now();
     if (!whole) {
         // A plain end could be taken for that of a body without length.
@@ -200,6 +217,8 @@
 {
     auto const keep = shared_from_this();
     m_closing = true;
+    m_body = {};
+    release_body();
     routing::refusal const refused = routing::refuse(reason, false);
     std::string const* const id = m_head.find(m_context.names.request_id);
     m_stream->write(refusal_text(refused,
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -24,6 +24,7 @@
     /// `on_closed` is called once, when the connection is over.
     caller(relay_context& context,
            std::function<void(caller const*)> on_closed);
+    ~caller();
     caller(caller const&) = delete;
     caller& operator=(caller const&) = delete;
 
@@ -50,6 +51,7 @@
     void begin_exchange();
     void end_exchange(bool whole);
     void reject(routing::refusal_reason reason);
+    void release_body();
     void connection_ended();
     bool keeps_alive() const;
     routing::caller_limits const& limits() const;
@@ -63,6 +65,7 @@
     /// Bytes that came while a request was being served.
     std::string m_pending;
     std::shared_ptr<exchange> m_exchange;
+    std::size_t m_held = 0;
     bool m_has_head = false;
     bool m_closing = false;
     /// When the present request's first byte, or the last answer's last,
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -130,22 +130,14 @@
     end(may_have_run() ? "failed" : "refused", true);
 }
 
-void exchange::end(std::string_view outcome, bool whole)
+void exchange::fill_report()
 {
-    if (m_ended) {
-        return;
-    }
-    auto const keep = shared_from_this();
-    m_ended = true;
-    m_context.loop.cancel(m_deadline_timer);
-    m_context.loop.cancel(m_silence_timer);
     m_report.id = m_facts.id;
     m_report.route = m_route == nullptr ? "" : std::string_view(m_route->name);
     m_report.service = m_service;
     m_report.team = m_team;
     m_report.upstream =
         m_tried.empty() ? std::string_view() : std::string_view(m_tried.back());
-    m_report.outcome = outcome;
     m_report.sent = m_state.sent;
     m_report.unreached = m_state.unreached;
     m_report.forecast = m_pick.forecast;
@@ -155,6 +147,22 @@
     m_report.events = m_events;
     m_report.config_version = m_table ? m_table->lists().version : 0;
     m_report.config_age = m_context.keys.age(m_context.boot_now());
+    if (!m_service.empty()) {
+        m_report.budget_left = m_context.allowance(m_service).left();
+    }
+}
+
+void exchange::end(std::string_view outcome, bool whole)
+{
+    if (m_ended) {
+        return;
+    }
+    auto const keep = shared_from_this();
+    m_ended = true;
+    m_context.loop.cancel(m_deadline_timer);
+    m_context.loop.cancel(m_silence_timer);
+    fill_report();
+    m_report.outcome = outcome;
     m_report.on_time = outcome == "served" && m_route != nullptr
                        && m_report.first_byte <= m_route->latency_target;
     if (m_context.on_ended) {
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -76,6 +76,7 @@
     std::uint64_t fingerprint();
     bool is_quarantined();
 
+    void fill_report();
     void time_out();
     void refuse(routing::refusal_reason reason);
     void end(std::string_view outcome, bool whole);
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -25,6 +25,10 @@
     std::string_view outcome;
     /// The refusal's reason, if there is one.
     std::string_view reason;
+    /// How the last try that gave no answer ended; empty if none did.
+    std::string_view last_try;
+    /// Second sends that this host may still make to the service.
+    double budget_left = 0.0;
     /// Upstreams that were handed it.
     std::uint32_t sent = 0;
     std::uint32_t unreached = 0;
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -223,7 +223,12 @@
         m_may_have_run = had_run;
     }
     m_state.has_begun = m_began;
+    m_report.last_try = routing::to_string(how);
     if (takes_retry(how) && is_still_allowed()) {
+        fill_report();
+        if (m_context.on_retried) {
+            m_context.on_retried(m_report);
+        }
         place();
         return;
     }
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -44,11 +44,15 @@
     routing::peer_table peers;
     routing::crash_suspects suspects;
     std::map<std::string, routing::retry_allowance> allowances;
+    /// Called when a request is tried again, before the next try.
+    std::function<void(exchange_report const&)> on_retried;
     /// Called once for each request that ended.
     std::function<void(exchange_report const&)> on_ended;
 
     /// Set from the signal to stop: answers close their connections.
     bool is_stopping = false;
+    /// Bytes of request bodies that are held.
+    std::size_t held_bytes = 0;
     model::time_point stop_began{};
 
     relay_context(runtime::event_loop& on,
--- a/src/proxy/relay_settings.hpp
+++ b/src/proxy/relay_settings.hpp
@@ -33,8 +33,9 @@
     /// Longest time until a connection to an upstream stands: many round
     /// trips between regions, and short against what callers wait.
     model::milliseconds connect_timeout{250};
-    /// Bytes of requests and answers held at once.
-    std::size_t held_bytes = 48U * 1024U * 1024U;
+    /// Bytes of request bodies held at once: half of the smallest host's
+    /// memory. Beyond it the process would be ended and all callers with it.
+    std::size_t held_bytes = 40'000'000;
 };
 
 } // namespace caperjunction::proxy
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -23,7 +23,7 @@
     if (found != m_kept.end()) {
         auto& free = found->second.free;
         while (!free.empty()) {
-            auto const last = std::move(free.back());
+            auto last = std::move(free.back());
             free.pop_back();
             if (is_usable(*last)) {
                 return last;
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -27,14 +27,14 @@
 
 peer_table::peer_table(model::endpoint own,
                        std::uint64_t data_centre,
-                       std::vector<model::endpoint> seeds)
+                       std::vector<model::endpoint> const& seeds)
     : m_own(std::move(own))
     , m_data_centre(data_centre)
 {
-    this->seeds(std::move(seeds));
+    this->seeds(seeds);
 }
 
-void peer_table::seeds(std::vector<model::endpoint> seeds)
+void peer_table::seeds(std::vector<model::endpoint> const& seeds)
 {
     for (model::endpoint const& seed : seeds) {
         learn(seed);
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -31,10 +31,10 @@
     /// `data_centre` is a hash of its name.
     peer_table(model::endpoint own,
                std::uint64_t data_centre,
-               std::vector<model::endpoint> seeds);
+               std::vector<model::endpoint> const& seeds);
 
     /// Seeds may name hosts that start later, or be replaced.
-    void seeds(std::vector<model::endpoint> seeds);
+    void seeds(std::vector<model::endpoint> const& seeds);
 
     void hear(model::endpoint const& from,
               peer_digest const& told,
--- a/src/routing/retry_rule.hpp
+++ b/src/routing/retry_rule.hpp
@@ -3,7 +3,10 @@
 
 #include "routing/route.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace caperjunction::routing {
 
@@ -22,6 +25,14 @@
     silent,
 };
 
+/// Stable name, for logs.
+inline std::string_view to_string(try_end how)
+{
+    constexpr std::array<std::string_view, 5> names{
+        "unreachable", "not_run", "broken", "failed", "silent"};
+    return names[static_cast<std::size_t>(how)];
+}
+
 /// Where a request stands.
 struct try_state
 {
--- a/tests/proxy/relay_bytes_test.cpp
+++ b/tests/proxy/relay_bytes_test.cpp
@@ -88,7 +88,7 @@
 // the other way, it would run under an id that its caller never sent.
 TEST_CASE("lengths that contradict each other are refused")
 {
-    for (std::string const& lengths :
+    for (char const* const lengths :
          {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
           "Content-Length: 4\r\nContent-Length: 5\r\n",
           "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
@@ -99,7 +99,8 @@
         auto const caller = site.send(
             "POST /book/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: a1\r\n"
             "Authorization: Bearer secret\r\n"
-            + lengths + "\r\n0\r\n\r\nGET /view/x HTTP/1.1\r\n\r\n");
+            + std::string(lengths)
+            + "\r\n0\r\n\r\nGET /view/x HTTP/1.1\r\n\r\n");
         REQUIRE(site.run_until([&] {
             return caller->closed;
         }));
@@ -251,3 +252,33 @@
     CHECK(caller->got.find("Content-Length: 40") != std::string::npos);
     CHECK(caller->got.substr(caller->got.size() - 4) == "\r\n\r\n");
 }
+
+// Many callers send large bodies at once. A host that held them all would
+// run out of memory, and every caller's connection would break.
+TEST_CASE("a host refuses what it has no memory for, and has it back later")
+{
+    relay_fixture site;
+    site.context.settings.held_bytes = 150'000;
+    site.add("i-1", "ledger", always(sound("done")));
+    std::string const half = std::string(90'000, 'x');
+    std::string const open = relay_fixture::request("/book/", "a1", "", half);
+    auto const slow = site.send(open.substr(0, open.size() - 1));
+    REQUIRE(site.run_until([&] {
+        return site.context.held_bytes > 80'000;
+    }));
+    auto const other =
+        site.send(relay_fixture::request("/book/", "a2", "", half));
+    REQUIRE(site.run_until([&] {
+        return !other->got.empty();
+    }));
+    CHECK(other->got.find("HTTP/1.1 503") == 0);
+    CHECK(other->got.find("Retry-After") != std::string::npos);
+    slow->stream->write("x");
+    REQUIRE(site.run_until([&] {
+        return slow->got.find("done") != std::string::npos;
+    }));
+    slow->stream->close();
+    CHECK(site.run_until([&] {
+        return site.context.held_bytes == 0;
+    }));
+}
--- a/tests/proxy/relay_faults_test.cpp
+++ b/tests/proxy/relay_faults_test.cpp
@@ -86,6 +86,8 @@
         return caller->got.find("seen") != std::string::npos;
     }));
     CHECK(asked == 2);
+    CHECK(site.reports.back().last_try == "broken");
+    CHECK(site.reports.back().sent == 2);
 }
 
 // An upstream swallows a lookup. Its caller would wait until the deadline
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -88,7 +88,7 @@
 
 std::shared_ptr<plain_client> relay_fixture::connect()
 {
-    auto const made = std::make_shared<plain_client>();
+    auto made = std::make_shared<plain_client>();
     auto* const raw = made.get();
     made->stream =
         proxy::stream::connect(loop,
@@ -109,7 +109,7 @@
 
 std::shared_ptr<plain_client> relay_fixture::send(std::string const& text)
 {
-    auto const made = connect();
+    auto made = connect();
     made->stream->write(text);
     return made;
 }
--- a/tests/routing/picker_test.cpp
+++ b/tests/routing/picker_test.cpp
@@ -44,10 +44,10 @@
         request.route = &route;
         request.prompt = &prompt;
         request.service = "llm";
-        request.body_bytes = prompt.tokens * 2;
+        request.body_bytes = std::size_t{prompt.tokens} * 2;
         request.tried = &tried;
         request.is_most_urgent = route.rank == 0;
-        auto const chosen = picker.choose(request, start);
+        auto chosen = picker.choose(request, start);
         if (chosen.to) {
             picker.record_sent(request, *chosen.to, start);
         }
