Weigh cold tokens by how far engines are behind; spread confirmations

One weight doesn't fit: free engines should share a hot subject, engines that are all behind must not read everything anew. Change: between 5,000 and 1,250 tokens for a late request, by the mean wait of the engines; far behind costs more. Change: waits are drawn. A test plays the bounds.

--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -15,6 +15,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string_view>
 #include <vector>
 
@@ -37,7 +38,7 @@
     void serve_peers();
     void ask_peers();
     void share_reading();
-    model::milliseconds watch_wait() const;
+    model::milliseconds watch_wait();
     void note_read();
     void log_retried(proxy::exchange_report const& tried);
     void log_ended(proxy::exchange_report const& ended);
@@ -63,6 +64,7 @@
     std::unique_ptr<proxy::peer_link> m_peers;
     std::unique_ptr<net::admin_server> m_peer_server;
     std::optional<model::time_point> m_lagging_since;
+    std::minstd_rand m_random{std::random_device{}()};
     bool m_has_read = false;
 };
 
--- a/src/program/routed_host_peers.cpp
+++ b/src/program/routed_host_peers.cpp
@@ -1,16 +1,13 @@
 #include "program/routed_host.hpp"
 
+#include "routing/watch_pace.hpp"
 #include "runtime/log_line.hpp"
 
-#include <algorithm>
+#include <random>
 
 namespace caperjunction::program {
 namespace {
 
-/// Watches wait for this share of the keys' lifetime: after one that is lost
-/// there is time for a second and a third before keys are refused.
-constexpr double watch_share = 0.4;
-
 /// The host's own reader gets a change within milliseconds; a change that
 /// another host has had for so long will not come that way.
 constexpr model::milliseconds own_reading_lag{500};
@@ -18,8 +15,6 @@
 /// A host that hears nothing new looks at the store itself after this part
 /// of the time in which a change must be in force.
 constexpr int looks_in_time = 2;
-/// Those that watch for all confirm what they tell this much more often.
-constexpr int told_in_time = 6;
 
 } // namespace
 
@@ -71,15 +66,15 @@
     }
 }
 
-model::milliseconds routed_host::watch_wait() const
+model::milliseconds routed_host::watch_wait()
 {
-    bool const is_shared =
-        m_context.peers.alive() >= routing::peer_table::least_to_share;
-    auto const own = std::chrono::duration_cast<model::milliseconds>(
-        m_settings.relay.key_lifetime * watch_share);
-    return is_shared
-               ? std::min(own, m_settings.relay.apply_limit / told_in_time)
-               : own;
+    routing::watch_facts facts;
+    facts.key_lifetime = m_settings.relay.key_lifetime;
+    facts.apply_limit = m_settings.relay.apply_limit;
+    facts.peers = m_context.peers.alive();
+    facts.is_shared = facts.peers >= routing::peer_table::least_to_share;
+    return routing::watch_wait(
+        facts, std::uniform_real_distribution<double>(0.0, 1.0)(m_random));
 }
 
 void routed_host::share_reading()
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -35,15 +35,22 @@
 constexpr double in_urgent_lane = 0.1;
 constexpr double cost_of_urgent_delay = 1.0 / 4'000;
 
-/// Reading 1,250 shared tokens once more weighs as much as a request that is
-/// late: what is read anew delays all others at that engine. Weighed eight
-/// times less, prompts leave a busy home too soon, engines read the same
-/// parts over and over, and an overload feeds itself: on a fleet of 71 hosts
-/// under bursts of 2.2 times the usual traffic, callers got 0.700 of the
-/// worth against 0.749 (two plays of one day).
-constexpr double cost_of_cold_token = 1.0 / 1'250;
+/// What is read anew delays all others at that engine. While engines have
+/// time, reading 5,000 shared tokens once more weighs as much as a request
+/// that is late, and a subject that many ask for is spread. When all of them
+/// are behind, 1,250 do: else prompts leave their busy homes, engines read the
+/// same parts over and over, and the overload feeds itself. On a fleet of 71
+/// hosts under bursts of 2.2 times the usual traffic, callers got 0.700 of the
+/// worth with 10,000 tokens and 0.749 with 1,250 (two plays of one day).
+constexpr double cold_tokens_when_free = 5'000;
+constexpr double cold_tokens_when_behind = 1'250;
+/// Engines are behind when the prompts that wait take this share of the time
+/// that is aimed at.
+constexpr double share_when_behind = 0.25;
 /// Half of the time that is aimed at may pass without harm.
 constexpr double safe_share = 0.5;
+/// Beyond it the deadline comes near, and with it an answer that is cut.
+constexpr double cost_of_far_behind = 2.0;
 /// A failing upstream is worse than a late one: its caller gets nothing.
 constexpr double cost_of_failure = 2.0;
 
@@ -75,7 +82,9 @@
 {
     double const share =
         forecast_ms / std::max(1.0, static_cast<double>(target.count()));
-    return std::max(0.0, (share - safe_share) / (1.0 - safe_share));
+    double const late =
+        std::max(0.0, (share - safe_share) / (1.0 - safe_share));
+    return late + std::max(0.0, share - 1.0) * cost_of_far_behind;
 }
 
 std::vector<upstream_ptr> able_of(std::vector<upstream_ptr> const& all,
@@ -94,6 +103,24 @@
     return able.empty() ? resting : able;
 }
 
+/// Between the two by how far the engines are behind on average.
+double cost_of_cold_token(std::vector<upstream_ptr> const& able,
+                          model::milliseconds target)
+{
+    double unread = 0.0;
+    for (upstream_ptr const& item : able) {
+        unread += static_cast<double>(item->unread_tokens());
+    }
+    double const wait_ms =
+        unread / tokens_per_ms / std::max<double>(1.0, able.size());
+    double const allowed =
+        static_cast<double>(target.count()) * share_when_behind;
+    double const behind =
+        std::clamp(wait_ms / std::max(1.0, allowed), 0.0, 1.0);
+    return (1.0 - behind) / cold_tokens_when_free
+           + behind / cold_tokens_when_behind;
+}
+
 } // namespace
 
 picker::picker(upstream_directory const& directory)
@@ -128,6 +155,8 @@
     if (request.prompt->tokens == 0) {
         return divided;
     }
+    divided.cost_of_cold_token =
+        cost_of_cold_token(able, request.route->latency_target);
     // Each host sorts alike, so that all agree without a message. Engines
     // that rest keep their lane: else the others' prompts would move too.
     for (bool const far : {false, true}) {
@@ -206,7 +235,7 @@
                                 + request.prompt->tokens)
             - shared;
         forecast += (base_ms + unread / tokens_per_ms) * candidate.slowness;
-        cost += into.cold_tokens * cost_of_cold_token;
+        cost += into.cold_tokens * divided.cost_of_cold_token;
         bool const is_urgent_lane =
             std::find(divided.urgent.begin(), divided.urgent.end(), &candidate)
             != divided.urgent.end();
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -46,6 +46,8 @@
         /// that takes what that can't.
         upstream_state const* home = nullptr;
         upstream_state const* second_home = nullptr;
+        /// As a share of what a request is worth.
+        double cost_of_cold_token = 0.0;
     };
 
     lanes divide(pick_request const& request,
--- /dev/null
+++ b/src/routing/watch_pace.hpp
@@ -0,0 +1,52 @@
+#ifndef CAPERJUNCTION_ROUTING_WATCH_PACE_HPP
+#define CAPERJUNCTION_ROUTING_WATCH_PACE_HPP
+
+#include "model/time.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace caperjunction::routing {
+
+/// What the wait of a watch depends on.
+struct watch_facts
+{
+    model::milliseconds key_lifetime{5'000};
+    /// Within it a published change has to be in force.
+    model::milliseconds apply_limit{2'500};
+    /// Other hosts that are heard.
+    std::size_t peers = 0;
+    /// A few hosts watch for all.
+    bool is_shared = false;
+};
+
+/// How long a watch waits for a change; `draw` is evenly spread over 0 to 1.
+///
+/// The end of a wait confirms the keys. After an outage of the store all hosts
+/// begin anew together, and if each then waited for the same time, all their
+/// beliefs would be equally old when the next outage begins: keys were refused
+/// 3 s into it. Spread, the youngest of seven is some 0.3 s old, which the
+/// others hear of, and keys last for 4.6 s of it.
+inline model::milliseconds watch_wait(watch_facts const& facts, double draw)
+{
+    // After a watch that is lost there is time for two more before keys are
+    // refused.
+    constexpr double alone = 0.4;
+    // A fleet needs one confirmation in time, not one from each host.
+    constexpr std::size_t some_peers = 3;
+    // Those that watch for others confirm often enough that these needn't
+    // look themselves.
+    constexpr int told_in_time = 6;
+    using real_ms = std::chrono::duration<double, std::milli>;
+    real_ms longest = facts.key_lifetime * alone;
+    if (facts.is_shared) {
+        longest = std::min(longest, real_ms(facts.apply_limit / told_in_time));
+    }
+    double const spread =
+        facts.peers < some_peers ? 1.0 - draw / 4 : 0.5 + draw;
+    return std::chrono::duration_cast<model::milliseconds>(longest * spread);
+}
+
+} // namespace caperjunction::routing
+
+#endif
--- a/tests/routing/admission_test.cpp
+++ b/tests/routing/admission_test.cpp
@@ -4,6 +4,7 @@
 #include "routing/retry_rule.hpp"
 #include "routing/stop_rule.hpp"
 #include "routing/support.hpp"
+#include "routing/watch_pace.hpp"
 
 #include <doctest/doctest.h>
 
@@ -157,3 +158,21 @@
     CHECK(!routing::takes_new(7'500ms, 8'000ms, 800ms));
     CHECK(!routing::takes_new(1'500ms, 2'000ms, 15'000ms));
 }
+
+// The store comes back and all hosts watch it anew at the same moment. If
+// they also confirmed their keys at the same moments, the next outage would
+// find all of them equally old, and callers with good keys be refused early.
+TEST_CASE("hosts of a fleet confirm their keys at different times")
+{
+    routing::watch_facts facts;
+    facts.peers = 6;
+    auto const shortest = routing::watch_wait(facts, 0.0);
+    auto const longest = routing::watch_wait(facts, 1.0);
+    CHECK(longest - shortest >= 2'000ms);
+    CHECK(longest <= facts.key_lifetime * 3 / 5);
+    facts.peers = 0;
+    CHECK(routing::watch_wait(facts, 0.0) <= facts.key_lifetime * 2 / 5);
+    facts.peers = 70;
+    facts.is_shared = true;
+    CHECK(routing::watch_wait(facts, 1.0) < facts.apply_limit / 3);
+}
