Soak real hosts under faults, and show that its checks find them

Python, since the stand-ins and checks are small and the program under test is the shipped one: five hosts as processes, a store, engines and callers on loopback, proxies that delay, silence, refuse and cut one way, signals that stop, pause and kill. Peers take another generation for another process whichever is higher: after a jump back of the time of day a restarted host was not heard for four seconds (test: a lower generation is heard).

--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -51,6 +51,7 @@
 {
     std::set<std::string> const there(keys.begin(), keys.end());
     std::vector<std::string> ids;
+    ids.reserve(keys.size());
     for (std::string const& key : keys) {
         ids.push_back(m_codec.upstream_id(key));
     }
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <utility>
 
 namespace caperjunction::proxy {
@@ -66,8 +67,7 @@
 peer_link::peer_link(relay_context& context, model::endpoint const& listen)
     : m_context(context)
     , m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
-    , m_generation(static_cast<std::uint64_t>(
-          std::chrono::system_clock::now().time_since_epoch().count()))
+    , m_generation(std::random_device{}())
 {
     sockaddr_in const address = to_socket(listen);
     if (m_socket < 0
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -29,7 +29,7 @@
 /// What one host tells another several times a second.
 struct peer_digest
 {
-    /// Grows with each start of the sender.
+    /// Differs with each start of the sender.
     std::uint64_t generation = 0;
     std::uint64_t sequence = 0;
     /// The newest change of the store that the sender has applied; it has
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -58,10 +58,11 @@
         return;
     }
     peer& sender = found->second;
+    // Another generation is another process, whichever number is higher: the
+    // time of day may have jumped back between the two starts.
     bool const is_old = sender.is_heard
-                        && (told.generation < sender.told.generation
-                            || (told.generation == sender.told.generation
-                                && told.sequence <= sender.told.sequence));
+                        && told.generation == sender.told.generation
+                        && told.sequence <= sender.told.sequence;
     if (is_old) {
         return;
     }
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -111,8 +111,8 @@
     for (upstream_ptr const& item : able) {
         unread += static_cast<double>(item->unread_tokens());
     }
-    double const wait_ms =
-        unread / tokens_per_ms / std::max<double>(1.0, able.size());
+    double const wait_ms = unread / tokens_per_ms
+                           / std::max(1.0, static_cast<double>(able.size()));
     double const allowed =
         static_cast<double>(target.count()) * share_when_behind;
     double const behind =
--- a/tests/routing/peer_table_test.cpp
+++ b/tests/routing/peer_table_test.cpp
@@ -84,6 +84,16 @@
     table.hear(host(1), anew, start);
     table.add_up();
     CHECK(table.load_of(7).running == 1);
+    anew.generation = 1;
+    anew.loads = {{7, {2, 10}}};
+    table.hear(host(1), anew, start);
+    table.add_up();
+    CHECK(table.load_of(7).running == 2);
+    anew.loads = {{7, {1, 10}}};
+    anew.sequence = 2;
+    table.hear(host(1), anew, start);
+    table.add_up();
+    CHECK(table.load_of(7).running == 1);
 }
 
 // A host loses power. What it had sent ends with it, and load that is never
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,88 @@
+"""A randomized fault soak of real hosts on loopback.
+
+    python3 -m tools.soak --program build/bin/caperjunction --seeds 1..50
+
+Each seed starts hosts as processes, harms them from outside, and checks the
+promises from what callers were told and upstreams ran. A seed that finds
+something keeps its logs."""
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from . import checks, faults
+from .site import Site
+
+# The first reads, and the end: what runs late still has to show.
+SETTLE_SECONDS = 1.5
+
+
+async def inject(site, until, calm):
+    while time.monotonic() < until:
+        await asyncio.sleep(site.random.uniform(0.1, 0.8 * calm))
+        asyncio.ensure_future(faults.draw(site))
+
+
+def tell_failure(loop, context):
+    """What is still being served when a run ends is cancelled, and no failure."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+async def play(seed, options, folder):
+    asyncio.get_running_loop().set_exception_handler(tell_failure)
+    site = Site(random.Random(seed), options.program, folder, options.hosts, options.engines, options.flag)
+    try:
+        await site.start()
+        await asyncio.sleep(SETTLE_SECONDS)
+        until = time.monotonic() + options.seconds
+        # Some seeds are calm: checks that need quiet have something to see.
+        work = [caller.run(until) for caller in site.callers(options.callers)]
+        await asyncio.gather(inject(site, until - 1.0, 1.0 + seed % 4), *work)
+        await asyncio.sleep(SETTLE_SECONDS)
+    finally:
+        site.end()
+    found = [f"{check.__name__}: {line}" for check in checks.ALL for line in check(site)]
+    served = sum(t.status == 200 and t.whole for t in site.told)
+    print(f"soak: seed={seed} requests={len(site.told)} served={served} runs={len(site.runs)} "
+          f"harms={len(site.harms)} stops={len(site.stops)} findings={len(found)}", flush=True)
+    for line in found[:10]:
+        print(f"  {line}", flush=True)
+    return found
+
+
+def parse_seeds(text):
+    first, _, last = text.partition("..")
+    return range(int(first), int(last or first) + 1)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", default="build/bin/caperjunction")
+    parser.add_argument("--seeds", type=parse_seeds, default=parse_seeds("1..3"))
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--hosts", type=int, default=5)
+    parser.add_argument("--engines", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=20)
+    parser.add_argument("--flag", action="append", default=[], help="given to each host")
+    parser.add_argument("--keep", default="soak-findings", help="where logs of findings go")
+    options = parser.parse_args()
+    options.program = os.path.abspath(options.program)
+    failed = []
+    for seed in options.seeds:
+        folder = tempfile.mkdtemp(prefix="caperjunction-soak-")
+        if asyncio.run(play(seed, options, folder)):
+            failed.append(seed)
+            shutil.copytree(folder, os.path.join(options.keep, f"seed-{seed}"), dirs_exist_ok=True)
+        shutil.rmtree(folder)
+    print(f"soak: seeds={len(options.seeds)} failed={failed}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak/engine.py
@@ -0,0 +1,112 @@
+"""Upstreams that note what they ran, and fail as the schedule says."""
+
+import asyncio
+import random
+import time
+
+from .http import answer, quietly, read_body, read_head
+
+SOUND, GREY, HANG, FULL = "sound", "grey", "hang", "full"
+
+
+class Run:
+    """One run of a request by an upstream."""
+
+    def __init__(self, request_id, path, engine, service, key_team):
+        self.id = request_id
+        self.path = path
+        self.engine = engine
+        self.service = service
+        self.team = key_team
+        self.began = time.monotonic()
+        self.ended = None
+        self.resumed_after = 0
+
+
+class Engine:
+    def __init__(self, name, service, runs, seed):
+        self.name = name
+        self.service = service
+        self.runs = runs
+        self.mode = SOUND
+        self.born = 1
+        self.random = random.Random(seed)
+        self.server = None
+        self.port = 0
+        self.writers = set()
+        self.arrivals = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def crash(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while (head := await read_head(reader)) is not None:
+                body = await read_body(reader, head[1])
+                if not await self.handle(head, body, reader, writer):
+                    break
+        except (ConnectionError, OSError, asyncio.IncompleteReadError):
+            pass
+        self.writers.discard(writer)
+        writer.close()
+
+    async def handle(self, head, body, reader, writer):
+        path, headers = head[0].split()[1], head[1]
+        request_id = headers.get("attempt-id", "")
+        mark = [f"Attempt-Id: {request_id}"]
+        if headers.get("expect-instance") != self.name:
+            writer.write(answer(421, b"", mark + [f"Instance-Id: {self.name}"]))
+            return True
+        self.arrivals.append((time.monotonic(), request_id))
+        if self.mode == FULL:
+            writer.write(answer(503, b"", mark + ["Not-Executed: 1"]))
+            return True
+        run = Run(request_id, path, self.name, self.service, headers.get("tenant"))
+        self.runs.append(run)
+        watcher = asyncio.ensure_future(self.watch_end(reader, run))
+        try:
+            return await self.work(run, path, headers, mark, writer)
+        finally:
+            watcher.cancel()
+            if run.ended is None:
+                run.ended = time.monotonic()
+
+    async def watch_end(self, reader, run):
+        """Notes when the host ends the connection in the middle of work."""
+        while not reader.at_eof():
+            await asyncio.sleep(0.02)
+        run.ended = time.monotonic()
+
+    async def work(self, run, path, headers, mark, writer):
+        if self.mode == HANG:
+            await asyncio.sleep(3600)
+        if self.mode == GREY and self.random.random() < 0.5:
+            if self.random.random() < 0.5:
+                writer.transport.abort()
+                return False
+            writer.write(answer(500, b"oops", mark + ["Response-Seal: x"]))
+            return True
+        mark = mark + [f"Response-Seal: {self.name}"]
+        if not path.startswith(("/stream/", "/resume/")):
+            await asyncio.sleep(0.01)
+            writer.write(answer(200, f"{path} by {run.id}".encode(), mark))
+            return True
+        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *mark, "", ""]
+        writer.write("\r\n".join(lines).encode())
+        run.resumed_after = int(headers.get("last-event-id", "0"))
+        for number in range(run.resumed_after + 1, 21):
+            await asyncio.sleep(0.03)
+            if writer.transport.is_closing() or run.ended is not None:
+                return False
+            event = f"id: {number}\ndata: {run.id} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await quietly(writer.drain())
+        writer.write(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,141 @@
+"""The faults of a run, drawn by its seed; they come in series and overlap."""
+
+import asyncio
+import signal
+
+from . import engine as engines
+from . import proxy as proxies
+from . import store as stores
+
+# After a fault has ended its effects last: rests of upstreams, retries,
+# confirmations that are under way.
+AFTER = 4.0
+
+
+async def store_mode(site, mode, seconds):
+    site.harm(seconds + AFTER)
+    site.store.mode = mode
+    await asyncio.sleep(seconds)
+    site.store.mode = stores.OK
+
+
+async def host_path(site, mode, seconds):
+    host = site.random.choice(site.hosts)
+    path = site.random.choice([host.front, host.store_path])
+    site.harm(seconds + AFTER)
+    path.mode = mode
+    await asyncio.sleep(seconds)
+    path.mode = proxies.PASS
+
+
+async def engine_path(site, mode, seconds):
+    path = site.paths[site.random.choice(site.engines)]
+    site.harm(seconds + AFTER)
+    path.mode = mode
+    await asyncio.sleep(seconds)
+    path.mode = proxies.PASS
+
+
+async def reset_some(site):
+    site.harm(AFTER)
+    site.paths[site.random.choice(site.engines)].reset_all()
+    site.random.choice(site.hosts).front.reset_all()
+
+
+async def engine_mode(site, mode, seconds):
+    one = site.random.choice(site.engines)
+    site.harm(seconds + AFTER)
+    one.mode = mode
+    await asyncio.sleep(seconds)
+    one.mode = engines.SOUND
+
+
+async def engine_crash(site, seconds):
+    one = site.random.choice(site.engines)
+    site.harm(seconds + AFTER)
+    await one.crash()
+    await asyncio.sleep(seconds)
+    one.born += 1
+    await one.start()
+    site.register(one)
+
+
+async def engine_leaves(site):
+    candidates = [e for e in site.engines if e not in site.left_at]
+    if len(candidates) < 5:
+        return
+    one = site.random.choice(candidates)
+    await site.add_engine(one.service)
+    site.register(one, "draining")
+    site.left_at[one] = site.now()
+    await asyncio.sleep(3.0)
+    site.store.remove(f"servers/{one.name}")
+
+
+async def host_killed(site):
+    host = site.random.choice(site.hosts)
+    if host.is_stopping:
+        return
+    site.harm(AFTER)
+    host.send(signal.SIGKILL)
+    host.process.wait()
+    await asyncio.sleep(site.random.uniform(0.1, 1.0))
+    site.start_host(host)
+
+
+async def host_paused(site, seconds):
+    host = site.random.choice(site.hosts)
+    if host.is_stopping:
+        return
+    site.harm(seconds + AFTER)
+    process = host.process
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    if process.poll() is None:
+        process.send_signal(signal.SIGCONT)
+
+
+async def host_stopped(site):
+    if not any(h.is_stopping for h in site.hosts):
+        await site.stop_host(site.random.choice(site.hosts))
+
+
+async def key_revoked(site):
+    alive = [k for k in site.keys if k not in site.revoked]
+    if len(alive) > 5:
+        site.revoked[site.random.choice(alive)] = site.now()
+        site.publish()
+
+
+async def route_moves(site):
+    site.booking_service = "s1" if site.booking_service == "s0" else "s0"
+    site.publish()
+    site.moves.append((site.now(), site.booking_service))
+
+
+async def history_forgotten(site):
+    site.store.forget()
+
+
+def draw(site):
+    """One fault, as a coroutine."""
+    rng = site.random
+    seconds = rng.uniform(0.3, 8.0)
+    choices = [
+        lambda: store_mode(site, rng.choice([stores.SILENT, stores.BUSY, stores.SLOW]), seconds),
+        lambda: host_path(site, rng.choice([proxies.DELAY, proxies.SILENT, proxies.ONE_WAY, proxies.REFUSE]), seconds),
+        lambda: engine_path(site, rng.choice([proxies.DELAY, proxies.SILENT, proxies.ONE_WAY, proxies.REFUSE]), seconds),
+        lambda: reset_some(site),
+        lambda: engine_mode(site, rng.choice([engines.GREY, engines.HANG, engines.FULL]), seconds),
+        lambda: engine_crash(site, seconds),
+        lambda: engine_leaves(site),
+        lambda: host_killed(site),
+        lambda: host_paused(site, seconds),
+        lambda: host_stopped(site),
+        lambda: host_stopped(site),
+        lambda: key_revoked(site),
+        lambda: key_revoked(site),
+        lambda: route_moves(site),
+        lambda: history_forgotten(site),
+    ]
+    return rng.choice(choices)()
--- /dev/null
+++ b/tools/soak/http.py
@@ -0,0 +1,45 @@
+"""The little HTTP that the stand-ins and callers of the soak speak."""
+
+import asyncio
+
+
+async def read_head(reader):
+    """The first line and the headers (names in lower case), or None at the end."""
+    line = await reader.readline()
+    if not line:
+        return None
+    headers = {}
+    while True:
+        field = await reader.readline()
+        if not field:
+            return None
+        if field in (b"\r\n", b"\n"):
+            return line.decode().rstrip(), headers
+        name, _, value = field.decode("latin-1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+
+
+async def read_body(reader, headers):
+    """The body as bytes; raises IncompleteReadError if it breaks off."""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while True:
+            size = int((await reader.readuntil(b"\n")).strip() or b"0", 16)
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+            if size == 0:
+                return body
+    return await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+def answer(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def quietly(task):
+    """Waits for a task whose connection may have broken."""
+    try:
+        return await task
+    except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+        return None
--- /dev/null
+++ b/tools/soak/store.py
@@ -0,0 +1,88 @@
+"""A read-only key store as the platform gives it, with its faults."""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from .http import answer, read_head
+
+OK, SILENT, BUSY, SLOW = "ok", "silent", "busy", "slow"
+
+
+class Store:
+    def __init__(self):
+        self.items = {}
+        self.log = []
+        self.revision = 10
+        self.forgotten = 0
+        self.mode = OK
+        self.changed = asyncio.Event()
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def put(self, key, value):
+        self._change({"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode()})
+
+    def remove(self, key):
+        if key in self.items:
+            self._change({"key": key, "tombstone": True})
+
+    def _change(self, item):
+        self.revision += 1
+        item["revision"] = self.revision
+        if item.get("tombstone"):
+            self.items.pop(item["key"], None)
+        else:
+            self.items[item["key"]] = item
+        self.log.append(item)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget(self):
+        self.forgotten = self.revision
+        self.log.clear()
+
+    async def serve(self, reader, writer):
+        try:
+            while (head := await read_head(reader)) is not None:
+                if self.mode == SILENT:
+                    return await asyncio.sleep(3600)
+                if self.mode == SLOW:
+                    await asyncio.sleep(0.5)
+                url = urlsplit(head[0].split()[1])
+                query = {k: v[0] for k, v in parse_qs(url.query, True).items()}
+                if self.mode == BUSY:
+                    writer.write(answer(503))
+                elif url.path == "/kv-range":
+                    writer.write(self.read_range(query))
+                else:
+                    writer.write(await self.watch(query))
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+
+    def read_range(self, query):
+        keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
+        body = {"items": [self.items[k] for k in keys], "more_pages": False, "store_revision": self.revision}
+        return answer(200, json.dumps(body).encode())
+
+    async def watch(self, query):
+        after = int(query["after"])
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return answer(410, b"{}")
+            events = [e for e in self.log if e["revision"] > after]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                body = {"events": events, "store_revision": self.revision}
+                return answer(200, json.dumps(body).encode())
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
