Give each soak ports of its own

Cause: two soaks side by side talked to each other: a port that the kernel had just had free went to the other run's store while a host was stopped (its store was asked for /readiness). Ruled out: the program, which was not involved. Change: ports below the kernel's, in blocks that a run holds.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -11,6 +11,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -62,6 +63,8 @@
 
 
 def main():
+    # Told to stop, it ends the hosts that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--program", default="build/bin/caperjunction")
     parser.add_argument("--seeds", type=parse_seeds, default=parse_seeds("1..3"))
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -4,30 +4,23 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import time
 
 from .caller import Caller
 from .engine import Engine
+from .ports import PortBlock
 from .proxy import FaultProxy
 from .store import Store
 
 
-def free_port():
-    """A port that the kernel has just had free, for TCP and UDP."""
-    with socket.socket() as tcp:
-        tcp.bind(("127.0.0.1", 0))
-        return tcp.getsockname()[1]
-
-
 class Host:
-    def __init__(self, name, data_centre, program, folder):
+    def __init__(self, name, data_centre, program, folder, ports):
         self.name = name
         self.data_centre = data_centre
         self.program = program
         self.log_path = os.path.join(folder, f"{name}.log")
-        self.listen, self.admin, self.peer = free_port(), free_port(), free_port()
+        self.listen, self.admin, self.peer = ports.take(), ports.take(), ports.take()
         self.front = FaultProxy(self.listen)
         self.store_path = None
         self.process = None
@@ -71,7 +64,9 @@
         self.revoked, self.left_at, self.harms = {}, {}, []
         self.engines = []
         self.paths = {}
-        self.hosts = [Host(f"h{n}", "abc"[n % 3], program, folder) for n in range(hosts)]
+        ports = PortBlock()
+        self.ports = ports
+        self.hosts = [Host(f"h{n}", "abc"[n % 3], program, folder, ports) for n in range(hosts)]
         self.engine_count = engines
         self.flags = list(flags)
         self.version = 1
@@ -161,6 +156,7 @@
         self.start_host(host)
 
     def end(self):
+        self.ports.lock.close()
         for host in self.hosts:
             if host.process is not None and host.process.poll() is None:
                 host.process.send_signal(signal.SIGCONT)
