Notice settings that change without a signal; check flags in one place

Cause: the settings file may be written anew without SIGHUP, and a host would keep its old bounds. The checks of flags stood twice.

--- /dev/null
+++ b/src/program/file_watch.cpp
@@ -0,0 +1,43 @@
+#include "program/file_watch.hpp"
+
+#include <system_error>
+#include <utility>
+
+namespace caperjunction::program {
+
+file_watch::file_watch(std::string path)
+    : m_path(std::move(path))
+{
+    look(m_last);
+}
+
+bool file_watch::look(state& into) const
+{
+    std::error_code failure;
+    state now;
+    now.written = std::filesystem::last_write_time(m_path, failure);
+    if (!failure) {
+        now.size = std::filesystem::file_size(m_path, failure);
+    }
+    if (failure) {
+        // While it is being replaced there may be none for a moment.
+        return false;
+    }
+    into = now;
+    return true;
+}
+
+bool file_watch::has_changed()
+{
+    if (m_path.empty()) {
+        return false;
+    }
+    state now;
+    if (!look(now) || now == m_last) {
+        return false;
+    }
+    m_last = now;
+    return true;
+}
+
+} // namespace caperjunction::program
--- /dev/null
+++ b/src/program/flag_checks.hpp
@@ -0,0 +1,28 @@
+#ifndef CAPERJUNCTION_PROGRAM_FLAG_CHECKS_HPP
+#define CAPERJUNCTION_PROGRAM_FLAG_CHECKS_HPP
+
+#include "model/time.hpp"
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace caperjunction::program {
+
+/// \throws model::error (bad_settings) always.
+[[noreturn]] void refuse_setting(std::string const& message,
+                                 std::string const& remedy);
+
+/// \throws model::error (bad_settings) if `value` is empty.
+void need_text(std::string const& value, std::string const& flag);
+
+/// `value`, if it is from `least` to `most`.
+/// \throws model::error (bad_settings) if it isn't.
+model::milliseconds time_within(absl::Duration value,
+                                absl::Duration least,
+                                absl::Duration most,
+                                std::string const& flag);
+
+} // namespace caperjunction::program
+
+#endif
--- a/src/program/flags.cpp
+++ b/src/program/flags.cpp
@@ -1,6 +1,6 @@
 #include "program/flags.hpp"
 
-#include "model/error.hpp"
+#include "program/flag_checks.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/time/time.h>
@@ -95,31 +95,15 @@
 namespace caperjunction::program {
 namespace {
 
-[[noreturn]] void refuse(std::string const& message, std::string const& remedy)
-{
-    throw model::error(model::error_kind::bad_settings, message, remedy);
-}
-
-void need_text(std::string const& value, std::string const& flag)
-{
-    if (value.empty()) {
-        refuse("--" + flag + " is not set", "give it a value");
-    }
-}
-
 model::milliseconds positive(absl::Duration value, std::string const& flag)
 {
-    if (value < absl::Milliseconds(1) || value > absl::Hours(24)) {
-        refuse("--" + flag + " is out of range",
-               "choose a time from 1ms to 24h");
-    }
-    return absl::ToChronoMilliseconds(value);
+    return time_within(value, absl::Milliseconds(1), absl::Hours(24), flag);
 }
 
 void need_positive(std::uint32_t value, std::string const& flag)
 {
     if (value == 0) {
-        refuse("--" + flag + " is 0", "choose at least 1");
+        refuse_setting("--" + flag + " is 0", "choose at least 1");
     }
 }
 
--- a/src/program/routed_flags.cpp
+++ b/src/program/routed_flags.cpp
@@ -1,6 +1,6 @@
 #include "program/routed_flags.hpp"
 
-#include "model/error.hpp"
+#include "program/flag_checks.hpp"
 #include "program/flags.hpp"
 
 #include <absl/flags/flag.h>
@@ -51,29 +51,18 @@
 namespace caperjunction::program {
 namespace {
 
-[[noreturn]] void refuse(std::string const& message, std::string const& remedy)
-{
-    throw model::error(model::error_kind::bad_settings, message, remedy);
-}
-
-void need_text(std::string const& value, std::string const& flag)
-{
-    if (value.empty()) {
-        refuse("--" + flag + " is not set", "give it a value");
-    }
-}
-
 std::map<std::string, std::string> read_regions(std::string const& text)
 {
     nlohmann::json const from = nlohmann::json::parse(text, nullptr, false);
     std::map<std::string, std::string> regions;
     if (!from.is_object()) {
-        refuse("--regions is no JSON object", "write {\"centre\":\"region\"}");
+        refuse_setting("--regions is no JSON object",
+                       "write {\"centre\":\"region\"}");
     }
     for (auto const& [centre, region] : from.items()) {
         if (!region.is_string()) {
-            refuse("--regions names no region for " + centre,
-                   "write {\"centre\":\"region\"}");
+            refuse_setting("--regions names no region for " + centre,
+                           "write {\"centre\":\"region\"}");
         }
         regions.emplace(centre, region.get<std::string>());
     }
@@ -88,7 +77,8 @@
         endpoint_flag seed;
         std::string why;
         if (!AbslParseFlag(part, &seed, &why)) {
-            refuse("--seeds names no address: " + std::string(part), why);
+            refuse_setting("--seeds names no address: " + std::string(part),
+                           why);
         }
         if (std::uint16_t const port = absl::GetFlag(FLAGS_seed_port);
             port != 0) {
@@ -99,16 +89,6 @@
     return seeds;
 }
 
-model::milliseconds
-within(absl::Duration value, absl::Duration least, std::string const& flag)
-{
-    if (value < least || value > absl::Hours(1)) {
-        refuse("--" + flag + " is out of range",
-               "choose a time from " + absl::FormatDuration(least) + " to 1h");
-    }
-    return absl::ToChronoMilliseconds(value);
-}
-
 } // namespace
 
 routed_settings load_routed_settings()
@@ -131,20 +111,25 @@
     loaded.relay.seeds = read_seeds(absl::GetFlag(FLAGS_seeds));
     loaded.relay.listen = absl::GetFlag(FLAGS_listen).value;
     // Below a second no confirmation of keys would come in time.
-    loaded.relay.key_lifetime = within(
-        absl::GetFlag(FLAGS_key_lifetime), absl::Seconds(1), "key_lifetime");
-    loaded.relay.stop_limit =
-        within(absl::GetFlag(FLAGS_stop_limit), absl::Seconds(1), "stop_limit");
-    loaded.relay.apply_limit = within(absl::GetFlag(FLAGS_apply_limit),
-                                      absl::Milliseconds(500),
-                                      "apply_limit");
+    loaded.relay.key_lifetime = time_within(absl::GetFlag(FLAGS_key_lifetime),
+                                            absl::Seconds(1),
+                                            absl::Hours(1),
+                                            "key_lifetime");
+    loaded.relay.stop_limit = time_within(absl::GetFlag(FLAGS_stop_limit),
+                                          absl::Seconds(1),
+                                          absl::Hours(1),
+                                          "stop_limit");
+    loaded.relay.apply_limit = time_within(absl::GetFlag(FLAGS_apply_limit),
+                                           absl::Milliseconds(500),
+                                           absl::Hours(1),
+                                           "apply_limit");
     loaded.relay.retry_ratio = absl::GetFlag(FLAGS_retry_ratio);
     loaded.relay.retry_extra = absl::GetFlag(FLAGS_retry_extra);
     if (!(loaded.relay.retry_ratio >= 0.0) || loaded.relay.retry_ratio > 1.0) {
-        refuse("--retry_ratio is out of range", "choose 0 to 1");
+        refuse_setting("--retry_ratio is out of range", "choose 0 to 1");
     }
     if (!(loaded.relay.retry_extra >= 0.0)) {
-        refuse("--retry_extra is negative", "choose 0 or more");
+        refuse_setting("--retry_extra is negative", "choose 0 or more");
     }
     return loaded;
 }
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -18,6 +18,9 @@
 namespace caperjunction::program {
 namespace {
 
+/// How often the settings file is looked at: it may change without a signal.
+constexpr model::milliseconds settings_period{1'000};
+
 model::time_point boot_now()
 {
     timespec now{};
@@ -62,7 +65,13 @@
                 })
     , m_relay(m_context)
     , m_admin(m_loop, m_settings.admin_listen)
+    , m_settings_file(absl::GetFlag(FLAGS_config))
 {
+    m_loop.every(settings_period, [this] {
+        if (m_settings_file.has_changed()) {
+            reload();
+        }
+    });
     m_context.on_ended = [this](proxy::exchange_report const& ended) {
         log_ended(ended);
         m_metrics.count(ended);
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -3,6 +3,7 @@
 
 #include "net/admin_server.hpp"
 #include "program/beliefs.hpp"
+#include "program/file_watch.hpp"
 #include "program/item_fetcher.hpp"
 #include "program/routed_metrics.hpp"
 #include "program/routed_settings.hpp"
@@ -64,6 +65,7 @@
     std::unique_ptr<proxy::peer_link> m_peers;
     std::unique_ptr<net::admin_server> m_peer_server;
     std::optional<model::time_point> m_lagging_since;
+    file_watch m_settings_file;
     std::minstd_rand m_random{std::random_device{}()};
     bool m_has_read = false;
 };
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -24,7 +24,7 @@
 
 
 class Engine:
-    def __init__(self, name, service, runs, seed):
+    def __init__(self, name, service, runs, seed, port=0):
         self.name = name
         self.service = service
         self.runs = runs
@@ -32,7 +32,7 @@
         self.born = 1
         self.random = random.Random(seed)
         self.server = None
-        self.port = 0
+        self.port = port
         self.writers = set()
         self.arrivals = []
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -111,7 +111,9 @@
         })
 
     async def add_engine(self, service):
-        engine = Engine(f"i-{len(self.engines)}", service, self.runs, self.random.random())
+        engine = Engine(
+            f"i-{len(self.engines)}", service, self.runs, self.random.random(), self.ports.take()
+        )
         await engine.start()
         self.paths[engine] = FaultProxy(engine.port)
         await self.paths[engine].start()
