Take the store's own revision for what a host has applied

A host took the newest item that it held for its revision: with an entry of a later page in hand and an older change of the first page missing, it gave peers a list with a gap, and these never asked for what lacked. Ruled out: stale reads, none are asked for. Change: the reader passes on the revision that the store named; a peer's whole list drops nothing newer. Measured: tests/program/beliefs_test.cpp, two cases, both fail on the former rule and pass now.

--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -28,7 +28,6 @@
 
 void beliefs::apply(proxy::store_item const& item)
 {
-    m_newest = std::max(m_newest, item.revision);
     if (item.removed) {
         m_items.erase(item.key);
         m_removed.emplace(item.revision, item.key);
@@ -42,9 +41,9 @@
     decode(item);
 }
 
-void beliefs::commit()
+void beliefs::commit(std::uint64_t revision)
 {
-    m_context.revision = std::max(m_context.revision, m_newest);
+    m_context.revision = std::max(m_context.revision, revision);
 }
 
 void beliefs::keep_only(std::vector<std::string> const& keys)
@@ -80,6 +79,12 @@
         }
     }
     if (list.since == 0) {
+        for (auto const& [key, item] : m_items) {
+            // The store told this host of it later than the sender.
+            if (item.revision > list.revision) {
+                keys.push_back(key);
+            }
+        }
         keep_only(keys);
     }
     m_context.revision = list.revision;
--- a/src/program/beliefs.hpp
+++ b/src/program/beliefs.hpp
@@ -25,9 +25,15 @@
     /// The store gave this item.
     void apply(proxy::store_item const& item);
 
-    /// All changes up to the newest one given are applied. Until then others
-    /// must not take what is held here for complete.
-    void commit();
+    /// All changes up to `revision` are applied, which the store has named.
+    ///
+    /// The newest item held says nothing of that: a whole read comes in pages
+    /// that are no snapshot, and a later page may hold a change that is newer
+    /// than one which the first page just missed. A host that took the newest
+    /// item for its revision gave others a list with a gap that none of them
+    /// could notice: they went on with old routes and keys and believed them
+    /// confirmed.
+    void commit(std::uint64_t revision);
 
     /// The store was read whole: what is not among `keys` is missing.
     void keep_only(std::vector<std::string> const& keys);
@@ -53,7 +59,6 @@
     /// Removals, by revision, the newest `most_removals`.
     std::map<std::uint64_t, std::string> m_removed;
     std::uint64_t m_forgotten_removal = 0;
-    std::uint64_t m_newest = 0;
 };
 
 } // namespace caperjunction::program
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -103,9 +103,10 @@
             m_beliefs.keep_only(keys);
             note_read();
         };
-        call.on_confirmed = [this](model::time_point as_of) {
+        call.on_confirmed = [this](model::time_point as_of,
+                                   std::uint64_t revision) {
             std::uint64_t const before = m_context.revision;
-            m_beliefs.commit();
+            m_beliefs.commit(revision);
             m_context.keys.confirm(as_of);
             if (m_peers && m_context.revision != before) {
                 m_peers->tell_soon();
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -149,7 +149,7 @@
     m_whole = true;
     m_call.on_all(m_keys);
     m_confirmed = m_sent_at;
-    m_call.on_confirmed(m_confirmed);
+    m_call.on_confirmed(m_confirmed, m_revision);
     rest_or_watch();
 }
 
@@ -230,7 +230,7 @@
     bool const waited =
         changes.items.empty() && m_boot_now() - m_sent_at >= m_asked_wait;
     m_confirmed = m_sent_at + (waited ? m_asked_wait : model::milliseconds{0});
-    m_call.on_confirmed(m_confirmed);
+    m_call.on_confirmed(m_confirmed, m_revision);
     if (changes.items.empty()) {
         rest_or_watch();
         return;
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -22,9 +22,10 @@
     std::function<void(store_item const&)> on_item;
     /// The whole prefix was read anew; these keys are there.
     std::function<void(std::vector<std::string> const& keys)> on_all;
-    /// The store has told all changes up to `as_of` (the clock that counts
-    /// suspended time).
-    std::function<void(model::time_point as_of)> on_confirmed;
+    /// The store has told all changes up to `revision`, and had no others as
+    /// of `as_of` (the clock that counts suspended time).
+    std::function<void(model::time_point as_of, std::uint64_t revision)>
+        on_confirmed;
     std::function<void(std::string_view why)> on_lost;
     std::function<void()> on_regained;
 };
--- /dev/null
+++ b/tests/program/beliefs_test.cpp
@@ -0,0 +1,100 @@
+#include "program/beliefs.hpp"
+
+#include "platform/platform.hpp"
+#include "proxy/relay_context.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <string>
+
+using namespace caperjunction;
+
+namespace {
+
+proxy::store_item configuration(std::uint64_t version, std::uint64_t revision)
+{
+    return {"op/config",
+            fmt::format(R"({{"version":{},"routes":[],"services":[],)"
+                        R"("limits":{{}},"tenants":[]}})",
+                        version),
+            revision,
+            false};
+}
+
+proxy::store_item upstream(std::string const& id, std::uint64_t revision)
+{
+    return {"servers/" + id,
+            R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4,)"
+            R"("state":"ready","born":1700000000000})",
+            revision,
+            false};
+}
+
+/// A host's beliefs, without its sockets.
+struct believer
+{
+    runtime::event_loop loop;
+    proxy::wire_names names = platform::wire_names();
+    proxy::store_codec codec = platform::store_codec();
+    proxy::relay_context context{
+        loop,
+        names,
+        {},
+        [] {
+            return model::time_point{};
+        },
+        [](std::string const&) {
+            return routing::distance::same_data_centre;
+        }};
+    program::beliefs beliefs{context, codec};
+};
+
+} // namespace
+
+// A host reads the store in pages. After the first page a configuration is
+// published, and after that an engine writes its entry, which stands on the
+// second page. Until its next watch the host holds the entry and lacks the
+// configuration. If it gave itself the entry's revision, a peer that asks
+// then would never hear of the configuration: its callers would get 404 for
+// new routes, and removed keys would go on working there.
+TEST_CASE("a change between two pages of a read reaches the peers")
+{
+    believer reader;
+    reader.beliefs.apply(configuration(3, 10));
+    reader.beliefs.apply(upstream("i-1", 12));
+    reader.beliefs.commit(10);
+
+    believer peer;
+    peer.beliefs.apply(configuration(3, 10));
+    peer.beliefs.commit(10);
+    peer.beliefs.merge(reader.beliefs.changes(10));
+    CHECK(peer.context.revision == 10);
+
+    reader.beliefs.apply(configuration(4, 11));
+    reader.beliefs.commit(12);
+    peer.beliefs.merge(reader.beliefs.changes(10));
+    CHECK(peer.context.revision == 12);
+    CHECK(peer.beliefs.config_version() == 4);
+    CHECK(peer.context.directory.find("i-1") != nullptr);
+}
+
+// A host's second page brings an engine that started a moment ago, and a peer
+// that has not heard of that engine gives all that it has. The engine would
+// stand idle until its entry changes.
+TEST_CASE("a peer's whole list drops nothing that is newer than it")
+{
+    believer peer;
+    peer.beliefs.apply(configuration(3, 10));
+    peer.beliefs.apply(upstream("i-0", 11));
+    peer.beliefs.commit(11);
+
+    believer host;
+    host.beliefs.apply(configuration(3, 10));
+    host.beliefs.apply(upstream("i-1", 12));
+    host.beliefs.apply(upstream("i-gone", 4));
+    host.beliefs.commit(10);
+    host.beliefs.merge(peer.beliefs.changes(0));
+    CHECK(host.context.directory.find("i-1") != nullptr);
+    CHECK(host.context.directory.find("i-0") != nullptr);
+}
--- a/tests/proxy/store_reader_test.cpp
+++ b/tests/proxy/store_reader_test.cpp
@@ -37,6 +37,7 @@
     proxy::store_codec codec = platform::store_codec();
     std::vector<std::string> told;
     std::optional<model::time_point> confirmed;
+    std::uint64_t revision = 0;
     proxy::store_reader reader;
 
     explicit reading(std::deque<std::string> script_of_store)
@@ -62,8 +63,9 @@
                   [this](std::vector<std::string> const& keys) {
                       told.push_back("all " + std::to_string(keys.size()));
                   },
-                  [this](model::time_point as_of) {
+                  [this](model::time_point as_of, std::uint64_t all_up_to) {
                       confirmed = as_of;
+                      revision = all_up_to;
                   },
                   [this](std::string_view why) {
                       told.push_back("lost " + std::string(why));
@@ -109,6 +111,7 @@
     CHECK(site.told == std::vector<std::string>{"+a", "+b", "all 2"});
     // What changed while the pages were read must not be missed.
     CHECK(site.asked[2].find("after=9&") != std::string::npos);
+    CHECK(site.revision == 9);
 }
 
 TEST_CASE("changes and removals are told in order")
