Turn away long prompts that would be late, and say when to come back

Ruled out: an uneven spread, all engines were behind. Change: a prompt whose best forecast is beyond 0.6 of its target (least urgent) or 1.25 (between) is answered 503 at once, with the time in which the queue will have shrunk; the most urgent never.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -72,6 +72,10 @@
         routes.begin(), routes.end(), [&](routing::route const& other) {
             return other.by_prompt && other.rank < m_route->rank;
         });
+    m_is_least_urgent = std::none_of(
+        routes.begin(), routes.end(), [&](routing::route const& other) {
+            return other.by_prompt && other.rank > m_route->rank;
+        });
     m_context.allowance(m_service).record_request();
     auto const patience =
         std::min(m_facts.deadline.value_or(m_route->timeout), m_route->timeout);
@@ -116,10 +120,12 @@
     }
 }
 
-void exchange::refuse(routing::refusal_reason reason)
+void exchange::refuse(routing::refusal_reason reason,
+                      std::optional<model::milliseconds> comes_back)
 {
     drop_connection();
-    routing::refusal const refused = routing::refuse(reason, may_have_run());
+    routing::refusal const refused =
+        routing::refuse(reason, may_have_run(), comes_back);
     m_report.status = refused.status;
     m_report.reason = routing::to_string(refused.reason);
     m_port.write(refusal_text(refused,
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -51,6 +51,7 @@
     // exchange_send.cpp
     void place();
     bool is_still_allowed();
+    std::optional<model::milliseconds> comes_back_after() const;
     routing::pick choose();
     void send_to(routing::pick const& chosen);
     void arm_silence_timer(routing::pick const& chosen);
@@ -78,7 +79,8 @@
 
     void fill_report();
     void time_out();
-    void refuse(routing::refusal_reason reason);
+    void refuse(routing::refusal_reason reason,
+                std::optional<model::milliseconds> comes_back = std::nullopt);
     void end(std::string_view outcome, bool whole);
 
     bool may_have_run() const
@@ -102,6 +104,7 @@
     std::string m_service;
     std::uint32_t m_rank = 0;
     bool m_is_most_urgent = false;
+    bool m_is_least_urgent = false;
 
     model::time_point m_arrived;
     model::time_point m_arrived_boot;
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -1,6 +1,7 @@
 #include "proxy/exchange.hpp"
 
 #include "proxy/message_text.hpp"
+#include "routing/overload_rule.hpp"
 
 #include <xxhash.h>
 
@@ -80,6 +81,19 @@
            >= routing::crash_suspects::most_crashes;
 }
 
+std::optional<model::milliseconds> exchange::comes_back_after() const
+{
+    if (m_facts.prompt.tokens == 0) {
+        return std::nullopt;
+    }
+    routing::overload_facts facts;
+    facts.forecast = m_pick.forecast;
+    facts.target = m_route->latency_target;
+    facts.is_most_urgent = m_is_most_urgent;
+    facts.is_least_urgent = m_is_least_urgent;
+    return routing::comes_back_after(facts);
+}
+
 void exchange::place()
 {
     m_pick = choose();
@@ -91,6 +105,11 @@
         refuse(step::too_late);
         return;
     }
+    auto const comes_back = comes_back_after();
+    if (comes_back && !may_have_run()) {
+        refuse(step::too_late, comes_back);
+        return;
+    }
     if (is_quarantined()) {
         refuse(may_have_run() ? step::upstream_failed : step::quarantined);
         return;
--- a/src/routing/refusal.cpp
+++ b/src/routing/refusal.cpp
@@ -125,7 +125,9 @@
     return entry_of(reason).remedy;
 }
 
-refusal refuse(refusal_reason reason, bool may_have_run)
+refusal refuse(refusal_reason reason,
+               bool may_have_run,
+               std::optional<milliseconds> comes_back)
 {
     constexpr int unavailable = 503;
     constexpr int bad_gateway = 502;
@@ -143,7 +145,7 @@
         // 503 promises that the request has not run.
         made.status = bad_gateway;
     } else if (entry_of(reason).retry_after.count() > 0) {
-        made.retry_after = entry_of(reason).retry_after;
+        made.retry_after = comes_back.value_or(entry_of(reason).retry_after);
     }
     return made;
 }
--- a/src/routing/refusal.hpp
+++ b/src/routing/refusal.hpp
@@ -54,8 +54,11 @@
 };
 
 /// The answer that fits `reason`. `may_have_run`: an upstream was handed the
-/// request and didn't say that it has not run it.
-refusal refuse(refusal_reason reason, bool may_have_run);
+/// request and didn't say that it has not run it. `comes_back`: when to come
+/// back, where that is known better than by the reason alone.
+refusal refuse(refusal_reason reason,
+               bool may_have_run,
+               std::optional<model::milliseconds> comes_back = std::nullopt);
 
 /// What to do about it, for the answer's body.
 std::string_view remedy_of(refusal_reason reason);
