--- /dev/null
+++ b/src/routing/peer_audience.cpp
@@ -0,0 +1,100 @@
+#include "routing/peer_table.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::routing {
+namespace {
+
+/// A silent host is asked this often: it may have started anew.
+constexpr model::milliseconds ask_period{1'000};
+/// Hosts that watch the store tell other data centres this often, beside each
+/// change: it confirms the keys there.
+constexpr model::milliseconds reader_period{300};
+
+} // namespace
+
+// A host alone in its data centre ranks first there and relays: it asks the
+// seeds, and these name its neighbours.
+bool peer_table::is_worth_asking(peer const& known) const
+{
+    return !is_large() || is_here(known)
+           || (relays() && (known.is_seed || known.told.relays));
+}
+
+bool peer_table::is_due_far(peer const& known,
+                            model::time_point now,
+                            std::uint64_t revision) const
+{
+    if (!relays() || !known.told.relays) {
+        return false;
+    }
+    auto const period = is_reader() ? reader_period : ask_period;
+    return now - known.asked_at >= period || known.told_revision != revision;
+}
+
+std::vector<peer_table::listener> peer_table::audience(model::time_point now,
+                                                       std::uint64_t revision)
+{
+    bool const speaks_for_all = speaks();
+    std::vector<listener> told;
+    for (auto& [address, known] : m_peers) {
+        listener to{address, share::beliefs, !known.is_heard};
+        bool is_due = known.wants_answer;
+        if (is_near(known)) {
+            to.what = share::loads;
+            is_due = true;
+        } else if (!known.is_heard) {
+            is_due =
+                is_worth_asking(known) && now - known.asked_at >= ask_period;
+        } else if (known.told.speaks && speaks_for_all) {
+            to.what = share::sums;
+            is_due = true;
+        } else {
+            is_due = is_due || is_due_far(known, now, revision);
+        }
+        if (is_due) {
+            known.asked_at = now;
+            known.told_revision = revision;
+            known.wants_answer = false;
+            told.push_back(to);
+        }
+    }
+    return told;
+}
+
+std::vector<neighbour> peer_table::neighbours_for(model::endpoint const& to,
+                                                  std::size_t most,
+                                                  std::uint64_t draw) const
+{
+    auto const receiver = m_peers.find(to);
+    std::vector<neighbour> there;
+    std::vector<neighbour> relaying;
+    for (auto const& [address, known] : m_peers) {
+        if (!known.is_heard || address == to) {
+            continue;
+        }
+        neighbour const told{
+            address, known.told.data_centre, known.told.relays};
+        bool const is_of_its_centre =
+            receiver != m_peers.end() && receiver->second.is_placed
+            && receiver->second.told.data_centre == told.data_centre;
+        if (is_of_its_centre || !is_large()) {
+            there.push_back(told);
+        } else if (told.relays) {
+            relaying.push_back(told);
+        }
+    }
+    std::vector<neighbour> list;
+    auto const take = [&list, draw](std::vector<neighbour> const& from,
+                                    std::size_t most_of_it) {
+        std::size_t const count = std::min(from.size(), most_of_it);
+        for (std::size_t step = 0; step < count; ++step) {
+            list.push_back(from[(draw + step) % from.size()]);
+        }
+    };
+    take(relaying, most / 2);
+    take(there, most - list.size());
+    return list;
+}
+
+} // namespace caperjunction::routing
