--- a/tests/routing/fleet_gossip_test.cpp
+++ b/tests/routing/fleet_gossip_test.cpp
@@ -134,8 +134,16 @@
 // that no host knew of.
 TEST_CASE("each host of a fleet learns of all, and of what all have sent")
 {
-    for (auto const& [count, centres] : std::vector<std::pair<int, int>>{
+    struct size
+    {
+        int hosts = 0;
+        int centres = 0;
+    };
+
+    for (size const& of : std::vector<size>{
              {2, 1}, {7, 3}, {11, 3}, {13, 3}, {30, 1}, {71, 6}, {150, 21}}) {
+        int const count = of.hosts;
+        int const centres = of.centres;
         CAPTURE(count);
         gossip fleet(count, centres);
         fleet.rounds(30);
