--- a/tests/routing/fleet_gossip_test.cpp
+++ b/tests/routing/fleet_gossip_test.cpp
@@ -225,9 +225,9 @@
     fleet.rounds(20);
     std::uint64_t fingerprint = 0;
     fleet.suspects_of = [&fingerprint] {
-        std::vector<routing::crash_suspect> list;
-        for (int count = 0; count < 32; ++count) {
-            list.push_back({++fingerprint, 1});
+        std::vector<routing::crash_suspect> list(32);
+        for (routing::crash_suspect& item : list) {
+            item = {++fingerprint, 1};
         }
         return list;
     };
