Give peers all that there is after a whole read that found something missing

Cause: after the store forgot its history, a host read it whole and dropped the entries of engines that had left, without a removal to tell. Ruled out: lag, those hosts were at revision 170. Change: such a read makes removals before its revision count as forgotten, so that who knows less gets the whole list. Test: beliefs_test, 'what a whole read finds missing'.

--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -44,6 +44,9 @@
 void beliefs::commit(std::uint64_t revision)
 {
     m_context.revision = std::max(m_context.revision, revision);
+    if (std::exchange(m_dropped_unseen, false)) {
+        m_forgotten_removal = std::max(m_forgotten_removal, m_context.revision);
+    }
 }
 
 void beliefs::keep_only(std::vector<std::string> const& keys)
@@ -54,9 +57,11 @@
     for (std::string const& key : keys) {
         ids.push_back(m_codec.upstream_id(key));
     }
-    std::erase_if(m_items, [&there](auto const& held) {
-        return there.count(held.first) == 0;
-    });
+    std::size_t const dropped =
+        std::erase_if(m_items, [&there](auto const& held) {
+            return there.count(held.first) == 0;
+        });
+    m_dropped_unseen = m_dropped_unseen || dropped > 0;
     m_context.directory.keep_only(ids, m_context.loop.now());
 }
 
@@ -87,7 +92,7 @@
         }
         keep_only(keys);
     }
-    m_context.revision = list.revision;
+    commit(list.revision);
     runtime::log_line("peer_items_merged")
         .field("before", before)
         .field("revision", list.revision)
--- a/src/program/beliefs.hpp
+++ b/src/program/beliefs.hpp
@@ -59,6 +59,11 @@
     /// Removals, by revision, the newest `most_removals`.
     std::map<std::uint64_t, std::string> m_removed;
     std::uint64_t m_forgotten_removal = 0;
+    /// Items were found missing by a whole read: at which revision each was
+    /// removed is not known, so that peers that know less get all that there
+    /// is. Told only what has changed, they kept sending to upstreams that
+    /// had left.
+    bool m_dropped_unseen = false;
 };
 
 } // namespace caperjunction::program
--- a/tests/program/beliefs_test.cpp
+++ b/tests/program/beliefs_test.cpp
@@ -97,3 +97,35 @@
     CHECK(host.context.directory.find("i-1") != nullptr);
     CHECK(host.context.directory.find("i-0") != nullptr);
 }
+
+// The store drops its history while an engine leaves. A host reads it whole
+// and finds the engine missing, and a peer asks it for what has changed. If
+// the answer left the engine out, the peer would go on sending requests to it
+// until that host starts anew.
+TEST_CASE("what a whole read finds missing is missing at the peers too")
+{
+    believer host;
+    host.beliefs.apply(configuration(3, 10));
+    host.beliefs.apply(upstream("i-1", 11));
+    host.beliefs.commit(11);
+    believer peer;
+    peer.beliefs.merge(host.beliefs.changes(0));
+    REQUIRE(peer.context.directory.find("i-1") != nullptr);
+
+    host.beliefs.apply(configuration(3, 10));
+    host.beliefs.apply(upstream("i-2", 15));
+    host.beliefs.keep_only({"op/config", "servers/i-2"});
+    host.beliefs.commit(20);
+    peer.beliefs.merge(host.beliefs.changes(11));
+    CHECK(peer.context.revision == 20);
+    CHECK(peer.context.directory.find("i-2") != nullptr);
+    CHECK(peer.context.directory.find("i-1") == nullptr);
+
+    // And what it told in turn is whole too.
+    believer third;
+    third.beliefs.apply(configuration(3, 10));
+    third.beliefs.apply(upstream("i-1", 11));
+    third.beliefs.commit(11);
+    third.beliefs.merge(peer.beliefs.changes(11));
+    CHECK(third.context.directory.find("i-1") == nullptr);
+}
