Let a rested reader go on from what peers have told

Change: a resting reader skips to the revision that the host has. Test: store_reader_test, 'a reader that rested goes on'.

--- a/src/program/routed_host_peers.cpp
+++ b/src/program/routed_host_peers.cpp
@@ -135,6 +135,7 @@
         age > m_settings.relay.apply_limit / looks_in_time;
     for (auto const& reader : m_readers) {
         reader->wait(watch_wait());
+        reader->skip_to(m_context.revision);
         reader->keep_watching(is_reader);
         if (hears_too_little) {
             reader->look_once();
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -169,6 +169,13 @@
     }
 }
 
+void store_reader::skip_to(std::uint64_t revision)
+{
+    if (m_is_resting) {
+        m_revision = std::max(m_revision, revision);
+    }
+}
+
 void store_reader::rest_or_watch()
 {
     m_looks_once = false;
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -65,6 +65,12 @@
     /// Asks once whether anything has changed, while it rests.
     void look_once();
 
+    /// All changes up to `revision` are known from elsewhere. While it rests,
+    /// the reader goes on from there: asked for what came before, the store
+    /// would tell of an upstream that peers have long said to be gone, and
+    /// not yet of its end.
+    void skip_to(std::uint64_t revision);
+
 private:
     void rest_or_watch();
     void read_page(std::string const& after_key);
--- a/tests/proxy/store_reader_test.cpp
+++ b/tests/proxy/store_reader_test.cpp
@@ -207,3 +207,26 @@
     REQUIRE(site.run_until_asked(2));
     CHECK(site.asked[1].find("wait_ms=1") != std::string::npos);
 }
+
+// A host of a large fleet rests and hears from peers that an engine has come
+// and gone. Then it asks the store itself, once. Told of all since its own last
+// call, it would take the engine's first entry for news, not hear of its end
+// before the next call, and send requests to an engine that is gone.
+TEST_CASE("a reader that rested goes on from what peers have told")
+{
+    reading site({json(one_item), json(no_events), json(no_events)});
+    site.reader.keep_watching(false);
+    REQUIRE(site.run_until_asked(1));
+    bool over = false;
+    site.loop.after(100ms, [&over] {
+        over = true;
+    });
+    while (!over) {
+        site.loop.run_once();
+    }
+    site.reader.skip_to(31);
+    site.reader.skip_to(20);
+    site.reader.look_once();
+    REQUIRE(site.run_until_asked(2));
+    CHECK(site.asked[1].find("after=31&") != std::string::npos);
+}
