--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -94,7 +94,7 @@
     auto const now = m_context.loop.now();
     auto const took =
         std::chrono::duration_cast<model::milliseconds>(now - m_sent_at);
-    routing::picker::record_first_byte(*m_upstream, m_pick.forecast, took);
+    m_context.picker.record_first_byte(*m_upstream, m_pick.forecast, took);
     if (m_report.first_byte.count() < 0) {
         m_report.first_byte =
             std::chrono::duration_cast<model::milliseconds>(now - m_arrived);
--- a/src/routing/lane_size.hpp
+++ b/src/routing/lane_size.hpp
@@ -22,10 +22,8 @@
 /// How many engines read no long prompts, so that urgent streams don't pause
 /// beside them.
 ///
-/// A fixed quarter failed both ways: while long prompts came in bursts, 22 of
-/// 90 engines stood almost idle and the others read without pause, and while
-/// chats did, the 22 held up to 85 chats in 48 slots with 68 engines half
-/// idle.
+/// A fixed share would stand idle while long prompts come in bursts, and
+/// would be overfull while urgent streams do.
 inline std::size_t lane_size(lane_facts const& facts)
 {
     // With fewer, long prompts would have too few engines left.
@@ -33,8 +31,7 @@
     // Chats that come at once find an engine before the lane has grown.
     constexpr std::size_t engines_of_one_at_rest = 8;
     // Where there are few engines, the loss of one must leave others to the
-    // chats that ran there: with one of 12, callers of 7 hosts got 0.663 of
-    // the worth, with 2 0.674, with 3 0.702 (mean of four days' plays).
+    // chats that ran there.
     constexpr std::size_t spare_at_rest = 3;
     constexpr std::size_t engines_of_one_spare = 4;
     // Long prompts keep some engines, however many chats there are.
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -3,6 +3,7 @@
 
 #include "model/time.hpp"
 #include "routing/pick.hpp"
+#include "routing/picker_settings.hpp"
 #include "routing/prompt_memory.hpp"
 #include "routing/upstream_directory.hpp"
 
@@ -22,7 +23,8 @@
 class picker
 {
 public:
-    explicit picker(upstream_directory const& directory);
+    explicit picker(upstream_directory const& directory,
+                    picker_settings const& weights = {});
 
     /// The best upstream; `to` is null if none is left.
     pick choose(pick_request const& request, model::time_point now) const;
@@ -33,9 +35,9 @@
                      model::time_point now);
 
     /// Its first byte came after `took` where `forecast` was expected.
-    static void record_first_byte(upstream_state& chosen,
-                                  model::milliseconds forecast,
-                                  model::milliseconds took);
+    void record_first_byte(upstream_state& chosen,
+                           model::milliseconds forecast,
+                           model::milliseconds took) const;
 
 private:
     struct lanes
@@ -63,6 +65,7 @@
                    pick& into) const;
 
     upstream_directory const& m_directory;
+    picker_settings m_weights;
     prompt_memory m_memory;
 };
 
--- /dev/null
+++ b/src/routing/picker_settings.hpp
@@ -0,0 +1,71 @@
+#ifndef CAPERJUNCTION_ROUTING_PICKER_SETTINGS_HPP
+#define CAPERJUNCTION_ROUTING_PICKER_SETTINGS_HPP
+
+#include <array>
+
+namespace caperjunction::routing {
+
+/// What placing weighs. Costs are shares of what a request is worth to its
+/// caller: 1 is the harm of being late.
+struct picker_settings
+{
+    /// What a path between host and upstream adds.
+    struct way
+    {
+        /// Round trip, in milliseconds.
+        double ms = 0.0;
+        /// For `usual_bytes` that cross it.
+        double cost = 0.0;
+    };
+
+    /// By `distance`.
+    std::array<way, 3> ways{{{0.0, 0.0}, {3.0, 0.02}, {18.0, 0.08}}};
+    double usual_bytes = 18'000;
+    /// Taken for the length of an answer, which nobody knows before.
+    double answer_bytes = 1'000;
+
+    /// Prompt tokens that an engine reads in a millisecond, and the time to a
+    /// first byte beside that, before `slowness` has corrected the forecast.
+    double tokens_per_ms = 60.0;
+    double base_ms = 60.0;
+    /// The same at a plain service.
+    double service_ms = 15.0;
+    /// How long an urgent stream keeps its place, in milliseconds.
+    double stay_ms = 2'000;
+
+    /// Share of the latency target that may pass without harm.
+    double safe_share = 0.5;
+    /// For each latency target beyond the first: the deadline comes near, and
+    /// with it an answer that is cut.
+    double cost_of_far_behind = 2.0;
+    /// A failing upstream is worse than a late one: its caller gets nothing.
+    double cost_of_failure = 2.0;
+
+    /// What an urgent stream loses beside long prompts.
+    double out_of_urgent_lane = 0.4;
+    /// What a prompt costs the urgent streams beside it: something at once,
+    /// and more with each token that it has to be read.
+    double in_urgent_lane = 0.1;
+    double cost_of_urgent_delay = 1.0 / 4'000;
+
+    /// Shared tokens that, read anew, weigh as much as being late. What is
+    /// read anew delays all others at that engine: while engines have time, a
+    /// subject that many ask for is spread; when all of them are behind,
+    /// prompts must not leave their homes, or engines read the same parts
+    /// over and over and the overload feeds itself.
+    double cold_tokens_when_free = 5'000;
+    double cold_tokens_when_behind = 2'000;
+    /// Engines are behind when the prompts that wait take this share of the
+    /// latency target.
+    double share_when_behind = 0.25;
+
+    /// How much one first byte says of an engine's speed, and how far that
+    /// may lead: one long answer says little.
+    double slowness_weight = 0.1;
+    double least_slowness = 0.25;
+    double most_slowness = 8.0;
+};
+
+} // namespace caperjunction::routing
+
+#endif
