Tell of pauses and of wrong forecasts in logs and metrics

Change: request_ended gets longest_pause_ms, on_time counts the route's target for pauses, and two histograms tell pauses and how first bytes compare with their forecasts. The test failed before: no field, on_time true.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -249,6 +249,7 @@
         .field("first_byte_ms", ended.first_byte.count())
         .field("total_ms", ended.total.count())
         .field("events", ended.events)
+        .field("longest_pause_ms", ended.longest_pause.count())
         .field("on_time", ended.on_time)
         .field("config_version", ended.config_version)
         .field("config_age_ms", ended.config_age.count());
--- a/src/program/routed_metrics.cpp
+++ b/src/program/routed_metrics.cpp
@@ -5,6 +5,13 @@
 namespace caperjunction::program {
 namespace {
 
+prometheus::Histogram::BucketBoundaries const& ratio_buckets()
+{
+    static prometheus::Histogram::BucketBoundaries const s_buckets{
+        0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0};
+    return s_buckets;
+}
+
 // Seconds; around the latency targets and deadlines of usual routes.
 prometheus::Histogram::BucketBoundaries const& seconds_buckets()
 {
@@ -29,6 +36,15 @@
                        .Name("caperjunction_routed_first_byte_seconds")
                        .Help("From arrival to the first byte, by service")
                        .Register(*m_registry))
+    , m_forecast_ratio(
+          prometheus::BuildHistogram()
+              .Name("caperjunction_routed_forecast_ratio")
+              .Help("First byte of the last try against its forecast")
+              .Register(*m_registry))
+    , m_pause(prometheus::BuildHistogram()
+                  .Name("caperjunction_routed_pause_seconds")
+                  .Help("Longest pause of each stream, by service")
+                  .Register(*m_registry))
     , m_total(prometheus::BuildHistogram()
                   .Name("caperjunction_routed_request_seconds")
                   .Help("From arrival to the end, by service and outcome")
@@ -57,6 +73,15 @@
         m_first_byte.Add({{"service", service}}, seconds_buckets())
             .Observe(model::seconds(ended.first_byte).count());
     }
+    if (ended.wait.count() >= 0 && ended.forecast.count() > 0) {
+        m_forecast_ratio.Add({{"service", service}}, ratio_buckets())
+            .Observe(model::seconds(ended.wait)
+                     / model::seconds(ended.forecast));
+    }
+    if (ended.events > 1) {
+        m_pause.Add({{"service", service}}, seconds_buckets())
+            .Observe(model::seconds(ended.longest_pause).count());
+    }
     m_total
         .Add({{"service", service}, {"outcome", std::string(ended.outcome)}},
              seconds_buckets())
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -38,6 +38,8 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_sends;
     prometheus::Family<prometheus::Histogram>& m_first_byte;
+    prometheus::Family<prometheus::Histogram>& m_forecast_ratio;
+    prometheus::Family<prometheus::Histogram>& m_pause;
     prometheus::Family<prometheus::Histogram>& m_total;
     prometheus::Family<prometheus::Gauge>& m_gauges;
 };
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -154,6 +154,7 @@
     m_report.candidates = m_pick.candidates;
     m_report.total = since(m_arrived, m_context.loop.now());
     m_report.events = m_events;
+    m_report.longest_pause = m_pauses.longest();
     m_report.config_version = m_table ? m_table->lists().version : 0;
     m_report.config_age = m_context.keys.age(m_context.boot_now());
     if (!m_service.empty()) {
@@ -173,7 +174,8 @@
     fill_report();
     m_report.outcome = outcome;
     m_report.on_time = outcome == "served" && m_route != nullptr
-                       && m_report.first_byte <= m_route->latency_target;
+                       && m_report.first_byte <= m_route->latency_target
+                       && !m_route->is_pause_too_long(m_pauses.longest());
     if (m_context.on_ended) {
         m_context.on_ended(m_report);
     }
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -5,6 +5,7 @@
 #include "proxy/event_cutter.hpp"
 #include "proxy/exchange_report.hpp"
 #include "proxy/message_head.hpp"
+#include "proxy/pause_meter.hpp"
 #include "proxy/relay_context.hpp"
 #include "proxy/request_facts.hpp"
 #include "proxy/upstream_connection.hpp"
@@ -133,6 +134,7 @@
     bool m_keep_alive = true;
     std::string m_last_event_id;
     std::uint64_t m_events = 0;
+    pause_meter m_pauses;
     bool m_ended = false;
     exchange_report m_report;
 };
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -94,6 +94,7 @@
     auto const now = m_context.loop.now();
     auto const took =
         std::chrono::duration_cast<model::milliseconds>(now - m_sent_at);
+    m_report.wait = took;
     m_context.picker.record_first_byte(*m_upstream, m_pick.forecast, took);
     if (m_report.first_byte.count() < 0) {
         m_report.first_byte =
@@ -144,7 +145,10 @@
     if (m_is_stream) {
         std::uint64_t const before = m_cutter.events();
         std::string_view const whole = m_cutter.feed(bytes);
-        m_events += m_cutter.events() - before;
+        if (m_cutter.events() > before) {
+            m_events += m_cutter.events() - before;
+            m_pauses.note(m_upstream->heard_at);
+        }
         if (!m_cutter.last_id().empty()) {
             m_last_event_id = m_cutter.last_id();
         }
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -41,11 +41,16 @@
     std::size_t candidates = 0;
     /// From arrival; negative: it didn't come to that.
     model::milliseconds first_byte{-1};
+    /// From the last send; negative: none came.
+    model::milliseconds wait{-1};
     model::milliseconds total{0};
     std::uint64_t events = 0;
+    /// Between two events, over all tries.
+    model::milliseconds longest_pause{0};
     std::uint64_t config_version = 0;
     /// How long ago the store confirmed it.
     model::milliseconds config_age{0};
+    /// Served within the route's targets for the first byte and for pauses.
     bool on_time = false;
 };
 
--- /dev/null
+++ b/src/proxy/pause_meter.hpp
@@ -0,0 +1,44 @@
+#ifndef CAPERJUNCTION_PROXY_PAUSE_METER_HPP
+#define CAPERJUNCTION_PROXY_PAUSE_METER_HPP
+
+#include "model/time.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+namespace caperjunction::proxy {
+
+/// The longest time between two events of a stream.
+///
+/// An engine that reads long prompts beside a stream makes its events come
+/// in jerks. The first event is on time then, and only this shows what its
+/// caller sees.
+///
+/// Thread safety: none; owned by one task.
+class pause_meter
+{
+public:
+    /// Events have come at `now`.
+    void note(model::time_point now)
+    {
+        if (m_last) {
+            m_longest = std::max(m_longest, now - *m_last);
+        }
+        m_last = now;
+    }
+
+    /// Zero if there was no second event.
+    model::milliseconds longest() const
+    {
+        return std::chrono::duration_cast<model::milliseconds>(m_longest);
+    }
+
+private:
+    std::optional<model::time_point> m_last;
+    model::time_point::duration m_longest{0};
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -45,6 +45,12 @@
     /// Never empty.
     std::vector<weighted_service> split;
 
+    /// Whether a pause between two events makes a stream late.
+    bool is_pause_too_long(model::milliseconds pause) const
+    {
+        return pause_target.count() > 0 && pause > pause_target;
+    }
+
     /// Whether it may run again after it may have run.
     bool repeatable() const
     {
--- a/tests/proxy/relay_faults_test.cpp
+++ b/tests/proxy/relay_faults_test.cpp
@@ -178,6 +178,29 @@
     CHECK(caller->got.find(chunk(sse_event(3))) != std::string::npos);
 }
 
+// An engine reads a long prompt beside a stream. The first event is on time,
+// and then the caller sees the words come in jerks; a log that looked at the
+// first event alone would call that well served.
+TEST_CASE("a stream with a long pause is reported as late")
+{
+    relay_fixture site;
+    script paused;
+    paused.answer = stream_head() + chunk(sse_event(1));
+    paused.rest = chunk(sse_event(2)) + "0\r\n\r\n";
+    paused.pause = 120ms;
+    site.add("i-1", "ledger", [&paused](received const&) {
+        return paused;
+    });
+    auto const caller = site.send(relay_fixture::request("/stream/"));
+    REQUIRE(site.run_until([&] {
+        return !site.reports.empty();
+    }));
+    CHECK(site.reports[0].outcome == "served");
+    CHECK(site.reports[0].longest_pause >= 120ms);
+    CHECK(site.reports[0].wait >= 0ms);
+    CHECK(!site.reports[0].on_time);
+}
+
 // An engine crashes in the middle of an event. A stream that ended there as
 // if it were whole would be taken for the answer.
 TEST_CASE("a broken stream never looks whole")
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -39,6 +39,7 @@
                    make("/stream/", request_kind::stream, 1),
                    make("/resume/", request_kind::stream, 3),
                    make("/short/", request_kind::at_most_once, 1)};
+    made.routes[2].pause_target = 60ms;
     made.routes[3].resumable = true;
     made.routes[4].timeout = 300ms;
     made.teams = {{"desk", {"secret"}, {}}};
--- a/tests/proxy/scripted_upstream.cpp
+++ b/tests/proxy/scripted_upstream.cpp
@@ -102,6 +102,11 @@
     std::string const* const id = from->now.head.find("Attempt-Id");
     script const play = m_answer(from->now);
     from->stream->write(with_id(play.answer, id == nullptr ? "" : *id));
+    if (!play.rest.empty()) {
+        m_loop.after(play.pause, [from, rest = play.rest] {
+            from->stream->write(rest);
+        });
+    }
     if (play.closes) {
         from->stream->finish();
     }
--- a/tests/proxy/scripted_upstream.hpp
+++ b/tests/proxy/scripted_upstream.hpp
@@ -31,6 +31,9 @@
     bool closes = false;
     /// Ends the connection so that the other side sees a reset.
     bool resets = false;
+    /// Written `pause` after the answer.
+    std::string rest;
+    model::milliseconds pause{0};
 };
 
 /// An upstream on loopback that answers byte by byte as a test says.
