Share what hosts see of an engine's pace; keep streams from where they pause

Change: a meter for each upstream keeps first events against forecasts, the requests that are waiting beyond theirs, and pauses of streams; digests carry its view and the number of urgent streams; placing multiplies forecasts by the mean of the views, and charges for pauses near the route's target and for putting prompts beside urgent streams.

--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -4,6 +4,9 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace caperjunction::proxy {
 namespace {
 
@@ -36,18 +39,51 @@
     return {{text, from.port()}, from.data_centre(), from.relays()};
 }
 
-using load_list = flatbuffers::Vector<wire::Load const*>;
+using load_list = flatbuffers::Vector<wire::Work const*>;
+
+/// Parts of a whole slowness in a message.
+constexpr double slowness_parts = 64.0;
+
+std::uint16_t bounded(double value)
+{
+    constexpr double most = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
+}
+
+wire::Work to_wire(routing::peer_load const& from)
+{
+    double const slowness =
+        from.pace.voters == 0
+            ? 0.0
+            : std::max(1.0, from.pace.slowness * slowness_parts);
+    return {from.upstream,
+            static_cast<std::uint32_t>(from.load.unread_tokens),
+            bounded(from.load.running),
+            bounded(from.load.urgent),
+            bounded(slowness),
+            bounded(static_cast<double>(from.pace.pause.count()))};
+}
+
+routing::peer_load from_wire(wire::Work const& from)
+{
+    routing::peer_load made;
+    made.upstream = from.upstream();
+    made.load = {from.running(), from.unread_tokens(), from.urgent()};
+    made.pace.voters = from.slowness() == 0 ? 0 : 1;
+    made.pace.slowness =
+        made.pace.voters == 0 ? 1.0 : from.slowness() / slowness_parts;
+    made.pace.pause = model::milliseconds(from.pause_ms());
+    return made;
+}
 
 flatbuffers::Offset<load_list>
 to_wire(flatbuffers::FlatBufferBuilder& builder,
         std::vector<routing::peer_load> const& from)
 {
-    std::vector<wire::Load> loads;
+    std::vector<wire::Work> loads;
     loads.reserve(from.size());
     for (routing::peer_load const& item : from) {
-        loads.emplace_back(item.upstream,
-                           static_cast<std::uint32_t>(item.load.unread_tokens),
-                           item.load.running);
+        loads.push_back(to_wire(item));
     }
     return builder.CreateVectorOfStructs(loads);
 }
@@ -56,9 +92,8 @@
 {
     std::vector<routing::peer_load> loads;
     if (from != nullptr) {
-        for (wire::Load const* const item : *from) {
-            loads.push_back(
-                {item->upstream(), {item->running(), item->unread_tokens()}});
+        for (wire::Work const* const item : *from) {
+            loads.push_back(from_wire(*item));
         }
     }
     return loads;
@@ -116,7 +151,7 @@
             static_cast<std::uint64_t>(frame.confirmed_age->count()));
     }
     made.add_hosts_seen(from.hosts_seen);
-    made.add_loads(load_list);
+    made.add_works(load_list);
     made.add_suspects(suspect_list);
     made.add_neighbours(neighbour_list);
     made.add_hosts_here(from.hosts_here);
@@ -127,8 +162,8 @@
     made.add_revision(from.revision);
     made.add_data_centre(from.data_centre);
     made.add_speaks(from.speaks);
-    made.add_sums(sum_list);
-    made.add_beyond(beyond_list);
+    made.add_work_sums(sum_list);
+    made.add_works_beyond(beyond_list);
     builder.Finish(made.Finish());
     return text_of(builder);
 }
@@ -157,9 +192,9 @@
     }
     digest.data_centre = from->data_centre();
     digest.speaks = from->speaks();
-    digest.loads = from_wire(from->loads());
-    digest.sums = from_wire(from->sums());
-    digest.beyond = from_wire(from->beyond());
+    digest.loads = from_wire(from->works());
+    digest.sums = from_wire(from->work_sums());
+    digest.beyond = from_wire(from->works_beyond());
     if (from->suspects() != nullptr) {
         for (wire::Suspect const* const item : *from->suspects()) {
             digest.suspects.push_back({item->fingerprint(), item->crashes()});
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -150,6 +150,7 @@
     m_report.cold_tokens = m_pick.cold_tokens;
     m_report.running = m_pick.running;
     m_report.unread_tokens = m_pick.unread_tokens;
+    m_report.pace = m_pick.pace;
     m_report.lane = m_pick.lane;
     m_report.candidates = m_pick.candidates;
     m_report.total = since(m_arrived, m_context.loop.now());
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -119,6 +119,7 @@
     routing::pick m_pick;
     model::time_point m_sent_at{};
     std::uint64_t m_unread_tokens = 0;
+    routing::pace_meter::ticket m_waiting = 0;
     bool m_counted = false;
     message_head m_answer;
     std::string m_answer_body;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -95,7 +95,7 @@
     auto const took =
         std::chrono::duration_cast<model::milliseconds>(now - m_sent_at);
     m_report.wait = took;
-    m_context.picker.record_first_byte(*m_upstream, m_pick.forecast, took);
+    m_upstream->own_pace.end(m_waiting, now);
     if (m_report.first_byte.count() < 0) {
         m_report.first_byte =
             std::chrono::duration_cast<model::milliseconds>(now - m_arrived);
@@ -147,7 +147,12 @@
         std::string_view const whole = m_cutter.feed(bytes);
         if (m_cutter.events() > before) {
             m_events += m_cutter.events() - before;
-            m_pauses.note(m_upstream->heard_at);
+            auto const pause = m_pauses.note(m_upstream->heard_at);
+            // The first event of a try that goes on after another tells of
+            // both.
+            if (pause && before > 0) {
+                m_upstream->own_pace.note_pause(*pause, m_upstream->heard_at);
+            }
         }
         if (!m_cutter.last_id().empty()) {
             m_last_event_id = m_cutter.last_id();
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -129,6 +129,8 @@
                                      - std::min(m_facts.prompt.shared_tokens(),
                                                 chosen.cold_tokens));
     m_upstream->own.running += 1;
+    m_upstream->own.urgent += m_is_most_urgent ? 1 : 0;
+    m_waiting = m_upstream->own_pace.begin(m_sent_at, chosen.usual_forecast);
     m_upstream->own.unread_tokens += m_unread_tokens;
     m_context.urgent_streams[m_service] += m_is_most_urgent ? 1 : 0;
     m_counted = true;
@@ -196,6 +198,8 @@
         m_counted = false;
         m_context.urgent_streams[m_service] -= m_is_most_urgent ? 1 : 0;
         m_upstream->own.running -= 1;
+        m_upstream->own.urgent -= m_is_most_urgent ? 1 : 0;
+        m_upstream->own_pace.drop(m_waiting);
         m_upstream->own.unread_tokens -= m_unread_tokens;
         m_unread_tokens = 0;
     }
--- a/src/proxy/pause_meter.hpp
+++ b/src/proxy/pause_meter.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace caperjunction::proxy {
 
@@ -19,13 +20,15 @@
 class pause_meter
 {
 public:
-    /// Events have come at `now`.
-    void note(model::time_point now)
+    /// Events have come at `now`; gives the pause before them.
+    std::optional<model::milliseconds> note(model::time_point now)
     {
-        if (m_last) {
-            m_longest = std::max(m_longest, now - *m_last);
+        auto const last = std::exchange(m_last, now);
+        if (!last) {
+            return std::nullopt;
         }
-        m_last = now;
+        m_longest = std::max(m_longest, now - *last);
+        return std::chrono::duration_cast<model::milliseconds>(now - *last);
     }
 
     /// Zero if there was no second event.
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -8,7 +8,6 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
@@ -29,11 +28,6 @@
 constexpr std::size_t most_suspects = 32;
 constexpr std::size_t most_neighbours_told = 16;
 
-std::uint64_t hash_of(std::string const& id)
-{
-    return XXH3_64bits(id.data(), id.size());
-}
-
 sockaddr_in to_socket(model::endpoint const& at)
 {
     sockaddr_in address{};
@@ -93,15 +87,18 @@
     digest.sequence = ++m_sequence;
     digest.revision = m_context.revision;
     digest.data_centre = m_context.settings.data_centre;
-    m_context.directory.each([&digest](routing::upstream_state const& state) {
-        if (state.own.running > 0) {
-            digest.loads.push_back({hash_of(state.about.id), state.own});
+    auto const now = m_context.loop.now();
+    m_context.directory.each([&](routing::upstream_state const& state) {
+        routing::upstream_pace const pace = state.own_pace.pace(now);
+        if (state.own.running > 0 || pace.voters > 0) {
+            digest.loads.push_back(
+                {routing::upstream_load_key(state.about.id), state.own, pace});
         }
     });
     for (auto const& [service, count] : m_context.urgent_streams) {
         if (count > 0) {
             digest.loads.push_back(
-                {routing::urgent_load_key(service), {count, 0}});
+                {routing::urgent_load_key(service), {count, 0, 0}, {}});
         }
     }
     digest.suspects =
@@ -238,7 +235,10 @@
 {
     m_context.peers.add_up();
     m_context.directory.each([this](routing::upstream_state& state) {
-        state.others = m_context.peers.load_of(hash_of(state.about.id));
+        auto const told =
+            m_context.peers.load_of(routing::upstream_load_key(state.about.id));
+        state.others = told.load;
+        state.others_pace = told.pace;
     });
     if (m_alive != m_context.peers.alive()) {
         m_alive = m_context.peers.alive();
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -90,7 +90,7 @@
     {
         auto const own = urgent_streams.find(service);
         return (own == urgent_streams.end() ? 0 : own->second)
-               + peers.load_of(routing::urgent_load_key(service)).running;
+               + peers.load_of(routing::urgent_load_key(service)).load.running;
     }
 
     /// What this host may spend of the fleet's extra budget at once. Hosts
--- a/src/proxy/wire/digest_generated.h
+++ b/src/proxy/wire/digest_generated.h
@@ -19,6 +19,8 @@
 
 struct Load;
 
+struct Work;
+
 struct Suspect;
 
 struct Address;
@@ -63,6 +65,53 @@
 };
 FLATBUFFERS_STRUCT_END(Load, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Work FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint32_t unread_tokens_;
+  uint16_t running_;
+  uint16_t urgent_;
+  uint16_t slowness_;
+  uint16_t pause_ms_;
+
+ public:
+  Work()
+      : upstream_(0),
+        unread_tokens_(0),
+        running_(0),
+        urgent_(0),
+        slowness_(0),
+        pause_ms_(0) {
+  }
+  Work(uint32_t _upstream, uint32_t _unread_tokens, uint16_t _running, uint16_t _urgent, uint16_t _slowness, uint16_t _pause_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
+        running_(flatbuffers::EndianScalar(_running)),
+        urgent_(flatbuffers::EndianScalar(_urgent)),
+        slowness_(flatbuffers::EndianScalar(_slowness)),
+        pause_ms_(flatbuffers::EndianScalar(_pause_ms)) {
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t unread_tokens() const {
+    return flatbuffers::EndianScalar(unread_tokens_);
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t urgent() const {
+    return flatbuffers::EndianScalar(urgent_);
+  }
+  uint16_t slowness() const {
+    return flatbuffers::EndianScalar(slowness_);
+  }
+  uint16_t pause_ms() const {
+    return flatbuffers::EndianScalar(pause_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Work, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Suspect FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t fingerprint_;
@@ -183,7 +232,10 @@
     VT_ASKS = 40,
     VT_NEIGHBOURS = 42,
     VT_HOSTS_ALIVE = 44,
-    VT_CENTRES = 46
+    VT_CENTRES = 46,
+    VT_WORKS = 48,
+    VT_WORK_SUMS = 50,
+    VT_WORKS_BEYOND = 52
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -251,6 +303,15 @@
   uint32_t centres() const {
     return GetField<uint32_t>(VT_CENTRES, 0);
   }
+  const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *works() const {
+    return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *>(VT_WORKS);
+  }
+  const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *work_sums() const {
+    return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *>(VT_WORK_SUMS);
+  }
+  const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *works_beyond() const {
+    return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *>(VT_WORKS_BEYOND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
@@ -281,6 +342,12 @@
            verifier.VerifyVector(neighbours()) &&
            VerifyField<uint32_t>(verifier, VT_HOSTS_ALIVE, 4) &&
            VerifyField<uint32_t>(verifier, VT_CENTRES, 4) &&
+           VerifyOffset(verifier, VT_WORKS) &&
+           verifier.VerifyVector(works()) &&
+           VerifyOffset(verifier, VT_WORK_SUMS) &&
+           verifier.VerifyVector(work_sums()) &&
+           VerifyOffset(verifier, VT_WORKS_BEYOND) &&
+           verifier.VerifyVector(works_beyond()) &&
            verifier.EndTable();
   }
 };
@@ -355,6 +422,15 @@
   void add_centres(uint32_t centres) {
     fbb_.AddElement<uint32_t>(Digest::VT_CENTRES, centres, 0);
   }
+  void add_works(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works) {
+    fbb_.AddOffset(Digest::VT_WORKS, works);
+  }
+  void add_work_sums(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> work_sums) {
+    fbb_.AddOffset(Digest::VT_WORK_SUMS, work_sums);
+  }
+  void add_works_beyond(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works_beyond) {
+    fbb_.AddOffset(Digest::VT_WORKS_BEYOND, works_beyond);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -389,7 +465,10 @@
     bool asks = false,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Neighbour *>> neighbours = 0,
     uint32_t hosts_alive = 0,
-    uint32_t centres = 0) {
+    uint32_t centres = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> work_sums = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works_beyond = 0) {
   DigestBuilder builder_(_fbb);
   builder_.add_data_centre(data_centre);
   builder_.add_revision(revision);
@@ -398,6 +477,9 @@
   builder_.add_stamp(stamp);
   builder_.add_sequence(sequence);
   builder_.add_generation(generation);
+  builder_.add_works_beyond(works_beyond);
+  builder_.add_work_sums(work_sums);
+  builder_.add_works(works);
   builder_.add_centres(centres);
   builder_.add_hosts_alive(hosts_alive);
   builder_.add_neighbours(neighbours);
@@ -439,13 +521,19 @@
     bool asks = false,
     const std::vector<caperjunction::proxy::wire::Neighbour> *neighbours = nullptr,
     uint32_t hosts_alive = 0,
-    uint32_t centres = 0) {
+    uint32_t centres = 0,
+    const std::vector<caperjunction::proxy::wire::Work> *works = nullptr,
+    const std::vector<caperjunction::proxy::wire::Work> *work_sums = nullptr,
+    const std::vector<caperjunction::proxy::wire::Work> *works_beyond = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Suspect>(*suspects) : 0;
   auto peers__ = peers ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Address>(*peers) : 0;
   auto sums__ = sums ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*sums) : 0;
   auto beyond__ = beyond ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*beyond) : 0;
   auto neighbours__ = neighbours ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Neighbour>(*neighbours) : 0;
+  auto works__ = works ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Work>(*works) : 0;
+  auto work_sums__ = work_sums ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Work>(*work_sums) : 0;
+  auto works_beyond__ = works_beyond ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Work>(*works_beyond) : 0;
   return caperjunction::proxy::wire::CreateDigest(
       _fbb,
       generation,
@@ -469,7 +557,10 @@
       asks,
       neighbours__,
       hosts_alive,
-      centres);
+      centres,
+      works__,
+      work_sums__,
+      works_beyond__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/routing/load_news.hpp
+++ b/src/routing/load_news.hpp
@@ -68,7 +68,7 @@
         return a < b ? b - a : a - b;
     }
 
-    std::unordered_map<std::uint64_t, upstream_load> m_told;
+    std::unordered_map<std::uint32_t, upstream_load> m_told;
     model::time_point m_told_at{};
 };
 
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -14,20 +14,29 @@
 
 namespace caperjunction::routing {
 
-/// What a host has sent to one upstream, or how many of a service's most
-/// urgent streams it runs.
+/// What a host has sent to one upstream and seen of it, or how many of a
+/// service's most urgent streams it runs.
 struct peer_load
 {
     /// Hash of the upstream's id, or `urgent_load_key` of the service.
-    std::uint64_t upstream = 0;
+    std::uint32_t upstream = 0;
     upstream_load load;
+    upstream_pace pace;
 };
 
+/// Under which loads tell of the upstream `id`. Two of some thousand share a
+/// key once in a while; placing then takes each to be as busy as both.
+inline std::uint32_t upstream_load_key(std::string_view id)
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(id.data(), id.size()));
+}
+
 /// Under which loads tell the most urgent streams of `service`.
-inline std::uint64_t urgent_load_key(std::string_view service)
+inline std::uint32_t urgent_load_key(std::string_view service)
 {
     constexpr std::uint64_t unlike_ids = 2;
-    return XXH3_64bits_withSeed(service.data(), service.size(), unlike_ids);
+    return static_cast<std::uint32_t>(
+        XXH3_64bits_withSeed(service.data(), service.size(), unlike_ids));
 }
 
 /// A request that was on an upstream when that broke.
--- a/src/routing/peer_loads.cpp
+++ b/src/routing/peer_loads.cpp
@@ -6,23 +6,24 @@
 namespace caperjunction::routing {
 namespace {
 
-void add(std::unordered_map<std::uint64_t, upstream_load>& sum,
-         std::vector<peer_load> const& loads)
+using load_sums = std::unordered_map<std::uint32_t, peer_load>;
+
+void add(load_sums& sum, std::vector<peer_load> const& loads)
 {
     for (peer_load const& item : loads) {
-        upstream_load& total = sum[item.upstream];
-        total.running += item.load.running;
-        total.unread_tokens += item.load.unread_tokens;
+        peer_load& total = sum[item.upstream];
+        total.upstream = item.upstream;
+        total.load.add(item.load);
+        total.pace.merge(item.pace);
     }
 }
 
-std::vector<peer_load>
-listed(std::unordered_map<std::uint64_t, upstream_load> const& sum)
+std::vector<peer_load> listed(load_sums const& sum)
 {
     std::vector<peer_load> list;
     list.reserve(sum.size());
-    for (auto const& [upstream, load] : sum) {
-        list.push_back({upstream, load});
+    for (auto const& [upstream, total] : sum) {
+        list.push_back(total);
     }
     return list;
 }
@@ -86,7 +87,7 @@
 std::vector<peer_load>
 peer_table::sums_with(std::vector<peer_load> const& own) const
 {
-    std::unordered_map<std::uint64_t, upstream_load> sum;
+    load_sums sum;
     add(sum, own);
     for (auto const& [address, known] : m_peers) {
         if (is_near(known)) {
@@ -98,7 +99,7 @@
 
 std::vector<peer_load> peer_table::beyond() const
 {
-    std::unordered_map<std::uint64_t, upstream_load> sum;
+    load_sums sum;
     for (peer const* const speaker : far_speakers()) {
         add(sum, speaker->told.sums);
     }
@@ -178,10 +179,10 @@
     }
 }
 
-upstream_load peer_table::load_of(std::uint64_t upstream) const
+peer_load peer_table::load_of(std::uint32_t upstream) const
 {
     auto const found = m_loads.find(upstream);
-    return found == m_loads.end() ? upstream_load{} : found->second;
+    return found == m_loads.end() ? peer_load{} : found->second;
 }
 
 std::uint32_t peer_table::crashes_of(std::uint64_t fingerprint) const
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -143,8 +143,8 @@
         return m_most_seen;
     }
 
-    /// What the others have sent to an upstream.
-    upstream_load load_of(std::uint64_t upstream) const;
+    /// What the others have sent to an upstream and seen of it.
+    peer_load load_of(std::uint32_t upstream) const;
 
     /// Crashes that the others have counted.
     std::uint32_t crashes_of(std::uint64_t fingerprint) const;
@@ -235,7 +235,7 @@
     model::endpoint m_own;
     std::uint64_t m_data_centre;
     std::map<model::endpoint, peer, by_address> m_peers;
-    std::unordered_map<std::uint64_t, upstream_load> m_loads;
+    std::unordered_map<std::uint32_t, peer_load> m_loads;
     std::unordered_map<std::uint64_t, std::uint32_t> m_crashes;
 
     // Counted anew when a host comes, goes or says otherwise.
--- a/src/routing/pick.hpp
+++ b/src/routing/pick.hpp
@@ -35,6 +35,10 @@
     upstream_ptr to;
     /// Time to its first byte, as forecast.
     model::milliseconds forecast{0};
+    /// The same at the usual pace of upstreams.
+    model::milliseconds usual_forecast{0};
+    /// The upstream's pace, as far as it is known.
+    upstream_pace pace;
     /// Shared tokens that are not expected in the upstream's memory.
     std::uint32_t cold_tokens = 0;
     /// What the upstream was thought to hold, without this request.
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -81,6 +81,22 @@
     return std::max(0.0, beyond) / slots * weights.stay_ms;
 }
 
+/// How much of the way to a stream that pauses too long an engine has gone:
+/// 0 up to a share of what is aimed at, 1 at the whole.
+double pause_share(pick_request const& request,
+                   model::milliseconds seen,
+                   picker_settings const& weights)
+{
+    double const target =
+        static_cast<double>(request.route->pause_target.count());
+    if (target <= 0.0) {
+        return 0.0;
+    }
+    double const share = static_cast<double>(seen.count()) / target;
+    return std::clamp(
+        (share - weights.safe_pause) / (1.0 - weights.safe_pause), 0.0, 1.0);
+}
+
 double mean_slots(std::vector<upstream_ptr> const& all)
 {
     double sum = 0.0;
@@ -173,11 +189,13 @@
     double cost =
         path.cost * bytes
         + m_weights.cost_of_failure * candidate.health.failure_share(now);
-    double forecast = path.ms;
+    into.pace = candidate.pace(now);
+    double at_usual_pace = 0.0;
+    double wait = 0.0;
     if (request.prompt->tokens == 0) {
         double const slots = std::max(1U, candidate.about.slots);
-        forecast += m_weights.service_ms * candidate.slowness
-                    * (1.0 + candidate.running() / slots);
+        at_usual_pace =
+            m_weights.service_ms * (1.0 + candidate.running() / slots);
     } else {
         std::uint32_t const shared = request.prompt->shared_tokens();
         into.cold_tokens = &candidate == divided.home
@@ -193,13 +211,17 @@
             static_cast<double>(candidate.unread_tokens() + into.cold_tokens
                                 + request.prompt->tokens)
             - shared;
-        forecast +=
-            (m_weights.base_ms + unread / m_weights.tokens_per_ms)
-                * candidate.slowness
-            + (request.is_most_urgent ? slot_wait_ms(m_weights, candidate)
-                                      : 0.0);
+        at_usual_pace = m_weights.base_ms + unread / m_weights.tokens_per_ms;
+        wait =
+            request.is_most_urgent ? slot_wait_ms(m_weights, candidate) : 0.0;
         cost += into.cold_tokens * divided.cost_of_cold_token;
+        cost += m_weights.cost_of_pause
+                * pause_share(request, into.pace.pause, m_weights);
         bool const is_urgent_lane = candidate.lane_place < divided.urgent;
+        if (!request.is_most_urgent) {
+            cost += std::min(m_weights.most_beside_urgent,
+                             m_weights.beside_urgent * candidate.urgent());
+        }
         if (is_urgent_lane && !request.is_most_urgent) {
             cost += m_weights.in_urgent_lane
                     + unread * m_weights.cost_of_urgent_delay;
@@ -207,7 +229,10 @@
             cost += m_weights.out_of_urgent_lane;
         }
     }
+    double const forecast = path.ms + at_usual_pace * into.pace.slowness + wait;
     into.forecast = model::milliseconds(std::lround(forecast));
+    into.usual_forecast =
+        model::milliseconds(std::lround(path.ms + at_usual_pace + wait));
     // The last term only settles ties: towards the one that answers first.
     return cost + lateness(m_weights, forecast, request.route->latency_target)
            + forecast * 1e-4;
@@ -239,16 +264,4 @@
     }
 }
 
-void picker::record_first_byte(upstream_state& chosen,
-                               model::milliseconds forecast,
-                               model::milliseconds took) const
-{
-    double const ratio = static_cast<double>(took.count())
-                         / std::max(1.0, static_cast<double>(forecast.count()));
-    double const target = std::clamp(chosen.slowness * ratio,
-                                     m_weights.least_slowness,
-                                     m_weights.most_slowness);
-    chosen.slowness += (target - chosen.slowness) * m_weights.slowness_weight;
-}
-
 } // namespace caperjunction::routing
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -34,11 +34,6 @@
                      upstream_state const& chosen,
                      model::time_point now);
 
-    /// Its first byte came after `took` where `forecast` was expected.
-    void record_first_byte(upstream_state& chosen,
-                           model::milliseconds forecast,
-                           model::milliseconds took) const;
-
 private:
     struct lanes
     {
--- a/src/routing/picker_settings.hpp
+++ b/src/routing/picker_settings.hpp
@@ -25,7 +25,7 @@
     double answer_bytes = 1'000;
 
     /// Prompt tokens that an engine reads in a millisecond, and the time to a
-    /// first byte beside that, before `slowness` has corrected the forecast.
+    /// first byte beside that, before the pace has corrected the forecast.
     double tokens_per_ms = 60.0;
     double base_ms = 60.0;
     /// The same at a plain service.
@@ -59,11 +59,13 @@
     /// latency target.
     double share_when_behind = 0.25;
 
-    /// How much one first byte says of an engine's speed, and how far that
-    /// may lead: one long answer says little.
-    double slowness_weight = 0.1;
-    double least_slowness = 0.25;
-    double most_slowness = 8.0;
+    /// What a stream loses on an engine whose streams pause for as long as
+    /// its route allows, and from which share of that on it loses some.
+    double cost_of_pause = 0.8;
+    double safe_pause = 0.8;
+    /// What a prompt costs each urgent stream beside it, and all of them.
+    double beside_urgent = 0.03;
+    double most_beside_urgent = 0.6;
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -2,8 +2,10 @@
 #define CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
 
 #include "routing/distance.hpp"
+#include "routing/pace_meter.hpp"
 #include "routing/upstream.hpp"
 #include "routing/upstream_health.hpp"
+#include "routing/upstream_pace.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,6 +20,15 @@
     std::uint32_t running = 0;
     /// Prompt tokens of requests whose first event has not come.
     std::uint64_t unread_tokens = 0;
+    /// Those of the running requests that are most urgent streams.
+    std::uint32_t urgent = 0;
+
+    void add(upstream_load const& more)
+    {
+        running += more.running;
+        unread_tokens += more.unread_tokens;
+        urgent += more.urgent;
+    }
 };
 
 /// An upstream with what this host knows beyond its own description.
@@ -31,8 +42,10 @@
     upstream_load own;
     /// What the other hosts say that they have sent.
     upstream_load others;
-    /// Time to the first event against what was forecast; 1: as forecast.
-    double slowness = 1.0;
+    /// How fast it works, as this host's requests tell.
+    pace_meter own_pace;
+    /// The same from the others.
+    upstream_pace others_pace;
     /// When anything last came from it to this host.
     model::time_point heard_at{};
     /// Its place among those of its service that urgent streams get; set by
@@ -50,6 +63,18 @@
     {
         return own.unread_tokens + others.unread_tokens;
     }
+
+    std::uint32_t urgent() const
+    {
+        return own.urgent + others.urgent;
+    }
+
+    upstream_pace pace(model::time_point now) const
+    {
+        upstream_pace all = own_pace.pace(now);
+        all.merge(others_pace);
+        return all;
+    }
 };
 
 using upstream_ptr = std::shared_ptr<upstream_state>;
--- a/tests/routing/fleet_gossip_test.cpp
+++ b/tests/routing/fleet_gossip_test.cpp
@@ -57,7 +57,7 @@
             own.sequence = m_sequence;
             own.data_centre = host.centre;
             own.revision = host.revision;
-            own.loads = {{engine, {1, 100}}};
+            own.loads = {{engine, {1, 100, 0}, {}}};
             if (suspects_of) {
                 own.suspects = suspects_of();
             }
@@ -169,7 +169,7 @@
         int readers = 0;
         for (gossip::member& host : fleet.hosts()) {
             CHECK(host.table.alive() == static_cast<std::size_t>(count - 1));
-            CHECK(host.table.load_of(engine).running
+            CHECK(host.table.load_of(engine).load.running
                   == static_cast<std::uint32_t>(count - 1));
             readers += host.table.is_reader() ? 1 : 0;
         }
@@ -209,7 +209,7 @@
     for (gossip::member& host : fleet.hosts()) {
         if (!host.is_down) {
             CHECK(host.table.alive() == left - 1);
-            CHECK(host.table.load_of(engine).running == left - 1);
+            CHECK(host.table.load_of(engine).load.running == left - 1);
         }
     }
 }
--- a/tests/routing/load_news_test.cpp
+++ b/tests/routing/load_news_test.cpp
@@ -13,7 +13,7 @@
 
 std::vector<peer_load> loads(std::uint32_t running, std::uint64_t unread)
 {
-    return {{1, {running, unread}}, {2, {3, 0}}};
+    return {{1, {running, unread, 0}, {}}, {2, {3, 0, 0}, {}}};
 }
 
 } // namespace
@@ -32,9 +32,13 @@
 TEST_CASE("a queue that shrinks is news")
 {
     load_news news;
-    news.told({{1, {2, 9'000}}, {2, {1, 0}}}, start);
-    CHECK(news.is_news({{1, {2, 0}}, {2, {1, 0}}}, start + 1s));
-    news.told({{1, {1, 0}}, {2, {1, 0}}, {3, {1, 0}}, {4, {1, 0}}}, start);
+    news.told({{1, {2, 9'000, 0}, {}}, {2, {1, 0, 0}, {}}}, start);
+    CHECK(news.is_news({{1, {2, 0, 0}, {}}, {2, {1, 0, 0}, {}}}, start + 1s));
+    news.told({{1, {1, 0, 0}, {}},
+               {2, {1, 0, 0}, {}},
+               {3, {1, 0, 0}, {}},
+               {4, {1, 0, 0}, {}}},
+              start);
     CHECK(news.is_news({}, start + 1s));
 }
 
--- /dev/null
+++ b/tests/routing/pace_test.cpp
@@ -0,0 +1,213 @@
+#include "routing/pace_meter.hpp"
+#include "routing/support.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+using routing::pace_meter;
+using routing::upstream_pace;
+
+namespace {
+
+/// Hosts that place urgent streams on the same engines, one of which works
+/// five times slower than the others, and tell each other what they see.
+class slow_engine_load
+{
+public:
+    bool knows_pace = true;
+    bool shares_pace = true;
+    int in_jerks = 0;
+    int smooth = 0;
+
+    slow_engine_load()
+    {
+        for (int number = 0; number < hosts; ++number) {
+            auto made = std::make_unique<host>();
+            for (int id = 0; id < engines; ++id) {
+                made->directory.put(engine("e" + std::to_string(id)));
+            }
+            m_hosts.push_back(std::move(made));
+        }
+        m_chat.latency_target = 500ms;
+        m_chat.pause_target = 200ms;
+        m_slow = m_hosts[0]->directory.lane_order("llm")[0]->about.id;
+    }
+
+    void play()
+    {
+        constexpr model::milliseconds length{6'000};
+        constexpr model::milliseconds step{50};
+        constexpr int steps_between_digests = 4;
+        for (int number = 0; number * step < length; ++number) {
+            m_now = start + number * step;
+            if (number % steps_between_digests == 0) {
+                exchange();
+            }
+            place();
+            stream();
+        }
+    }
+
+private:
+    static constexpr int hosts = 8;
+    static constexpr int engines = 9;
+    static constexpr model::milliseconds usual_pause{60};
+    static constexpr model::milliseconds slow_pause{300};
+    static constexpr model::milliseconds stay{1'500};
+
+    struct host
+    {
+        routing::upstream_directory directory{measure};
+        routing::picker picker{directory};
+    };
+
+    struct running_stream
+    {
+        routing::upstream_ptr at;
+        model::time_point ends{};
+    };
+
+    void exchange()
+    {
+        for (auto const& to : m_hosts) {
+            to->directory.each([&](routing::upstream_state& state) {
+                state.others = {};
+                state.others_pace = {};
+                for (auto const& from : m_hosts) {
+                    auto const told = from->directory.find(state.about.id);
+                    if (from == to) {
+                        continue;
+                    }
+                    state.others.add(told->own);
+                    if (shares_pace) {
+                        state.others_pace.merge(told->own_pace.pace(m_now));
+                    }
+                }
+            });
+        }
+    }
+
+    void place()
+    {
+        ++m_count;
+        host& by = *m_hosts[m_count % hosts];
+        routing::prompt asked;
+        asked.parts = {{100 + m_count * 7 % 40, 350}, {m_count, 1'100}};
+        asked.tokens = 1'450;
+        routing::pick_request request;
+        request.route = &m_chat;
+        request.prompt = &asked;
+        request.service = "llm";
+        request.is_most_urgent = true;
+        auto const chosen = by.picker.choose(request, m_now);
+        chosen.to->own.running += 1;
+        chosen.to->own.urgent += 1;
+        (chosen.to->about.id == m_slow ? in_jerks : smooth) += 1;
+        m_streams.push_back({chosen.to, m_now + stay});
+    }
+
+    void stream()
+    {
+        for (running_stream const& item : m_streams) {
+            bool const is_slow = item.at->about.id == m_slow;
+            if (knows_pace) {
+                item.at->own_pace.note_pause(is_slow ? slow_pause : usual_pause,
+                                             m_now);
+            }
+            if (item.ends <= m_now) {
+                item.at->own.running -= 1;
+                item.at->own.urgent -= 1;
+            }
+        }
+        std::erase_if(m_streams, [this](running_stream const& item) {
+            return item.ends <= m_now;
+        });
+    }
+
+    std::vector<std::unique_ptr<host>> m_hosts;
+    std::vector<running_stream> m_streams;
+    std::string m_slow;
+    routing::route m_chat =
+        make_route("/chat/", routing::request_kind::stream, 0);
+    model::time_point m_now = start;
+    std::uint64_t m_count = 0;
+};
+
+} // namespace
+
+TEST_CASE("an engine whose first events come late is slow, until it isn't")
+{
+    pace_meter meter;
+    CHECK(meter.pace(start).voters == 0);
+    for (int number = 0; number < 10; ++number) {
+        meter.end(meter.begin(start, 100ms), start + 400ms);
+    }
+    CHECK(meter.pace(start + 1s).slowness > 3.5);
+    for (int number = 0; number < 10; ++number) {
+        meter.end(meter.begin(start + 1s, 100ms), start + 1'100ms);
+    }
+    CHECK(meter.pace(start + 1s).slowness < 1.3);
+}
+
+// An engine turns slow while prompts wait there. Until the first of them is
+// read nothing comes from it, and callers are sent after those that wait.
+TEST_CASE("a request that waits far beyond its forecast tells of slowness")
+{
+    pace_meter meter;
+    auto const waiting = meter.begin(start, 300ms);
+    CHECK(meter.pace(start + 400ms).voters == 0);
+    CHECK(meter.pace(start + 1'500ms).slowness == doctest::Approx(5.0));
+    meter.drop(waiting);
+    CHECK(meter.pace(start + 1'500ms).voters == 0);
+}
+
+TEST_CASE("what was seen long ago tells nothing")
+{
+    pace_meter meter;
+    meter.end(meter.begin(start, 100ms), start + 800ms);
+    meter.note_pause(700ms, start);
+    CHECK(meter.pace(start + 1s).voters == 1);
+    CHECK(meter.pace(start + 1s).pause == 350ms);
+    CHECK(meter.pace(start + 10s).voters == 0);
+    CHECK(meter.pace(start + 10s).pause < 2ms);
+}
+
+TEST_CASE("hosts' views of a pace are averaged, the longest pause counts")
+{
+    upstream_pace all{2.0, 1, 50ms};
+    all.merge({4.0, 1, 200ms});
+    CHECK(all.slowness == doctest::Approx(3.0));
+    CHECK(all.pause == 200ms);
+    all.merge({9.0, 0, 0ms});
+    CHECK(all.slowness == doctest::Approx(3.0));
+    upstream_pace none;
+    none.merge(all);
+    CHECK(none.slowness == doctest::Approx(3.0));
+}
+
+// One of the engines for urgent streams turns five times slower. First events
+// come in time from there all the same, and each host has but an eighth of the
+// streams: what one caller sees must keep the next ones of all hosts away.
+TEST_CASE("hosts that share what they see keep streams off a slow engine")
+{
+    slow_engine_load blind;
+    blind.knows_pace = false;
+    blind.play();
+    slow_engine_load alone;
+    alone.shares_pace = false;
+    alone.play();
+    slow_engine_load shared;
+    shared.play();
+    CAPTURE(blind.in_jerks);
+    CAPTURE(alone.in_jerks);
+    CAPTURE(shared.in_jerks);
+    CHECK(blind.in_jerks >= 40);
+    CHECK(alone.in_jerks <= blind.in_jerks / 2);
+    CHECK(shared.in_jerks <= alone.in_jerks / 2);
+}
--- a/tests/routing/peer_table_test.cpp
+++ b/tests/routing/peer_table_test.cpp
@@ -49,17 +49,17 @@
 {
     peer_table table(host(0), 1, {});
     auto told = digest(1);
-    told.loads = {{7, {3, 900}}};
+    told.loads = {{7, {3, 900, 0}, {}}};
     table.hear(host(1), told, start);
     table.hear(host(2), told, start);
     table.add_up();
-    CHECK(table.load_of(7).running == 6);
-    CHECK(table.load_of(7).unread_tokens == 1'800);
+    CHECK(table.load_of(7).load.running == 6);
+    CHECK(table.load_of(7).load.unread_tokens == 1'800);
     told.sequence = 3;
     told.loads.clear();
     table.hear(host(1), told, start);
     table.add_up();
-    CHECK(table.load_of(7).running == 3);
+    CHECK(table.load_of(7).load.running == 3);
 }
 
 // Datagrams overtake each other. An old one would bring back load that has
@@ -69,10 +69,10 @@
     peer_table table(host(0), 1, {});
     table.hear(host(1), digest(5), start);
     auto late = digest(4);
-    late.loads = {{7, {3, 900}}};
+    late.loads = {{7, {3, 900, 0}, {}}};
     table.hear(host(1), late, start);
     table.add_up();
-    CHECK(table.load_of(7).running == 0);
+    CHECK(table.load_of(7).load.running == 0);
 }
 
 TEST_CASE("a host that starts anew is heard although its count is lower")
@@ -81,20 +81,20 @@
     table.hear(host(1), digest(5), start);
     auto anew = digest(1);
     anew.generation = 2;
-    anew.loads = {{7, {1, 10}}};
+    anew.loads = {{7, {1, 10, 0}, {}}};
     table.hear(host(1), anew, start);
     table.add_up();
-    CHECK(table.load_of(7).running == 1);
+    CHECK(table.load_of(7).load.running == 1);
     anew.generation = 1;
-    anew.loads = {{7, {2, 10}}};
+    anew.loads = {{7, {2, 10, 0}, {}}};
     table.hear(host(1), anew, start);
     table.add_up();
-    CHECK(table.load_of(7).running == 2);
-    anew.loads = {{7, {1, 10}}};
+    CHECK(table.load_of(7).load.running == 2);
+    anew.loads = {{7, {1, 10, 0}, {}}};
     anew.sequence = 2;
     table.hear(host(1), anew, start);
     table.add_up();
-    CHECK(table.load_of(7).running == 1);
+    CHECK(table.load_of(7).load.running == 1);
 }
 
 // A host loses power. What it had sent ends with it, and load that is never
@@ -103,12 +103,12 @@
 {
     peer_table table(host(0), 1, {});
     auto told = digest(1);
-    told.loads = {{7, {3, 900}}};
+    told.loads = {{7, {3, 900, 0}, {}}};
     table.hear(host(1), told, start);
     table.forget_silent(start + 5s);
     table.add_up();
     CHECK(table.alive() == 0);
-    CHECK(table.load_of(7).running == 0);
+    CHECK(table.load_of(7).load.running == 0);
     CHECK(table.most_seen() == 2);
 }
 
@@ -212,7 +212,7 @@
                        std::uint64_t sequence,
                        std::uint64_t revision,
                        std::uint32_t seen,
-                       std::uint64_t upstream,
+                       std::uint32_t upstream,
                        std::uint16_t running,
                        std::uint32_t unread) {
         proxy::digest_frame frame;
@@ -221,9 +221,10 @@
         frame.digest.revision = revision;
         frame.digest.hosts_seen = seen;
         frame.digest.speaks = true;
-        frame.digest.loads = {{upstream, {running, unread}}};
-        frame.digest.sums = {{upstream + 1, {running, unread}}};
-        frame.digest.beyond = {{upstream + 2, {running, unread}}};
+        frame.digest.loads = {
+            {upstream, {running, unread, 5}, {1.5, 1, 120ms}}};
+        frame.digest.sums = {{upstream + 1, {running, unread, 0}, {}}};
+        frame.digest.beyond = {{upstream + 2, {running, unread, 0}, {}}};
         frame.digest.suspects = {{upstream, seen}};
         frame.digest.hosts_here = seen / 2;
         frame.digest.hosts_alive = seen;
@@ -245,6 +246,11 @@
         RC_ASSERT(read->digest.loads[0].upstream == upstream);
         RC_ASSERT(read->digest.loads[0].load.running == running);
         RC_ASSERT(read->digest.loads[0].load.unread_tokens == unread);
+        RC_ASSERT(read->digest.loads[0].load.urgent == 5);
+        RC_ASSERT(read->digest.loads[0].pace.slowness == 1.5);
+        RC_ASSERT(read->digest.loads[0].pace.voters == 1);
+        RC_ASSERT(read->digest.loads[0].pace.pause == 120ms);
+        RC_ASSERT(read->digest.sums[0].pace.voters == 0);
         RC_ASSERT(read->digest.sums[0].upstream == upstream + 1);
         RC_ASSERT(read->digest.beyond[0].upstream == upstream + 2);
         RC_ASSERT(read->digest.suspects[0].crashes == seen);
--- a/tests/routing/picker_test.cpp
+++ b/tests/routing/picker_test.cpp
@@ -290,3 +290,33 @@
     directory.find("near")->own.running = 2'000;
     CHECK(picker.choose(request, start).to->about.id == "far");
 }
+
+// The engine of urgent streams nearby turns slow. Its first events still come
+// in time, but words come in jerks to all who are sent there, while another
+// engine runs at full speed.
+TEST_CASE("urgent streams leave an engine whose streams pause")
+{
+    site slow(12);
+    auto const usual = slow.place(slow.chat, 10, 60, 500).to;
+    slow.chat.pause_target = 200ms;
+    usual->others_pace.pause = 600ms;
+    CHECK(slow.place(slow.chat, 10, 60, 500).to != usual);
+    site calm(12);
+    calm.chat.pause_target = 200ms;
+    calm.directory.find(usual->about.id)->others_pace.pause = 100ms;
+    CHECK(calm.place(calm.chat, 10, 60, 500).to->about.id == usual->about.id);
+}
+
+// An engine comes back and the order of engines for urgent streams changes.
+// Streams still run on the one that left it; prompts that came at once would
+// make all of them pause.
+TEST_CASE("prompts wait until the urgent streams of an engine have ended")
+{
+    site calm(12);
+    auto const home = calm.place(calm.bulk, 10, 4'000, 2'000).to;
+    home->others.urgent = 25;
+    auto const away = calm.place(calm.bulk, 10, 4'000, 2'000).to;
+    CHECK(away != home);
+    home->others.urgent = 2;
+    CHECK(calm.place(calm.bulk, 10, 4'000, 2'000).to == home);
+}
