--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -79,6 +79,15 @@
         log_ended(ended);
         m_metrics.count(ended);
     };
+    m_context.on_connection_ended =
+        [this](proxy::connection_report const& ended) {
+            log_connection(ended);
+            m_metrics.count(ended);
+        };
+    m_context.on_late = [this](model::milliseconds late) {
+        runtime::log_line("loop_late").field("late_ms", late.count());
+        m_metrics.count_late(late);
+    };
     m_context.on_retried = [this](proxy::exchange_report const& tried) {
         log_retried(tried);
     };
@@ -212,51 +221,6 @@
     }
 }
 
-void routed_host::log_retried(proxy::exchange_report const& tried)
-{
-    runtime::log_line("request_retried")
-        .field("id", tried.id)
-        .field("route", tried.route)
-        .field("service", tried.service)
-        .field("last_try", tried.last_try)
-        .field("upstream", tried.upstream)
-        .field("sent", tried.sent)
-        .field("unreached", tried.unreached)
-        .field("budget_left", tried.budget_left)
-        .field("total_ms", tried.total.count());
-}
-
-void routed_host::log_ended(proxy::exchange_report const& ended)
-{
-    runtime::log_line line("request_ended");
-    line.field("id", ended.id)
-        .field("route", ended.route)
-        .field("service", ended.service)
-        .field("team", ended.team)
-        .field("status", ended.status)
-        .field("outcome", ended.outcome)
-        .field("reason", ended.reason)
-        .field("last_try", ended.last_try)
-        .field("upstream", ended.upstream)
-        .field("sent", ended.sent)
-        .field("unreached", ended.unreached)
-        .field("candidates", ended.candidates)
-        .field("forecast_ms", ended.forecast.count())
-        .field("cold_tokens", ended.cold_tokens)
-        .field("running", ended.running)
-        .field("unread_tokens", ended.unread_tokens)
-        .field("slowness", ended.pace.slowness)
-        .field("paused_ms", ended.pace.pause.count())
-        .field("lane", ended.lane)
-        .field("first_byte_ms", ended.first_byte.count())
-        .field("total_ms", ended.total.count())
-        .field("events", ended.events)
-        .field("longest_pause_ms", ended.longest_pause.count())
-        .field("on_time", ended.on_time)
-        .field("config_version", ended.config_version)
-        .field("config_age_ms", ended.config_age.count());
-}
-
 std::string routed_host::metrics_text()
 {
     m_metrics.set_beliefs(
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -47,6 +47,7 @@
     void note_read();
     void log_retried(proxy::exchange_report const& tried);
     void log_ended(proxy::exchange_report const& ended);
+    void log_connection(proxy::connection_report const& ended);
     void plan_stop();
     void reload();
     bool is_ready() const;
--- /dev/null
+++ b/src/program/routed_host_log.cpp
@@ -0,0 +1,69 @@
+#include "program/routed_host.hpp"
+#include "runtime/log_line.hpp"
+
+namespace caperjunction::program {
+
+void routed_host::log_retried(proxy::exchange_report const& tried)
+{
+    runtime::log_line("request_retried")
+        .field("id", tried.id)
+        .field("route", tried.route)
+        .field("service", tried.service)
+        .field("last_try", tried.last_try)
+        .field("upstream", tried.upstream)
+        .field("sent", tried.sent)
+        .field("unreached", tried.unreached)
+        .field("budget_left", tried.budget_left)
+        .field("total_ms", tried.total.count());
+}
+
+void routed_host::log_ended(proxy::exchange_report const& ended)
+{
+    runtime::log_line line("request_ended");
+    line.field("id", ended.id)
+        .field("route", ended.route)
+        .field("service", ended.service)
+        .field("team", ended.team)
+        .field("status", ended.status)
+        .field("outcome", ended.outcome)
+        .field("reason", ended.reason)
+        .field("last_try", ended.last_try)
+        .field("upstream", ended.upstream)
+        .field("sent", ended.sent)
+        .field("unreached", ended.unreached)
+        .field("candidates", ended.candidates)
+        .field("forecast_ms", ended.forecast.count())
+        .field("cold_tokens", ended.cold_tokens)
+        .field("running", ended.running)
+        .field("unread_tokens", ended.unread_tokens)
+        .field("slowness", ended.pace.slowness)
+        .field("paused_ms", ended.pace.pause.count())
+        .field("lane", ended.lane)
+        .field("first_byte_ms", ended.first_byte.count())
+        .field("total_ms", ended.total.count())
+        .field("ended_by", ended.ended_by)
+        .field("unsent_bytes", ended.unsent_bytes)
+        .field("since_stop_ms", ended.since_stop.count())
+        .field("events", ended.events)
+        .field("longest_pause_ms", ended.longest_pause.count())
+        .field("on_time", ended.on_time)
+        .field("config_version", ended.config_version)
+        .field("config_age_ms", ended.config_age.count());
+}
+
+void routed_host::log_connection(proxy::connection_report const& ended)
+{
+    if (!ended.is_loss()) {
+        return;
+    }
+    runtime::log_line("connection_lost")
+        .field("id", ended.id)
+        .field("by", proxy::to_string(ended.by))
+        .field("during", ended.during)
+        .field("unsent_bytes", ended.unsent_bytes)
+        .field("late_bytes", ended.late_bytes)
+        .field("since_ms", ended.since.count())
+        .field("since_stop_ms", m_context.since_stop().count());
+}
+
+} // namespace caperjunction::program
--- a/src/program/routed_metrics.cpp
+++ b/src/program/routed_metrics.cpp
@@ -49,6 +49,19 @@
                   .Name("caperjunction_routed_request_seconds")
                   .Help("From arrival to the end, by service and outcome")
                   .Register(*m_registry))
+    , m_connections(
+          prometheus::BuildCounter()
+              .Name("caperjunction_routed_connections_ended_total")
+              .Help("Callers' connections that ended, by whom and during what")
+              .Register(*m_registry))
+    , m_lost_bytes(prometheus::BuildCounter()
+                       .Name("caperjunction_routed_lost_bytes_total")
+                       .Help("Bytes of answers not sent, of requests too late")
+                       .Register(*m_registry))
+    , m_late(prometheus::BuildHistogram()
+                 .Name("caperjunction_routed_loop_late_seconds")
+                 .Help("Noticeable delays of the loop")
+                 .Register(*m_registry))
     , m_gauges(prometheus::BuildGauge()
                    .Name("caperjunction_routed_state")
                    .Help("What this host believes and does, by part")
@@ -88,6 +101,23 @@
         .Observe(model::seconds(ended.total).count());
 }
 
+void routed_metrics::count(proxy::connection_report const& ended)
+{
+    m_connections
+        .Add({{"by", std::string(proxy::to_string(ended.by))},
+              {"during", std::string(ended.during)}})
+        .Increment();
+    m_lost_bytes.Add({{"bytes", "unsent"}})
+        .Increment(static_cast<double>(ended.unsent_bytes));
+    m_lost_bytes.Add({{"bytes", "late"}})
+        .Increment(static_cast<double>(ended.late_bytes));
+}
+
+void routed_metrics::count_late(model::milliseconds late)
+{
+    m_late.Add({}, seconds_buckets()).Observe(model::seconds(late).count());
+}
+
 void routed_metrics::set_beliefs(std::uint64_t config_version,
                                  double config_age_s,
                                  double upstreams)
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
 #define CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
 
+#include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
 
 #include <prometheus/counter.h>
@@ -25,6 +26,9 @@
     routed_metrics();
 
     void count(proxy::exchange_report const& ended);
+    void count(proxy::connection_report const& ended);
+    /// Counts a delay of the loop.
+    void count_late(model::milliseconds late);
     void set_beliefs(std::uint64_t config_version,
                      double config_age_s,
                      double upstreams);
@@ -41,6 +45,9 @@
     prometheus::Family<prometheus::Histogram>& m_forecast_ratio;
     prometheus::Family<prometheus::Histogram>& m_pause;
     prometheus::Family<prometheus::Histogram>& m_total;
+    prometheus::Family<prometheus::Counter>& m_connections;
+    prometheus::Family<prometheus::Counter>& m_lost_bytes;
+    prometheus::Family<prometheus::Histogram>& m_late;
     prometheus::Family<prometheus::Gauge>& m_gauges;
 };
 
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -58,8 +58,8 @@
                               [self](std::string_view bytes) {
                                   self->take(bytes);
                               },
-                              [self](stream_end) {
-                                  self->connection_ended();
+                              [self](stream_end how) {
+                                  self->connection_ended(how);
                               },
                               [self] {
                                   if (self->m_exchange) {
@@ -181,112 +181,4 @@
     begun->start();
 }
 
-void caller::end_exchange(bool whole)
-{
-    auto const keep = shared_from_this();
-    m_exchange.reset();
-    release_body();
-    m_since = m_context.loop.now();
-    if (!whole) {
-        // A plain end could be taken for that of a body without length.
-        m_closing = true;
-        m_stream->reset();
-        m_on_closed(this);
-        return;
-    }
-    if (!keeps_alive()) {
-        m_closing = true;
-        m_stream->finish();
-        m_on_closed(this);
-        return;
-    }
-    m_stream->read(true);
-    if (!m_pending.empty()) {
-        // Not from here: the answer's last hook is still running.
-        std::weak_ptr<caller> const weak = weak_from_this();
-        m_context.loop.defer([weak] {
-            auto const own = weak.lock();
-            if (own && !own->m_exchange && !own->m_closing) {
-                own->feed(std::exchange(own->m_pending, {}));
-            }
-        });
-    }
-}
-
-void caller::reject(routing::refusal_reason reason)
-{
-    auto const keep = shared_from_this();
-    m_closing = true;
-    m_body = {};
-    release_body();
-    routing::refusal const refused = routing::refuse(reason, false);
-    std::string const* const id = m_head.find(m_context.names.request_id);
-    m_stream->write(refusal_text(refused,
-                                 m_has_head && id != nullptr ? *id : "",
-                                 m_context.names,
-                                 false,
-                                 false));
-    exchange_report report;
-    report.outcome = "refused";
-    report.reason = routing::to_string(reason);
-    report.status = refused.status;
-    if (m_context.on_ended) {
-        m_context.on_ended(report);
-    }
-    m_stream->finish();
-    m_on_closed(this);
-}
-
-void caller::connection_ended()
-{
-    auto const keep = shared_from_this();
-    if (auto const begun = std::exchange(m_exchange, nullptr)) {
-        begun->cancel();
-    }
-    if (!m_closing) {
-        m_closing = true;
-        m_on_closed(this);
-    }
-}
-
-void caller::drop()
-{
-    auto const keep = shared_from_this();
-    m_closing = true;
-    if (auto const begun = std::exchange(m_exchange, nullptr)) {
-        begun->cancel();
-    }
-    m_stream->close();
-}
-
-void caller::check_times()
-{
-    if (m_exchange || m_closing) {
-        return;
-    }
-    auto const waited = m_context.loop.now() - m_since;
-    if (m_reader.is_between()) {
-        if (waited > limits().idle_timeout) {
-            close_if_idle();
-        }
-        return;
-    }
-    auto const most =
-        m_has_head ? limits().idle_timeout : limits().header_timeout;
-    if (waited > most) {
-        reject(routing::refusal_reason::caller_too_slow);
-    }
-}
-
-void caller::close_if_idle()
-{
-    if (is_busy() || m_closing) {
-        return;
-    }
-    auto const keep = shared_from_this();
-    m_closing = true;
-    m_stream->finish();
-    m_on_closed(this);
-}
-
 } // namespace caperjunction::proxy
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -37,7 +37,8 @@
     /// Closes the connection if no request is on its way.
     void close_if_idle();
 
-    /// Ends the connection and the work for its request, without a word.
+    /// Ends the connection and the work for its request, without a word: the
+    /// process ends.
     void drop();
 
     /// A request is being read or served.
@@ -55,7 +56,11 @@
     void end_exchange(bool whole);
     void reject(routing::refusal_reason reason);
     void release_body();
-    void connection_ended();
+    void connection_ended(stream_end how);
+    void finish();
+    void report_end(finish_report const& left);
+    std::string_view activity() const;
+    std::string_view request_id() const;
     bool keeps_alive() const;
     routing::caller_limits const& limits() const;
 
--- /dev/null
+++ b/src/proxy/caller_end.cpp
@@ -0,0 +1,160 @@
+#include "proxy/caller.hpp"
+
+#include "proxy/connection_report.hpp"
+#include "proxy/message_text.hpp"
+
+#include <utility>
+
+namespace caperjunction::proxy {
+
+void caller::end_exchange(bool whole)
+{
+    auto const keep = shared_from_this();
+    m_exchange.reset();
+    release_body();
+    m_since = m_context.loop.now();
+    if (!whole) {
+        // A plain end could be taken for that of a body without length.
+        m_closing = true;
+        m_stream->reset();
+        m_on_closed(this);
+        return;
+    }
+    if (!keeps_alive()) {
+        finish();
+        return;
+    }
+    m_stream->read(true);
+    if (!m_pending.empty()) {
+        // Not from here: the answer's last hook is still running.
+        std::weak_ptr<caller> const weak = weak_from_this();
+        m_context.loop.defer([weak] {
+            auto const own = weak.lock();
+            if (own && !own->m_exchange && !own->m_closing) {
+                own->feed(std::exchange(own->m_pending, {}));
+            }
+        });
+    }
+}
+
+void caller::reject(routing::refusal_reason reason)
+{
+    auto const keep = shared_from_this();
+    m_closing = true;
+    m_body = {};
+    release_body();
+    routing::refusal const refused = routing::refuse(reason, false);
+    std::string const* const id = m_head.find(m_context.names.request_id);
+    m_stream->write(refusal_text(refused,
+                                 m_has_head && id != nullptr ? *id : "",
+                                 m_context.names,
+                                 false,
+                                 false));
+    exchange_report report;
+    report.outcome = "refused";
+    report.reason = routing::to_string(reason);
+    report.status = refused.status;
+    if (m_context.on_ended) {
+        m_context.on_ended(report);
+    }
+    finish();
+}
+
+void caller::connection_ended(stream_end how)
+{
+    auto const keep = shared_from_this();
+    report_end({how, m_stream->unsent(), 0});
+    if (auto const begun = std::exchange(m_exchange, nullptr)) {
+        begun->cancel(to_string(how));
+    }
+    if (!m_closing) {
+        m_closing = true;
+        m_on_closed(this);
+    }
+}
+
+void caller::drop()
+{
+    auto const keep = shared_from_this();
+    report_end({stream_end::own_close, m_stream->unsent(), 0});
+    m_closing = true;
+    if (auto const begun = std::exchange(m_exchange, nullptr)) {
+        begun->cancel(to_string(stream_end::own_close));
+    }
+    m_stream->close();
+}
+
+// A last answer may still be on its way out: the connection is over when the
+// other side has closed too.
+void caller::finish()
+{
+    m_closing = true;
+    auto const self = shared_from_this();
+    m_stream->finish([self](finish_report const& left) {
+        self->report_end(left);
+    });
+    m_on_closed(this);
+}
+
+std::string_view caller::activity() const
+{
+    if (m_closing) {
+        return "finishing";
+    }
+    if (m_exchange) {
+        return "serving";
+    }
+    return m_reader.is_between() ? "idle" : "reading";
+}
+
+std::string_view caller::request_id() const
+{
+    std::string const* const id = m_head.find(m_context.names.request_id);
+    return id == nullptr ? std::string_view() : std::string_view(*id);
+}
+
+void caller::report_end(finish_report const& left)
+{
+    if (!m_context.on_connection_ended) {
+        return;
+    }
+    connection_report report;
+    report.by = left.by;
+    report.during = activity();
+    report.id = request_id();
+    report.unsent_bytes = left.unsent_bytes;
+    report.late_bytes = left.late_bytes + m_pending.size();
+    report.since = std::chrono::duration_cast<model::milliseconds>(
+        m_context.loop.now() - m_since);
+    m_context.on_connection_ended(report);
+}
+
+void caller::check_times()
+{
+    if (m_exchange || m_closing) {
+        return;
+    }
+    auto const waited = m_context.loop.now() - m_since;
+    if (m_reader.is_between()) {
+        if (waited > limits().idle_timeout) {
+            close_if_idle();
+        }
+        return;
+    }
+    auto const most =
+        m_has_head ? limits().idle_timeout : limits().header_timeout;
+    if (waited > most) {
+        reject(routing::refusal_reason::caller_too_slow);
+    }
+}
+
+void caller::close_if_idle()
+{
+    if (is_busy() || m_closing) {
+        return;
+    }
+    auto const keep = shared_from_this();
+    finish();
+}
+
+} // namespace caperjunction::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -31,6 +31,7 @@
     , m_facts(read_facts(m_head, context.names))
     , m_arrived(context.loop.now())
     , m_arrived_boot(arrived_boot)
+    , m_since_stop(context.since_stop())
 {
 }
 
@@ -103,12 +104,13 @@
     refuse(step::timed_out);
 }
 
-void exchange::cancel()
+void exchange::cancel(std::string_view ended_by)
 {
     if (m_ended) {
         return;
     }
     drop_connection();
+    m_report.ended_by = ended_by;
     m_port.end = [](bool) {};
     end("left", false);
 }
@@ -154,6 +156,8 @@
     m_report.lane = m_pick.lane;
     m_report.candidates = m_pick.candidates;
     m_report.total = since(m_arrived, m_context.loop.now());
+    m_report.since_stop = m_since_stop;
+    m_report.unsent_bytes = m_port.unsent();
     m_report.events = m_events;
     m_report.longest_pause = m_pauses.longest();
     m_report.config_version = m_table ? m_table->lists().version : 0;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -40,8 +40,10 @@
     /// Decides and sends. The port may be called before it returns.
     void start();
 
-    /// The caller has left: its work is ended at the upstream too, at once.
-    void cancel();
+    /// The caller's connection is over: the work is ended at the upstream
+    /// too, at once. `ended_by` names who ended the connection and must stay
+    /// valid.
+    void cancel(std::string_view ended_by);
 
     /// The caller has taken what was written.
     void drained();
@@ -109,6 +111,7 @@
 
     model::time_point m_arrived;
     model::time_point m_arrived_boot;
+    model::milliseconds m_since_stop;
     model::time_point m_give_up{};
     runtime::timer_handle m_deadline_timer;
     runtime::timer_handle m_silence_timer;
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -26,6 +26,14 @@
     std::string_view outcome;
     /// The refusal's reason, if there is one.
     std::string_view reason;
+    /// Who ended the caller's connection before its answer was whole, a name
+    /// of `stream_end`; empty if the answer went out or the upstream broke it
+    /// off.
+    std::string_view ended_by;
+    /// Bytes of the answer that this host still held at the end.
+    std::size_t unsent_bytes = 0;
+    /// From the signal to stop to the request; negative: there was none.
+    model::milliseconds since_stop{-1};
     /// How the last try that gave no answer ended; empty if none did.
     std::string_view last_try;
     /// Second sends that this host may still make to the service.
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -22,6 +22,10 @@
 /// How exactly idle and slow connections are ended.
 constexpr model::milliseconds sweep_period{250};
 
+/// A loop that comes to its timers so much later than asked lacks processor
+/// time.
+constexpr model::milliseconds noticeable_delay{250};
+
 /// Left for writing the last answers before the process is ended by force.
 constexpr model::milliseconds last_moment{250};
 
@@ -58,6 +62,7 @@
                 reinterpret_cast<sockaddr*>(&bound),
                 &size);
     m_port = ntohs(bound.sin_port);
+    m_swept_at = m_context.loop.now();
     m_sweep = m_context.loop.every(sweep_period, [this] {
         sweep();
     });
@@ -84,8 +89,20 @@
     made->serve(socket);
 }
 
+void relay::note_lateness()
+{
+    auto const now = m_context.loop.now();
+    auto const late = std::chrono::duration_cast<model::milliseconds>(
+        now - m_swept_at - sweep_period);
+    m_swept_at = now;
+    if (late >= noticeable_delay && m_context.on_late) {
+        m_context.on_late(late);
+    }
+}
+
 void relay::sweep()
 {
+    note_lateness();
     std::vector<std::shared_ptr<caller>> all;
     all.reserve(m_callers.size());
     for (auto const& [key, item] : m_callers) {
--- a/src/proxy/relay.hpp
+++ b/src/proxy/relay.hpp
@@ -52,6 +52,7 @@
 private:
     void accept(int socket);
     void sweep();
+    void note_lateness();
     void check_stop();
     bool is_busy() const;
 
@@ -60,6 +61,7 @@
     std::uint16_t m_port = 0;
     std::map<caller const*, std::shared_ptr<caller>> m_callers;
     runtime::timer_handle m_sweep;
+    model::time_point m_swept_at;
 
     std::function<void()> m_on_stopped;
 };
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_PROXY_RELAY_CONTEXT_HPP
 
 #include "model/time.hpp"
+#include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
 #include "proxy/relay_settings.hpp"
 #include "proxy/upstream_pool.hpp"
@@ -50,6 +51,11 @@
     std::function<void(exchange_report const&)> on_retried;
     /// Called once for each request that ended.
     std::function<void(exchange_report const&)> on_ended;
+    /// Called once for each caller's connection that ended.
+    std::function<void(connection_report const&)> on_connection_ended;
+    /// Called when the loop came to its sweep later than it should have, by
+    /// so much: it lacks processor time.
+    std::function<void(model::milliseconds)> on_late;
 
     /// Set from the signal to stop: answers close their connections.
     bool is_stopping = false;
@@ -74,15 +80,20 @@
     {
     }
 
+    /// Since the signal to stop; negative: there was none.
+    model::milliseconds since_stop() const
+    {
+        return is_stopping ? std::chrono::duration_cast<model::milliseconds>(
+                   loop.now() - stop_began)
+                           : model::milliseconds{-1};
+    }
+
     /// Whether a request that may take `longest` is taken now.
     bool takes_new(model::milliseconds longest) const
     {
         return !is_stopping
                || routing::takes_new(
-                   std::chrono::duration_cast<model::milliseconds>(
-                       loop.now() - stop_began),
-                   settings.stop_limit,
-                   longest);
+                   since_stop(), settings.stop_limit, longest);
     }
 
     /// Most urgent streams of `service` that run, from all hosts.
--- /dev/null
+++ b/src/proxy/socket_options.cpp
@@ -0,0 +1,44 @@
+#include "proxy/socket_options.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// How long sent bytes may stay unacknowledged. A host that lost power never
+/// answers, and without the limit its connection hangs for minutes; a round
+/// trip takes some 20 ms, and a lost packet is sent again after some 200.
+constexpr int unacknowledged_ms = 1'500;
+
+void set_option(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof value);
+}
+
+} // namespace
+
+void prepare_socket(int socket)
+{
+    // Small writes must not wait for an acknowledgement, some 40 ms.
+    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
+stream_end end_of(int failure)
+{
+    switch (failure) {
+    case ECONNRESET:
+    case EPIPE:
+        return stream_end::reset;
+    case ETIMEDOUT:
+        return stream_end::unacknowledged;
+    default:
+        return stream_end::broken;
+    }
+}
+
+} // namespace caperjunction::proxy
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -1,10 +1,11 @@
 #include "proxy/stream.hpp"
 
+#include "proxy/socket_options.hpp"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,27 +19,10 @@
 /// Taken in one read; larger than any event, and shared by all connections.
 constexpr std::size_t read_bytes = 65'536;
 
-/// How long sent bytes may stay unacknowledged. A host that lost power never
-/// answers, and without the limit its connection hangs for minutes; a round
-/// trip takes some 20 ms, and a lost packet is sent again after some 200.
-constexpr int unacknowledged_ms = 1'500;
-
 /// Time in which the other side may close after an answer that ends the
 /// connection.
 constexpr model::milliseconds closing_time{1'000};
 
-void set_option(int socket, int level, int name, int value)
-{
-    setsockopt(socket, level, name, &value, sizeof value);
-}
-
-void prepare(int socket)
-{
-    // Small writes must not wait for an acknowledgement, some 40 ms.
-    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
-}
-
 } // namespace
 
 stream::stream(runtime::event_loop& loop, int socket, hooks call)
@@ -69,7 +53,7 @@
     bool ok = socket >= 0
               && inet_pton(AF_INET, to.address.c_str(), &address.sin_addr) == 1;
     if (ok) {
-        prepare(socket);
+        prepare_socket(socket);
         ok = ::connect(
                  socket, reinterpret_cast<sockaddr*>(&address), sizeof address)
                  == 0
@@ -96,7 +80,7 @@
 stream::adopt(runtime::event_loop& loop, int socket, hooks call)
 {
     std::shared_ptr<stream> made(new stream(loop, socket, std::move(call)));
-    prepare(socket);
+    prepare_socket(socket);
     made->watch();
     event_add(made->m_read, nullptr);
     return made;
@@ -133,6 +117,7 @@
     auto const keep = shared_from_this();
     ssize_t const got = recv(m_socket, s_bytes.data(), s_bytes.size(), 0);
     if (got > 0) {
+        m_late_bytes += m_finishing ? static_cast<std::size_t>(got) : 0;
         if (!m_finishing && m_call.on_data) {
             auto const call = m_call.on_data;
             call({s_bytes.data(), static_cast<std::size_t>(got)});
@@ -142,7 +127,7 @@
     if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    end(got == 0 ? stream_end::closed : stream_end::broken);
+    end(got == 0 ? stream_end::closed : end_of(errno));
 }
 
 void stream::handle_writable()
@@ -174,7 +159,7 @@
     while (evbuffer_get_length(m_unsent) > 0) {
         if (evbuffer_write(m_unsent, m_socket) < 0) {
             if (errno != EAGAIN && errno != EINTR) {
-                end(stream_end::broken);
+                end(end_of(errno));
                 return;
             }
             event_add(m_write, nullptr);
@@ -239,18 +224,19 @@
     close();
 }
 
-void stream::finish()
+void stream::finish(std::function<void(finish_report const&)> on_finished)
 {
     if (!is_open() || m_finishing) {
         return;
     }
     m_finishing = true;
+    m_on_finished = std::move(on_finished);
     // Nobody hears of what follows; the owner may go.
     m_call = {};
     read(true);
     auto const keep = shared_from_this();
     m_timer = m_loop.after(closing_time, [keep] {
-        keep->close();
+        keep->end(stream_end::own_close);
     });
     if (unsent() == 0) {
         shutdown(m_socket, SHUT_WR);
@@ -261,10 +247,15 @@
 {
     bool const tell = !m_finishing;
     auto const call = m_call.on_end;
+    auto const on_finished = std::exchange(m_on_finished, nullptr);
+    finish_report const report{how, unsent(), m_late_bytes};
     close();
     if (tell && call) {
         call(how);
     }
+    if (on_finished) {
+        on_finished(report);
+    }
 }
 
 void stream::close()
--- a/src/proxy/stream.hpp
+++ b/src/proxy/stream.hpp
@@ -3,10 +3,10 @@
 
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
+#include "proxy/stream_end.hpp"
 #include "runtime/event_loop.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -16,15 +16,14 @@
 
 namespace caperjunction::proxy {
 
-/// How a connection ended.
-enum class stream_end : std::uint8_t
+/// What was left when a connection that this host closed is over.
+struct finish_report
 {
-    /// The other side has sent all that it will send.
-    closed,
-    /// Bytes may be lost.
-    broken,
-    /// The connection never came about.
-    unreachable,
+    stream_end by = stream_end::closed;
+    /// Bytes that the system had not taken.
+    std::size_t unsent_bytes = 0;
+    /// Bytes that came after this host had begun to close.
+    std::size_t late_bytes = 0;
 };
 
 /// One TCP connection on the loop.
@@ -79,7 +78,9 @@
     /// Sends what is left, says that nothing follows, and closes when the
     /// other side has closed too. Closing at once, with bytes of the caller
     /// unread, would reset the connection and the answer with it.
-    void finish();
+    ///
+    /// `on_finished` is called once, when the connection is over.
+    void finish(std::function<void(finish_report const&)> on_finished = {});
 
     bool is_open() const
     {
@@ -104,6 +105,8 @@
     runtime::timer_handle m_timer;
     bool m_connecting = false;
     bool m_finishing = false;
+    std::size_t m_late_bytes = 0;
+    std::function<void(finish_report const&)> m_on_finished;
 };
 
 } // namespace caperjunction::proxy
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -69,6 +69,11 @@
         reports.push_back(ended);
         outcomes.emplace_back(ended.outcome);
     };
+    context.on_connection_ended =
+        [this](proxy::connection_report const& ended) {
+            connections.push_back(ended);
+            connections.back().id = {};
+        };
 }
 
 scripted_upstream&
--- a/tests/proxy/relay_fixture.hpp
+++ b/tests/proxy/relay_fixture.hpp
@@ -59,6 +59,7 @@
     proxy::relay_context context;
     std::vector<proxy::exchange_report> reports;
     std::vector<std::string> outcomes;
+    std::vector<proxy::connection_report> connections;
 
 private:
     std::vector<std::unique_ptr<scripted_upstream>> m_upstreams;
