--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -6,6 +6,7 @@
 #include "program/routed_flags.hpp"
 #include "program/settings_file.hpp"
 #include "runtime/log_line.hpp"
+#include "runtime/signal_stamp.hpp"
 
 #include <absl/flags/flag.h>
 #include <event2/event.h>
@@ -171,6 +172,7 @@
         },
         this);
     event_add(term, nullptr);
+    runtime::stamp_signal(SIGTERM);
     event* const hup = evsignal_new(
         m_loop.base(),
         SIGHUP,
@@ -183,8 +185,14 @@
 
 void routed_host::plan_stop()
 {
-    runtime::log_line("stopping").field("callers", m_relay.callers());
-    m_relay.plan_stop([this] {
+    auto const signalled = runtime::last_signal(m_loop.now());
+    runtime::log_line("stopping")
+        .field("callers", m_relay.callers())
+        .field("noticed_after_ms",
+               std::chrono::duration_cast<model::milliseconds>(m_loop.now()
+                                                               - signalled)
+                   .count());
+    m_relay.plan_stop(signalled, [this] {
         m_loop.stop();
     });
 }
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -26,9 +26,6 @@
 /// time.
 constexpr model::milliseconds noticeable_delay{250};
 
-/// Left for writing the last answers before the process is ended by force.
-constexpr model::milliseconds last_moment{250};
-
 } // namespace
 
 relay::relay(relay_context& context)
@@ -125,14 +122,15 @@
     });
 }
 
-void relay::plan_stop(std::function<void()> on_stopped)
+void relay::plan_stop(model::time_point signalled,
+                      std::function<void()> on_stopped)
 {
     if (m_context.is_stopping) {
         return;
     }
     m_context.is_stopping = true;
     m_on_stopped = std::move(on_stopped);
-    m_context.stop_began = m_context.loop.now();
+    m_context.stop_began = signalled;
 }
 
 void relay::check_stop()
@@ -150,7 +148,7 @@
     }
     bool const is_done =
         since > routing::balancer_lag + sweep_period && !is_busy();
-    if (is_done || since > limit - last_moment) {
+    if (is_done || since > limit - routing::last_moment) {
         auto const call = std::exchange(m_on_stopped, nullptr);
         if (call) {
             call();
--- a/src/proxy/relay.hpp
+++ b/src/proxy/relay.hpp
@@ -35,9 +35,12 @@
         return m_port;
     }
 
-    /// Begins the planned stop; `on_stopped` is called when nothing is left
-    /// or the limit is near.
-    void plan_stop(std::function<void()> on_stopped);
+    /// Begins the planned stop, whose signal was delivered at `signalled`;
+    /// `on_stopped` is called when nothing is left or the limit is near.
+    ///
+    /// \pre `signalled` is not later than now.
+    void plan_stop(model::time_point signalled,
+                   std::function<void()> on_stopped);
 
     bool is_stopping() const
     {
--- a/tests/proxy/relay_faults_test.cpp
+++ b/tests/proxy/relay_faults_test.cpp
@@ -298,7 +298,7 @@
     auto const kept = site.connect();
     site.run_for(20ms);
     bool stopped = false;
-    site.relay.plan_stop([&stopped] {
+    site.relay.plan_stop(site.loop.now(), [&stopped] {
         stopped = true;
     });
     kept->stream->write(relay_fixture::request("/book/"));
--- a/tests/routing/admission_test.cpp
+++ b/tests/routing/admission_test.cpp
@@ -159,6 +159,25 @@
     CHECK(!routing::takes_new(1'500ms, 2'000ms, 15'000ms));
 }
 
+// A stopping host takes a request that its own end then cuts off: a caller
+// loses the answer to a request that ran.
+TEST_CASE("a stopping host takes late requests only if they end before it")
+{
+    constexpr auto limit = 8'000ms;
+    // The balancer's lag counts from the signal, and a busy host may read a
+    // request and notice the signal late.
+    CHECK(!routing::takes_new(2'900ms, limit, 15'000ms));
+    // The process leaves before the limit.
+    CHECK(!routing::takes_new(4'900ms, limit, 3'000ms));
+    for (auto since = 2'500ms; since < limit; since += 10ms) {
+        for (auto longest = 100ms; longest < limit; longest += 100ms) {
+            if (routing::takes_new(since, limit, longest)) {
+                CHECK(since + longest < limit - 250ms);
+            }
+        }
+    }
+}
+
 // The store comes back and all hosts watch it anew at the same moment. If
 // they also confirmed their keys at the same moments, the next outage would
 // find all of them equally old, and callers with good keys be refused early.
--- /dev/null
+++ b/tests/runtime/signal_stamp_test.cpp
@@ -0,0 +1,42 @@
+#include "runtime/event_loop.hpp"
+#include "runtime/signal_stamp.hpp"
+
+#include <doctest/doctest.h>
+#include <event2/event.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace caperjunction::test {
+
+using namespace std::chrono_literals;
+
+// A busy loop handles the signal to stop late, and takes what it can't finish
+// by then: limits count from the signal's delivery.
+TEST_CASE("a signal's delivery is known however late it is handled")
+{
+    runtime::event_loop loop;
+    bool handled = false;
+    event* const term = evsignal_new(
+        loop.base(),
+        SIGUSR1,
+        [](int, short, void* seen) {
+            *static_cast<bool*>(seen) = true;
+        },
+        &handled);
+    event_add(term, nullptr);
+    runtime::stamp_signal(SIGUSR1);
+    auto const before = loop.now();
+    CHECK(runtime::last_signal(before) == before);
+    std::raise(SIGUSR1);
+    auto const after = loop.now();
+    std::this_thread::sleep_for(50ms);
+    loop.poll();
+    CHECK(handled);
+    CHECK(runtime::last_signal(loop.now()) >= before);
+    CHECK(runtime::last_signal(loop.now()) <= after);
+    event_free(term);
+}
+
+} // namespace caperjunction::test
