--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -50,6 +50,7 @@
 void caller::serve(int socket)
 {
     m_since = m_context.loop.now();
+    m_longest_rest = limits().idle_timeout;
     // The hooks keep this caller alive until its connection is over.
     auto const self = shared_from_this();
     m_stream = stream::adopt(m_context.loop,
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -34,17 +34,19 @@
     /// Ends what has been slow or idle for too long.
     void check_times();
 
-    /// Closes the connection if no request is on its way.
-    void close_if_idle();
+    /// Closes the connection if no request is on its way, none has come by
+    /// now, and the last answer is at least `rest` old.
+    void close_if_idle(model::milliseconds rest);
 
     /// Ends the connection and the work for its request, without a word: the
     /// process ends.
     void drop();
 
-    /// A request is being read or served.
+    /// A request is being read or served, or waits for its turn.
     bool is_busy() const
     {
-        return m_exchange != nullptr || !m_reader.is_between();
+        return m_exchange != nullptr || !m_reader.is_between()
+               || !m_pending.empty();
     }
 
 private:
@@ -63,6 +65,7 @@
     std::string_view request_id() const;
     bool keeps_alive() const;
     routing::caller_limits const& limits() const;
+    model::milliseconds rested() const;
 
     relay_context& m_context;
     std::function<void(caller const*)> m_on_closed;
@@ -76,6 +79,9 @@
     std::size_t m_held = 0;
     bool m_has_head = false;
     bool m_closing = false;
+    /// How long the caller may take it to be open, by the limits when it
+    /// began to rest.
+    model::milliseconds m_longest_rest{0};
     /// When the present request's first byte, or the last answer's last,
     /// went by.
     model::time_point m_since{};
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -3,6 +3,7 @@
 #include "proxy/connection_report.hpp"
 #include "proxy/message_text.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace caperjunction::proxy {
@@ -13,6 +14,7 @@
     m_exchange.reset();
     release_body();
     m_since = m_context.loop.now();
+    m_longest_rest = limits().idle_timeout;
     if (!whole) {
         // A plain end could be taken for that of a body without length.
         m_closing = true;
@@ -124,37 +126,49 @@
     report.id = request_id();
     report.unsent_bytes = left.unsent_bytes;
     report.late_bytes = left.late_bytes + m_pending.size();
-    report.since = std::chrono::duration_cast<model::milliseconds>(
-        m_context.loop.now() - m_since);
+    report.since = rested();
     m_context.on_connection_ended(report);
 }
 
+model::milliseconds caller::rested() const
+{
+    return std::chrono::duration_cast<model::milliseconds>(m_context.loop.now()
+                                                           - m_since);
+}
+
 void caller::check_times()
 {
     if (m_exchange || m_closing) {
         return;
     }
-    auto const waited = m_context.loop.now() - m_since;
     if (m_reader.is_between()) {
-        if (waited > limits().idle_timeout) {
-            close_if_idle();
-        }
+        close_if_idle(std::max(m_longest_rest, limits().idle_timeout));
         return;
     }
     auto const most =
         m_has_head ? limits().idle_timeout : limits().header_timeout;
-    if (waited > most) {
+    if (rested() > most) {
         reject(routing::refusal_reason::caller_too_slow);
     }
 }
 
-void caller::close_if_idle()
+// A request that crosses the close must stay unread: its caller is then told
+// by a reset, and may send it again.
+void caller::close_if_idle(model::milliseconds rest)
 {
-    if (is_busy() || m_closing) {
+    if (is_busy() || m_closing || rested() < rest) {
         return;
     }
     auto const keep = shared_from_this();
-    finish();
+    // A request that is here already is served.
+    m_stream->read_now();
+    if (is_busy() || m_closing) {
+        return;
+    }
+    report_end({stream_end::own_close, m_stream->unsent(), 0});
+    m_closing = true;
+    m_stream->close();
+    m_on_closed(this);
 }
 
 } // namespace caperjunction::proxy
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -8,7 +8,6 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,6 +25,10 @@
 /// time.
 constexpr model::milliseconds noticeable_delay{250};
 
+/// Within this time a caller sends the first request on a new connection, or
+/// the next one on a kept one. A stopping host waits for it before it closes.
+constexpr model::milliseconds usual_rest{500};
+
 } // namespace
 
 relay::relay(relay_context& context)
@@ -115,13 +118,6 @@
     }
 }
 
-bool relay::is_busy() const
-{
-    return std::any_of(m_callers.begin(), m_callers.end(), [](auto const& it) {
-        return it.second->is_busy();
-    });
-}
-
 void relay::plan_stop(model::time_point signalled,
                       std::function<void()> on_stopped)
 {
@@ -143,11 +139,11 @@
             all.push_back(item);
         }
         for (auto const& item : all) {
-            item->close_if_idle();
+            item->close_if_idle(usual_rest);
         }
     }
     bool const is_done =
-        since > routing::balancer_lag + sweep_period && !is_busy();
+        since > routing::balancer_lag + sweep_period && m_callers.empty();
     if (is_done || since > limit - routing::last_moment) {
         auto const call = std::exchange(m_on_stopped, nullptr);
         if (call) {
--- a/src/proxy/relay.hpp
+++ b/src/proxy/relay.hpp
@@ -57,7 +57,6 @@
     void sweep();
     void note_lateness();
     void check_stop();
-    bool is_busy() const;
 
     relay_context& m_context;
     evconnlistener* m_listener = nullptr;
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -210,6 +210,13 @@
     }
 }
 
+void stream::read_now()
+{
+    if (is_open() && !m_connecting) {
+        handle_readable();
+    }
+}
+
 std::size_t stream::unsent() const
 {
     return evbuffer_get_length(m_unsent);
--- a/src/proxy/stream.hpp
+++ b/src/proxy/stream.hpp
@@ -66,6 +66,10 @@
     /// Stops or resumes reading; the other side's end isn't seen meanwhile.
     void read(bool enabled);
 
+    /// Hands on what has come by now, without waiting for the loop. Hooks may
+    /// be called before it returns.
+    void read_now();
+
     /// Bytes that wait for the socket.
     std::size_t unsent() const;
 
