--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -86,16 +86,16 @@
     m_stream->close();
 }
 
-// A last answer may still be on its way out: the connection is over when the
-// other side has closed too.
+// A last answer may still be on its way out, and the process must not end
+// before it is: the connection is over when the other side has closed too.
 void caller::finish()
 {
     m_closing = true;
     auto const self = shared_from_this();
     m_stream->finish([self](finish_report const& left) {
         self->report_end(left);
+        self->m_on_closed(self.get());
     });
-    m_on_closed(this);
 }
 
 std::string_view caller::activity() const
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -42,7 +42,7 @@
     m_listener = evconnlistener_new_bind(
         context.loop.base(),
         [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* own) {
-            static_cast<relay*>(own)->accept(socket);
+            static_cast<relay*>(own)->serve(socket);
         },
         this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
@@ -79,7 +79,7 @@
     }
 }
 
-void relay::accept(int socket)
+void relay::serve(int socket)
 {
     auto const made =
         std::make_shared<caller>(m_context, [this](caller const* closed) {
--- a/src/proxy/relay.hpp
+++ b/src/proxy/relay.hpp
@@ -52,8 +52,10 @@
         return m_callers.size();
     }
 
+    /// Serves a connection that has been accepted; takes over the socket.
+    void serve(int socket);
+
 private:
-    void accept(int socket);
     void sweep();
     void note_lateness();
     void check_stop();
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -19,10 +19,12 @@
 /// Taken in one read; larger than any event, and shared by all connections.
 constexpr std::size_t read_bytes = 65'536;
 
-/// Time in which the other side may close after an answer that ends the
-/// connection.
+/// Time in which the other side may close after it has been sent all.
 constexpr model::milliseconds closing_time{1'000};
 
+/// A caller that takes no byte for so long has left.
+constexpr model::milliseconds longest_stall{10'000};
+
 } // namespace
 
 stream::stream(runtime::event_loop& loop, int socket, hooks call)
@@ -241,13 +243,28 @@
     // Nobody hears of what follows; the owner may go.
     m_call = {};
     read(true);
-    auto const keep = shared_from_this();
-    m_timer = m_loop.after(closing_time, [keep] {
-        keep->end(stream_end::own_close);
-    });
     if (unsent() == 0) {
         shutdown(m_socket, SHUT_WR);
     }
+    wait_for_close(unsent(), model::milliseconds{0});
+}
+
+// The rest of an answer may need longer than any fixed time on a full link.
+void stream::wait_for_close(std::size_t unsent_before,
+                            model::milliseconds stalled)
+{
+    auto const keep = shared_from_this();
+    m_timer = m_loop.after(closing_time, [keep, unsent_before, stalled] {
+        std::size_t const left = keep->unsent();
+        bool const moves = left < unsent_before;
+        auto const now_stalled =
+            moves ? model::milliseconds{0} : stalled + closing_time;
+        if (now_stalled >= (left == 0 ? closing_time : longest_stall)) {
+            keep->end(stream_end::own_close);
+            return;
+        }
+        keep->wait_for_close(left, now_stalled);
+    });
 }
 
 void stream::end(stream_end how)
--- a/src/proxy/stream.hpp
+++ b/src/proxy/stream.hpp
@@ -80,10 +80,12 @@
     void reset();
 
     /// Sends what is left, says that nothing follows, and closes when the
-    /// other side has closed too. Closing at once, with bytes of the caller
-    /// unread, would reset the connection and the answer with it.
+    /// other side has closed too, has had time to, or takes nothing any more.
+    /// Closing at once, with bytes of the caller unread, would reset the
+    /// connection and the answer with it.
     ///
-    /// `on_finished` is called once, when the connection is over.
+    /// `on_finished` is called once, when the connection is over, unless it
+    /// is closed before.
     void finish(std::function<void(finish_report const&)> on_finished = {});
 
     bool is_open() const
@@ -99,6 +101,7 @@
     void handle_writable();
     void flush();
     void end(stream_end how);
+    void wait_for_close(std::size_t unsent_before, model::milliseconds stalled);
 
     runtime::event_loop& m_loop;
     int m_socket = -1;
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -9,32 +9,31 @@
 namespace caperjunction::test {
 namespace {
 
-/// A caller's connection without its relay, so that a test chooses what the
-/// loop sees first.
-class lone_caller
+/// Two connected sockets.
+std::array<int, 2> connected_pair()
+{
+    std::array<int, 2> ends{};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data())
+            == 0);
+    return ends;
+}
+
+/// The caller's end of a connection, read only when a test says so.
+class reluctant_reader
 {
 public:
-    explicit lone_caller(relay_fixture& site)
-        : m_served(std::make_shared<proxy::caller>(
-            site.context, [this](proxy::caller const*) {
-                closed = true;
-            }))
+    explicit reluctant_reader(int socket)
+        : m_socket(socket)
     {
-        std::array<int, 2> ends{};
-        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data())
-                == 0);
-        m_served->serve(ends[0]);
-        m_socket = ends[1];
     }
 
-    ~lone_caller()
+    ~reluctant_reader()
     {
         ::close(m_socket);
-        m_served->drop();
     }
 
-    lone_caller(lone_caller const&) = delete;
-    lone_caller& operator=(lone_caller const&) = delete;
+    reluctant_reader(reluctant_reader const&) = delete;
+    reluctant_reader& operator=(reluctant_reader const&) = delete;
 
     void send(std::string const& text) const
     {
@@ -54,19 +53,31 @@
         return m_got;
     }
 
-    proxy::caller& served()
-    {
-        return *m_served;
-    }
-
-    bool closed = false;
-
 private:
-    std::shared_ptr<proxy::caller> m_served;
     int m_socket = -1;
     std::string m_got;
 };
 
+/// More than a connection's buffers hold, and less than is held for a slow
+/// caller besides.
+constexpr std::size_t large_body = 400'000;
+
+/// Sends a request for a large answer that ends its connection, and waits
+/// until the answer has ended, most of it unsent.
+void ask_for_large(relay_fixture& site, reluctant_reader const& caller)
+{
+    site.add("i-1", "ledger", [](received const&) -> script {
+        return {sound(std::string(large_body, 'x'))};
+    });
+    caller.send(
+        relay_fixture::request("/book/", "a1", "Connection: close\r\n"));
+    REQUIRE(site.run_until([&site] {
+        return !site.reports.empty();
+    }));
+    REQUIRE(site.reports.back().outcome == "served");
+    REQUIRE(site.reports.back().unsent_bytes > 0);
+}
+
 script answers_done(received const&)
 {
     return {sound("done")};
@@ -80,13 +91,21 @@
 {
     relay_fixture site;
     site.add("i-1", "ledger", answers_done);
-    lone_caller caller(site);
+    auto const ends = connected_pair();
+    reluctant_reader caller(ends[1]);
+    bool closed = false;
+    auto const served = std::make_shared<proxy::caller>(
+        site.context, [&closed](proxy::caller const*) {
+            closed = true;
+        });
+    served->serve(ends[0]);
     caller.send(relay_fixture::request("/book/"));
-    caller.served().close_if_idle(0ms);
+    served->close_if_idle(0ms);
     CHECK(site.run_until([&caller] {
         return caller.got().find("done") != std::string::npos;
     }));
-    CHECK(!caller.closed);
+    CHECK(!closed);
+    served->drop();
 }
 
 // A caller that sends while its idle connection is closed must learn at once
@@ -154,4 +173,46 @@
     }));
 }
 
+// A caller's link is full, or it reads slowly, when its last answer ends: the
+// rest must still be sent.
+TEST_CASE("the rest of an answer is sent however long its caller takes")
+{
+    relay_fixture site;
+    auto const ends = connected_pair();
+    reluctant_reader caller(ends[1]);
+    site.relay.serve(ends[0]);
+    ask_for_large(site, caller);
+    site.run_for(2'500ms);
+    CHECK(site.run_until([&caller] {
+        return caller.got().size() > large_body;
+    }));
+    REQUIRE(site.run_until([&site] {
+        return !site.connections.empty();
+    }));
+    CHECK(site.connections.back().unsent_bytes == 0);
+}
+
+// The host is told to stop when all requests have ended, but an answer is
+// still on its way out.
+TEST_CASE("a planned stop waits for answers that are still being sent")
+{
+    relay_fixture site;
+    auto const ends = connected_pair();
+    reluctant_reader caller(ends[1]);
+    site.relay.serve(ends[0]);
+    ask_for_large(site, caller);
+    bool stopped = false;
+    site.relay.plan_stop(site.loop.now() - 3'500ms, [&stopped] {
+        stopped = true;
+    });
+    site.run_for(600ms);
+    CHECK(!stopped);
+    CHECK(site.run_until([&caller] {
+        return caller.got().size() > large_body;
+    }));
+    CHECK(site.run_until([&stopped] {
+        return stopped;
+    }));
+}
+
 } // namespace caperjunction::test
