--- a/src/proxy/socket_options.cpp
+++ b/src/proxy/socket_options.cpp
@@ -25,6 +25,10 @@
 {
     // Small writes must not wait for an acknowledgement, some 40 ms.
     set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+void limit_unacknowledged(int socket)
+{
     set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
 }
 
--- a/src/proxy/socket_options.hpp
+++ b/src/proxy/socket_options.hpp
@@ -8,6 +8,14 @@
 /// Sets what each connection needs. Thread safety: any thread.
 void prepare_socket(int socket);
 
+/// Ends a connection whose other side acknowledges nothing for some time, for
+/// connections to upstreams: nothing else tells that one has lost power.
+///
+/// Not for callers: one that reads nothing for a while, or whose link is full,
+/// is alive, and its request's deadline ends it anyhow. Thread safety: any
+/// thread.
+void limit_unacknowledged(int socket);
+
 /// How a connection whose call failed with this `errno` ended. Thread
 /// safety: any thread.
 stream_end end_of(int failure);
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -56,6 +56,7 @@
               && inet_pton(AF_INET, to.address.c_str(), &address.sin_addr) == 1;
     if (ok) {
         prepare_socket(socket);
+        limit_unacknowledged(socket);
         ok = ::connect(
                  socket, reinterpret_cast<sockaddr*>(&address), sizeof address)
                  == 0
--- a/src/proxy/stream.hpp
+++ b/src/proxy/stream.hpp
@@ -44,7 +44,8 @@
         std::function<void()> on_drained;
     };
 
-    /// Connects; ends as unreachable after `timeout`.
+    /// Connects; ends as unreachable after `timeout`, and as unacknowledged
+    /// where the other side falls silent.
     static std::shared_ptr<stream> connect(runtime::event_loop& loop,
                                            model::endpoint const& to,
                                            model::milliseconds timeout,
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -215,4 +215,32 @@
     }));
 }
 
+// A caller reads nothing for two seconds in the middle of a long answer, or its
+// link is full for so long: it is alive, and must get the rest.
+TEST_CASE("a caller that pauses for two seconds keeps its connection")
+{
+    relay_fixture site;
+    constexpr std::size_t size = 16'000'000;
+    site.add("i-1", "ledger", [](received const&) -> script {
+        return {sound(std::string(size, 'x'))};
+    });
+    auto lists = site.context.table->lists();
+    lists.routes[1].timeout = 10s;
+    site.context.table = std::make_shared<routing::route_table const>(lists);
+    auto const caller = site.connect();
+    site.run_for(20ms);
+    caller->stream->read(false);
+    caller->stream->write("POST /view/x HTTP/1.1\r\nHost: desk.example\r\n"
+                          "Attempt-Id: a1\r\nDeadline-Ms: 9000\r\n"
+                          "Authorization: Bearer secret\r\n"
+                          "Content-Length: 0\r\n\r\n");
+    site.run_for(2'500ms);
+    caller->stream->read(true);
+    CHECK(site.run_until([&caller] {
+        return caller->got.size() > size || caller->closed;
+    }));
+    CHECK(caller->got.size() > size);
+    CHECK(!caller->closed);
+}
+
 } // namespace caperjunction::test
