--- a/src/proxy/answer_port.hpp
+++ b/src/proxy/answer_port.hpp
@@ -14,7 +14,8 @@
     /// The answer is whole, or (false) will never be: the connection is cut,
     /// so that it can't be taken for whole.
     std::function<void(bool whole)> end;
-    /// Whether the connection can serve another request afterwards.
+    /// Whether the connection can serve another request afterwards; what the
+    /// answer's head then says holds.
     std::function<bool()> keeps_alive;
     /// Bytes that the caller has not taken yet.
     std::function<std::size_t()> unsent;
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -146,9 +146,16 @@
            && !m_context.is_stopping;
 }
 
+bool caller::announce_keep_alive()
+{
+    m_announced = keeps_alive();
+    return m_announced;
+}
+
 void caller::begin_exchange()
 {
     m_has_head = false;
+    m_announced = false;
     if (m_closing) {
         return;
     }
@@ -166,7 +173,7 @@
     };
     port.keeps_alive = [weak] {
         auto const own = weak.lock();
-        return own && own->keeps_alive();
+        return own && own->announce_keep_alive();
     };
     port.unsent = [weak] {
         auto const own = weak.lock();
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -64,6 +64,7 @@
     std::string_view activity() const;
     std::string_view request_id() const;
     bool keeps_alive() const;
+    bool announce_keep_alive();
     routing::caller_limits const& limits() const;
     model::milliseconds rested() const;
 
@@ -79,6 +80,8 @@
     std::size_t m_held = 0;
     bool m_has_head = false;
     bool m_closing = false;
+    /// The present answer's head lets the caller send another request.
+    bool m_announced = false;
     /// How long the caller may take it to be open, by the limits when it
     /// began to rest.
     model::milliseconds m_longest_rest{0};
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -22,7 +22,9 @@
         m_on_closed(this);
         return;
     }
-    if (!keeps_alive()) {
+    // A caller that was told that it may send another request does so at
+    // once, whatever has come about since.
+    if (!m_announced) {
         finish();
         return;
     }
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -243,4 +243,39 @@
     CHECK(!caller->closed);
 }
 
+// A stream begins before the host is told to stop, and its head lets the caller
+// send another request when it ends.
+TEST_CASE("a stopping host keeps the connections that it has said it keeps")
+{
+    relay_fixture site;
+    site.add("i-1", "ledger", [](received const& request) -> script {
+        if (request.head.target.find("/book/") == 0) {
+            return {sound("done")};
+        }
+        return {stream_head() + chunk("id: 1\ndata: a\n\n"),
+                false,
+                false,
+                chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n",
+                300ms};
+    });
+    auto const caller = site.send(relay_fixture::request("/stream/"));
+    REQUIRE(site.run_until([&caller] {
+        return caller->got.find("data: a") != std::string::npos;
+    }));
+    site.relay.plan_stop(site.loop.now(), [] {});
+    REQUIRE(site.run_until([&caller] {
+        return caller->got.find("0\r\n\r\n") != std::string::npos;
+    }));
+    site.run_for(100ms);
+    CHECK(!caller->closed);
+    caller->stream->write(relay_fixture::request("/book/", "a2"));
+    CHECK(site.run_until([&caller] {
+        return caller->got.find("done") != std::string::npos;
+    }));
+    CHECK(caller->got.find("Connection: close") != std::string::npos);
+    CHECK(site.run_until([&caller] {
+        return caller->closed;
+    }));
+}
+
 } // namespace caperjunction::test
