--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -38,8 +38,11 @@
     /// now, and the last answer is at least `rest` old.
     void close_if_idle(model::milliseconds rest);
 
-    /// Ends the connection and the work for its request, without a word: the
-    /// process ends.
+    /// The process is about to end: gives a final answer to the request that
+    /// is served, and closes the connection.
+    void stop();
+
+    /// Ends the connection and the work for its request, without a word.
     void drop();
 
     /// A request is being read or served, or waits for its turn.
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -77,6 +77,16 @@
     }
 }
 
+void caller::stop()
+{
+    auto const keep = shared_from_this();
+    if (auto const begun = m_exchange) {
+        begun->stop();
+        return;
+    }
+    close_if_idle(model::milliseconds{0});
+}
+
 void caller::drop()
 {
     auto const keep = shared_from_this();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -85,13 +85,13 @@
     m_deadline_timer =
         m_context.loop.after(since(m_context.loop.now(), m_give_up), [weak] {
             if (auto const own = weak.lock()) {
-                own->time_out();
+                own->give_up(step::timed_out);
             }
         });
     place();
 }
 
-void exchange::time_out()
+void exchange::give_up(routing::refusal_reason reason)
 {
     if (m_ended) {
         return;
@@ -101,7 +101,15 @@
         end("cut", false);
         return;
     }
-    refuse(step::timed_out);
+    refuse(reason);
+}
+
+void exchange::stop()
+{
+    if (!m_ended) {
+        m_report.ended_by = to_string(stream_end::own_close);
+        give_up(step::stopping);
+    }
 }
 
 void exchange::cancel(std::string_view ended_by)
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -45,6 +45,10 @@
     /// valid.
     void cancel(std::string_view ended_by);
 
+    /// The process is about to end: the caller gets its final answer now, or
+    /// its answer is cut if it has begun.
+    void stop();
+
     /// The caller has taken what was written.
     void drained();
 
@@ -81,7 +85,7 @@
     bool is_quarantined();
 
     void fill_report();
-    void time_out();
+    void give_up(routing::refusal_reason reason);
     void refuse(routing::refusal_reason reason,
                 std::optional<model::milliseconds> comes_back = std::nullopt);
     void end(std::string_view outcome, bool whole);
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -25,6 +25,9 @@
 /// time.
 constexpr model::milliseconds noticeable_delay{250};
 
+/// Part of the last moment in which final answers are sent.
+constexpr model::milliseconds sending_time{100};
+
 /// Within this time a caller sends the first request on a new connection, or
 /// the next one on a kept one. A stopping host waits for it before it closes.
 constexpr model::milliseconds usual_rest{500};
@@ -71,6 +74,7 @@
 relay::~relay()
 {
     m_context.loop.cancel(m_sweep);
+    m_context.loop.cancel(m_stop_limit);
     evconnlistener_free(m_listener);
     // A connection keeps its caller alive until one of them lets go.
     auto const callers = std::move(m_callers);
@@ -100,15 +104,20 @@
     }
 }
 
-void relay::sweep()
+std::vector<std::shared_ptr<caller>> relay::all_callers() const
 {
-    note_lateness();
     std::vector<std::shared_ptr<caller>> all;
     all.reserve(m_callers.size());
     for (auto const& [key, item] : m_callers) {
         all.push_back(item);
     }
-    for (auto const& item : all) {
+    return all;
+}
+
+void relay::sweep()
+{
+    note_lateness();
+    for (auto const& item : all_callers()) {
         item->check_times();
     }
     m_context.pool.sweep();
@@ -127,28 +136,50 @@
     m_context.is_stopping = true;
     m_on_stopped = std::move(on_stopped);
     m_context.stop_began = signalled;
+    auto const left = m_context.settings.stop_limit - routing::last_moment
+                      - m_context.since_stop();
+    m_stop_limit = m_context.loop.after(left, [this] {
+        end_stop();
+    });
 }
 
 void relay::check_stop()
 {
-    auto const since = m_context.loop.now() - m_context.stop_began;
-    auto const limit = m_context.settings.stop_limit;
-    if (since > routing::balancer_lag) {
-        std::vector<std::shared_ptr<caller>> all;
-        for (auto const& [key, item] : m_callers) {
-            all.push_back(item);
-        }
-        for (auto const& item : all) {
-            item->close_if_idle(usual_rest);
-        }
+    // The limit may have been shortened since the signal.
+    if (m_context.since_stop()
+            > m_context.settings.stop_limit - routing::last_moment
+        && !m_is_ending) {
+        end_stop();
+        return;
+    }
+    if (m_context.since_stop() <= routing::balancer_lag) {
+        return;
+    }
+    for (auto const& item : all_callers()) {
+        item->close_if_idle(usual_rest);
+    }
+    if (m_callers.empty()) {
+        tell_stopped();
+    }
+}
+
+void relay::end_stop()
+{
+    m_is_ending = true;
+    m_context.loop.cancel(m_stop_limit);
+    for (auto const& item : all_callers()) {
+        item->stop();
     }
-    bool const is_done =
-        since > routing::balancer_lag + sweep_period && m_callers.empty();
-    if (is_done || since > limit - routing::last_moment) {
-        auto const call = std::exchange(m_on_stopped, nullptr);
-        if (call) {
-            call();
-        }
+    m_stop_limit = m_context.loop.after(sending_time, [this] {
+        tell_stopped();
+    });
+}
+
+void relay::tell_stopped()
+{
+    auto const call = std::exchange(m_on_stopped, nullptr);
+    if (call) {
+        call();
     }
 }
 
--- a/src/proxy/relay.hpp
+++ b/src/proxy/relay.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 struct evconnlistener;
 
@@ -15,10 +16,11 @@
 
 /// Listens for callers and sees to times and to the planned stop.
 ///
-/// A planned stop cuts off nothing: the balancer is told first and still
-/// sends callers for seconds, so these are served; answers then close their
-/// connections; what is idle is closed; the process ends when nothing is on
-/// its way.
+/// A planned stop cuts off nothing that can be finished: the balancer is told
+/// first and still sends callers for seconds, so these are served; answers
+/// then close their connections; what is idle is closed; the process ends when
+/// nothing is on its way. What is not answered by the stop's limit gets a final
+/// answer shortly before it.
 ///
 /// Thread safety: none; owned by the loop's task.
 class relay
@@ -59,12 +61,18 @@
     void sweep();
     void note_lateness();
     void check_stop();
+    void end_stop();
+    void tell_stopped();
+    std::vector<std::shared_ptr<caller>> all_callers() const;
 
     relay_context& m_context;
     evconnlistener* m_listener = nullptr;
     std::uint16_t m_port = 0;
     std::map<caller const*, std::shared_ptr<caller>> m_callers;
     runtime::timer_handle m_sweep;
+    runtime::timer_handle m_stop_limit;
+    /// The limit of the stop is near; final answers have been given.
+    bool m_is_ending = false;
     model::time_point m_swept_at;
 
     std::function<void()> m_on_stopped;
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -278,4 +278,27 @@
     }));
 }
 
+// The limit of a stop comes while an upstream still works: its caller must
+// hear that the request may have run, and not be left with a closed connection.
+TEST_CASE("a request that outlasts a planned stop gets a final answer")
+{
+    relay_fixture site;
+    site.add("i-1", "ledger", [](received const&) -> script {
+        return {"", false, false, sound("late"), 3'000ms};
+    });
+    auto const caller = site.send(relay_fixture::request("/book/"));
+    site.run_for(50ms);
+    bool stopped = false;
+    site.relay.plan_stop(site.loop.now() - 7'400ms, [&stopped] {
+        stopped = true;
+    });
+    REQUIRE(site.run_until([&stopped] {
+        return stopped;
+    }));
+    CHECK(site.context.since_stop() < 7'990ms);
+    CHECK(caller->got.find("HTTP/1.1 502") == 0);
+    REQUIRE(site.reports.size() == 1);
+    CHECK(site.reports.back().ended_by == "own_close");
+}
+
 } // namespace caperjunction::test
