--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -59,7 +59,9 @@
     void place();
     bool is_still_allowed();
     std::optional<model::milliseconds> comes_back_after() const;
+    routing::pick_request pick_request();
     routing::pick choose();
+    bool has_other_place();
     void send_to(routing::pick const& chosen);
     void arm_silence_timer(routing::pick const& chosen);
     void try_ended(routing::try_end how);
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -41,7 +41,7 @@
            || *admitted.refused == routing::refusal_reason::no_route;
 }
 
-routing::pick exchange::choose()
+routing::pick_request exchange::pick_request()
 {
     routing::pick_request request;
     request.route = m_route;
@@ -52,6 +52,21 @@
 
     request.is_most_urgent = m_is_most_urgent;
     request.urgent_streams = m_context.all_urgent_streams(m_service);
+    return request;
+}
+
+// Silence isn't failure: the present upstream may still answer, and is left
+// only for one that can.
+bool exchange::has_other_place()
+{
+    auto const other =
+        m_context.picker.choose(pick_request(), m_context.loop.now());
+    return other.to && other.to != m_upstream && other.forecast < time_left();
+}
+
+routing::pick exchange::choose()
+{
+    auto const request = pick_request();
     routing::pick chosen =
         m_context.picker.choose(request, m_context.loop.now());
     if (chosen.to) {
@@ -184,7 +199,8 @@
         if (!own || own->m_ended || own->m_report.first_byte.count() >= 0) {
             return;
         }
-        if (own->is_upstream_silent() && own->can_try_again(try_end::silent)) {
+        if (own->is_upstream_silent() && own->can_try_again(try_end::silent)
+            && own->has_other_place()) {
             own->m_upstream->health.record_failure(own->m_context.loop.now());
             own->try_ended(try_end::silent);
         }
--- a/tests/proxy/relay_faults_test.cpp
+++ b/tests/proxy/relay_faults_test.cpp
@@ -110,6 +110,30 @@
     }));
 }
 
+// The only upstream is slow, and there is no other to ask: its answer counts.
+TEST_CASE("a slow upstream without another is waited for")
+{
+    relay_fixture site;
+    site.add("i-1", "ledger", [](received const&) -> script {
+        std::string const whole = sound("seen");
+        std::string const begin = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n";
+        return {"",
+                false,
+                false,
+                begin + whole.substr(whole.find("Response-Seal")),
+                400ms};
+    });
+    auto const caller = site.send(relay_fixture::request("/view/"));
+    REQUIRE(site.run_until([&] {
+        return !site.reports.empty();
+    }));
+    CHECK(site.reports.back().outcome == "served");
+    CHECK(site.reports.back().sent == 1);
+    CHECK(site.run_until([&caller] {
+        return caller->got.find("seen") != std::string::npos;
+    }));
+}
+
 TEST_CASE("an upstream that can't be reached costs a booking nothing")
 {
     relay_fixture site;
