--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -14,6 +14,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <csignal>
 #include <cstdlib>
 
 namespace caperjunction::program {
@@ -120,6 +121,9 @@
         }
     }
     if (!path.empty()) {
+        // The signal to read the file anew may come before its handler is
+        // set up, and would end the process.
+        std::signal(SIGHUP, SIG_IGN);
         apply_settings_file(path);
         read_environment();
     }
--- /dev/null
+++ b/tests/program/route_start_test.cpp
@@ -0,0 +1,72 @@
+#include "stand_ins/child_process.hpp"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <string>
+#include <thread>
+
+using namespace caperjunction;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto patience = 10s;
+
+/// Tries `done` until it holds. False if it never did.
+template <typename Condition>
+bool wait_until(Condition const& done)
+{
+    auto const limit = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < limit) {
+        if (done()) {
+            return true;
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+    return false;
+}
+
+} // namespace
+
+// SIGHUP comes while a host still reads its settings: by default it ends the
+// process, and its callers lose a host.
+TEST_CASE("a host that starts survives the signal to read its settings anew")
+{
+    std::string const path =
+        (std::filesystem::temp_directory_path()
+         / ("caperjunction-start-" + std::to_string(getpid())))
+            .string();
+    REQUIRE(mkfifo(path.c_str(), S_IRUSR | S_IWUSR) == 0);
+    stand_ins::child_process host(PROGRAM_FOLDER "/caperjunction",
+                                  {"route", "--config=" + path});
+    // It can be opened once the host waits for its first byte.
+    int settings = -1;
+    CHECK(wait_until([&] {
+        settings = open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return settings >= 0;
+    }));
+    host.send_signal(SIGHUP);
+    std::this_thread::sleep_for(50ms);
+    REQUIRE(!host.ended());
+    std::string const text = "--host_name=h\n--region=west\n--data_centre=a\n"
+                             "--platform=127.0.0.1:1\n"
+                             "--listen=127.0.0.1:0\n"
+                             "--admin_listen=127.0.0.1:0\n"
+                             "--metrics_listen=127.0.0.1:0\n"
+                             "--peer_listen=127.0.0.1:0\n";
+    CHECK(write(settings, text.data(), text.size())
+          == static_cast<ssize_t>(text.size()));
+    close(settings);
+    std::remove(path.c_str());
+    CHECK(wait_until([&] {
+        return host.output().find("event=started") != std::string::npos;
+    }));
+    CHECK(!host.ended());
+}
