--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -76,22 +76,7 @@
             reload();
         }
     });
-    m_context.on_ended = [this](proxy::exchange_report const& ended) {
-        log_ended(ended);
-        m_metrics.count(ended);
-    };
-    m_context.on_connection_ended =
-        [this](proxy::connection_report const& ended) {
-            log_connection(ended);
-            m_metrics.count(ended);
-        };
-    m_context.on_late = [this](model::milliseconds late) {
-        runtime::log_line("loop_late").field("late_ms", late.count());
-        m_metrics.count_late(late);
-    };
-    m_context.on_retried = [this](proxy::exchange_report const& tried) {
-        log_retried(tried);
-    };
+    report_requests();
     m_admin.serve(m_names.readiness_path, [this](std::string const&) {
         return is_ready() ? net::admin_answer{200, "text/plain", "ready\n"}
                           : net::admin_answer{503, "text/plain", "not ready\n"};
@@ -138,6 +123,26 @@
     }
 }
 
+void routed_host::report_requests()
+{
+    m_context.on_ended = [this](proxy::exchange_report const& ended) {
+        log_ended(ended);
+        m_metrics.count(ended);
+    };
+    m_context.on_connection_ended =
+        [this](proxy::connection_report const& ended) {
+            log_connection(ended);
+            m_metrics.count(ended);
+        };
+    m_context.on_late = [this](model::milliseconds late) {
+        runtime::log_line("loop_late").field("late_ms", late.count());
+        m_metrics.count_late(late);
+    };
+    m_context.on_retried = [this](proxy::exchange_report const& tried) {
+        log_retried(tried);
+    };
+}
+
 bool routed_host::is_ready() const
 {
     return m_has_read && m_context.table && !m_relay.is_stopping();
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -45,6 +45,7 @@
     void share_reading();
     model::milliseconds watch_wait();
     void note_read();
+    void report_requests();
     void log_retried(proxy::exchange_report const& tried);
     void log_ended(proxy::exchange_report const& ended);
     void log_connection(proxy::connection_report const& ended);
--- a/tests/proxy/connection_report_test.cpp
+++ b/tests/proxy/connection_report_test.cpp
@@ -20,7 +20,7 @@
 
 std::shared_ptr<plain_client> begin_stream(relay_fixture& site)
 {
-    auto const made = site.send(relay_fixture::request("/stream/"));
+    auto made = site.send(relay_fixture::request("/stream/"));
     REQUIRE(site.run_until([&made] {
         return made->got.find("data: a") != std::string::npos;
     }));
