--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -63,12 +63,20 @@
                                   self->connection_ended(how);
                               },
                               [self] {
-                                  if (self->m_exchange) {
-                                      self->m_exchange->drained();
-                                  }
+                                  self->drained();
                               }});
 }
 
+void caller::drained()
+{
+    if (m_exchange) {
+        m_exchange->drained();
+        return;
+    }
+    // The caller rests from here on, not from its answer's end at this host.
+    m_since = m_context.loop.now();
+}
+
 void caller::take(std::string_view bytes)
 {
     auto const keep = shared_from_this();
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -45,15 +45,17 @@
     /// Ends the connection and the work for its request, without a word.
     void drop();
 
-    /// A request is being read or served, or waits for its turn.
+    /// A request is being read or served, or waits for its turn, or its
+    /// answer is still being sent.
     bool is_busy() const
     {
         return m_exchange != nullptr || !m_reader.is_between()
-               || !m_pending.empty();
+               || !m_pending.empty() || m_stream->unsent() > 0;
     }
 
 private:
     void take(std::string_view bytes);
+    void drained();
     void feed(std::string_view bytes);
     void take_head(message_head&& head);
     void take_body(std::string_view bytes);
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -154,7 +154,12 @@
         return;
     }
     if (m_reader.is_between()) {
-        close_if_idle(std::max(m_longest_rest, limits().idle_timeout));
+        auto const most = std::max(m_longest_rest, limits().idle_timeout);
+        if (m_stream->unsent() > 0 && rested() > most) {
+            finish();
+            return;
+        }
+        close_if_idle(most);
         return;
     }
     auto const most =
