--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -200,10 +200,12 @@
             return;
         }
         if (own->is_upstream_silent() && own->can_try_again(try_end::silent)
-            && own->has_other_place()) {
+            && own->is_still_allowed() && own->has_other_place()) {
             own->m_upstream->health.record_failure(own->m_context.loop.now());
             own->try_ended(try_end::silent);
+            return;
         }
+        own->arm_silence_timer(own->m_pick);
     });
 }
 
--- a/tests/proxy/relay_faults_test.cpp
+++ b/tests/proxy/relay_faults_test.cpp
@@ -134,6 +134,21 @@
     }));
 }
 
+// There is no other upstream when the only one falls silent; one joins soon.
+TEST_CASE("a silent upstream is left for one that joins later")
+{
+    relay_fixture site;
+    site.add("i-1", "ledger", silent);
+    auto const caller = site.send(relay_fixture::request("/view/"));
+    site.run_for(300ms);
+    site.add("i-2", "ledger", [](received const&) -> script {
+        return {sound("seen")};
+    });
+    CHECK(site.run_until([&] {
+        return caller->got.find("seen") != std::string::npos;
+    }));
+}
+
 TEST_CASE("an upstream that can't be reached costs a booking nothing")
 {
     relay_fixture site;
