--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -9,9 +9,6 @@
 
 constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Bytes of a next request that are held while one is served.
-constexpr std::size_t most_pending = 65'536;
-
 } // namespace
 
 caller::caller(relay_context& context,
@@ -83,7 +80,7 @@
     if (m_closing) {
         return;
     }
-    if (m_exchange) {
+    if (m_exchange || !m_pending.empty()) {
         m_pending.append(bytes);
         if (m_pending.size() > most_pending) {
             m_stream->read(false);
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -54,8 +54,13 @@
     }
 
 private:
+    /// Bytes of a next request that are held while one is served.
+    static constexpr std::size_t most_pending = 65'536;
+
     void take(std::string_view bytes);
+    void take_pending();
     void drained();
+    void check_slow();
     void feed(std::string_view bytes);
     void take_head(message_head&& head);
     void take_body(std::string_view bytes);
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -11,6 +11,9 @@
 void caller::end_exchange(bool whole)
 {
     auto const keep = shared_from_this();
+    if (!whole) {
+        report_end({stream_end::own_close, m_stream->unsent(), 0});
+    }
     m_exchange.reset();
     release_body();
     m_since = m_context.loop.now();
@@ -28,16 +31,27 @@
         finish();
         return;
     }
-    m_stream->read(true);
-    if (!m_pending.empty()) {
-        // Not from here: the answer's last hook is still running.
-        std::weak_ptr<caller> const weak = weak_from_this();
-        m_context.loop.defer([weak] {
-            auto const own = weak.lock();
-            if (own && !own->m_exchange && !own->m_closing) {
-                own->feed(std::exchange(own->m_pending, {}));
-            }
-        });
+    if (m_pending.empty()) {
+        m_stream->read(true);
+        return;
+    }
+    // Not from here: the answer's last hook is still running.
+    std::weak_ptr<caller> const weak = weak_from_this();
+    m_context.loop.defer([weak] {
+        if (auto const own = weak.lock()) {
+            own->take_pending();
+        }
+    });
+}
+
+void caller::take_pending()
+{
+    if (m_exchange || m_closing) {
+        return;
+    }
+    feed(std::exchange(m_pending, {}));
+    if (!m_closing && m_pending.size() <= most_pending) {
+        m_stream->read(true);
     }
 }
 
@@ -162,9 +176,20 @@
         close_if_idle(most);
         return;
     }
+    check_slow();
+}
+
+void caller::check_slow()
+{
     auto const most =
         m_has_head ? limits().idle_timeout : limits().header_timeout;
-    if (rested() > most) {
+    if (rested() <= most) {
+        return;
+    }
+    auto const keep = shared_from_this();
+    // The rest may be here, and this host late.
+    m_stream->read_now();
+    if (!m_exchange && !m_closing && !m_reader.is_between()) {
         reject(routing::refusal_reason::caller_too_slow);
     }
 }
--- a/src/proxy/connection_report.hpp
+++ b/src/proxy/connection_report.hpp
@@ -26,10 +26,13 @@
     /// Since the request's first byte, or the last answer's last.
     model::milliseconds since{0};
 
-    /// A caller may miss an answer.
+    /// A caller that hasn't left may miss an answer.
     bool is_loss() const
     {
-        return unsent_bytes > 0 || late_bytes > 0 || during == "serving";
+        bool const has_left =
+            by == stream_end::closed || by == stream_end::reset;
+        return late_bytes > 0
+               || (!has_left && (unsent_bytes > 0 || during == "serving"));
     }
 };
 
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -300,6 +300,7 @@
     // The hooks keep their owner alive; whoever is being called from one of
     // them holds a copy of it.
     m_call = {};
+    m_on_finished = nullptr;
 }
 
 } // namespace caperjunction::proxy
--- a/tests/proxy/connection_report_test.cpp
+++ b/tests/proxy/connection_report_test.cpp
@@ -42,7 +42,7 @@
     REQUIRE(site.connections.size() == 1);
     CHECK(site.connections.back().by == stream_end::closed);
     CHECK(site.connections.back().during == "serving");
-    CHECK(site.connections.back().is_loss());
+    CHECK(!site.connections.back().is_loss());
 }
 
 TEST_CASE("a caller that resets in the middle of an answer is named")
@@ -57,6 +57,21 @@
     CHECK(site.reports.back().ended_by == "reset");
 }
 
+TEST_CASE("a connection that is cut with its answer is named as this host's")
+{
+    relay_fixture site;
+    add_slow(site);
+    auto const caller = begin_stream(site);
+    site.relay.plan_stop(site.loop.now() - 7'700ms, [] {});
+    REQUIRE(site.run_until([&caller] {
+        return caller->closed;
+    }));
+    REQUIRE(site.connections.size() == 1);
+    CHECK(site.connections.back().by == stream_end::own_close);
+    CHECK(site.connections.back().during == "serving");
+    CHECK(site.connections.back().is_loss());
+}
+
 TEST_CASE("an answer that ends a connection leaves nothing behind")
 {
     relay_fixture site;
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <thread>
 
 namespace caperjunction::test {
 namespace {
@@ -360,4 +361,72 @@
     }));
 }
 
+// The end of a pipelined request comes just after the answer before it.
+TEST_CASE("the parts of a pipelined request are read in their order")
+{
+    relay_fixture site;
+    auto& ledger = site.add("i-1", "ledger", answers_done);
+    auto const ends = connected_pair();
+    reluctant_reader const caller(ends[1]);
+    site.relay.serve(ends[0]);
+    constexpr std::size_t part = 30;
+    std::string const second = relay_fixture::request("/book/", "a2");
+    caller.send(relay_fixture::request("/book/") + second.substr(0, part));
+    REQUIRE(site.run_until([&site] {
+        return !site.reports.empty();
+    }));
+    caller.send(second.substr(part));
+    CHECK(site.run_until([&site] {
+        return site.reports.size() == 2;
+    }));
+    CHECK(ledger.requests.size() == 2);
+    CHECK(site.reports.back().status == 200);
+}
+
+// A caller's connection is dropped with the process's end while its last
+// answer is being sent.
+TEST_CASE("a caller that is dropped while it finishes is freed")
+{
+    relay_fixture site;
+    auto const ends = connected_pair();
+    reluctant_reader const caller(ends[1]);
+    auto served = std::make_shared<proxy::caller>(site.context,
+                                                  [](proxy::caller const*) {});
+    served->serve(ends[0]);
+    ask_for_large(site, caller);
+    std::weak_ptr<proxy::caller> const weak = served;
+    served->drop();
+    served.reset();
+    site.run_for(20ms);
+    CHECK(weak.expired());
+}
+
+// The rest of a request has come in time, and this host reads it late.
+TEST_CASE("a request that is here by now isn't refused as slow")
+{
+    relay_fixture site;
+    site.add("i-1", "ledger", answers_done);
+    auto lists = site.context.table->lists();
+    lists.limits.idle_timeout = 100ms;
+    lists.limits.header_timeout = 100ms;
+    site.context.table = std::make_shared<routing::route_table const>(lists);
+    auto const ends = connected_pair();
+    reluctant_reader const caller(ends[1]);
+    auto const served = std::make_shared<proxy::caller>(
+        site.context, [](proxy::caller const*) {});
+    served->serve(ends[0]);
+    constexpr std::size_t part = 30;
+    std::string const text = relay_fixture::request("/book/");
+    caller.send(text.substr(0, part));
+    site.run_for(30ms);
+    caller.send(text.substr(part));
+    std::this_thread::sleep_for(150ms);
+    served->check_times();
+    CHECK(site.run_until([&site] {
+        return !site.reports.empty();
+    }));
+    CHECK(site.reports.back().outcome == "served");
+    served->drop();
+}
+
 } // namespace caperjunction::test
