--- a/src/routing/stop_rule.hpp
+++ b/src/routing/stop_rule.hpp
@@ -11,9 +11,8 @@
 /// a second apart, and what is on its way by then.
 constexpr model::milliseconds balancer_lag{3'000};
 
-/// By how much a request may be read later than it was sent, or a signal
-/// noticed later than it came, on a busy host.
-constexpr model::milliseconds notice_delay{500};
+/// By how much the signal's delivery may be stamped late on a busy host.
+constexpr model::milliseconds notice_delay{100};
 
 /// Left for writing the last answers before the process is ended by force.
 constexpr model::milliseconds last_moment{250};
