--- a/tests/program/route_start_test.cpp
+++ b/tests/program/route_start_test.cpp
@@ -35,8 +35,7 @@
 
 } // namespace
 
-// SIGHUP comes while a host still reads its settings: by default it ends the
-// process, and its callers lose a host.
+// By default SIGHUP ends a process that hasn't set up its handler.
 TEST_CASE("a host that starts survives the signal to read its settings anew")
 {
     std::string const path =
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -104,8 +104,7 @@
 
 } // namespace
 
-// The loop is busy while a request comes, and then finds the connection idle
-// first: the caller must get its answer, not a close.
+// A busy loop finds the connection idle before it reads what has come.
 TEST_CASE("a request that has come is served before its connection is closed")
 {
     relay_fixture site;
@@ -127,8 +126,7 @@
     served->drop();
 }
 
-// A caller that sends while its idle connection is closed must learn at once
-// that nobody reads its request.
+// A request that is read after the close is never answered.
 TEST_CASE("a request that crosses the close of its connection stays unread")
 {
     relay_fixture site;
@@ -145,8 +143,7 @@
     CHECK(!caller.can_send(relay_fixture::request("/book/")));
 }
 
-// The operator shortens the idle limit while callers rest on their
-// connections: those go by the limit that they know.
+// Callers that rest know the old limit, and send on a connection that is gone.
 TEST_CASE("a shorter idle limit holds from a connection's next answer on")
 {
     relay_fixture site;
@@ -167,8 +164,7 @@
     CHECK(site.reports.size() == 2);
 }
 
-// A stopping host closes what is idle; a caller that has just connected is
-// about to send its request.
+// A caller that has just connected is about to send its request.
 TEST_CASE("a stopping host waits for the first request of a new connection")
 {
     relay_fixture site;
@@ -189,8 +185,7 @@
     }));
 }
 
-// A caller's link is full, or it reads slowly, when its last answer ends: the
-// rest must still be sent.
+// A full link or a slow reader loses the end of its answer.
 TEST_CASE("the rest of an answer is sent however long its caller takes")
 {
     relay_fixture site;
@@ -208,8 +203,7 @@
     CHECK(site.connections.back().unsent_bytes == 0);
 }
 
-// The host is told to stop when all requests have ended, but an answer is
-// still on its way out.
+// The process ends with an answer that is whole here and not yet sent.
 TEST_CASE("a planned stop waits for answers that are still being sent")
 {
     relay_fixture site;
@@ -231,8 +225,7 @@
     }));
 }
 
-// A caller reads nothing for two seconds in the middle of a long answer, or its
-// link is full for so long: it is alive, and must get the rest.
+// A caller that is alive loses its answer to a limit meant for dead ones.
 TEST_CASE("a caller that pauses for two seconds keeps its connection")
 {
     relay_fixture site;
@@ -259,8 +252,7 @@
     CHECK(!caller->closed);
 }
 
-// A stream begins before the host is told to stop, and its head lets the caller
-// send another request when it ends.
+// The request that follows a stream at once crosses a close.
 TEST_CASE("a stopping host keeps the connections that it has said it keeps")
 {
     relay_fixture site;
@@ -294,8 +286,7 @@
     }));
 }
 
-// The limit of a stop comes while an upstream still works: its caller must
-// hear that the request may have run, and not be left with a closed connection.
+// A closed connection doesn't tell the caller whether its request ran.
 TEST_CASE("a request that outlasts a planned stop gets a final answer")
 {
     relay_fixture site;
@@ -317,8 +308,7 @@
     CHECK(site.reports.back().ended_by == "own_close");
 }
 
-// An answer on a kept connection has ended, and its caller is still reading it
-// when the host is told to stop.
+// A kept connection counts as idle while its answer is still being read.
 TEST_CASE("a planned stop sends the rest of an answer on a kept connection")
 {
     relay_fixture site;
@@ -340,8 +330,7 @@
     }));
 }
 
-// The idle limit is shorter than the time that a slow caller needs for its
-// answer.
+// A slow caller needs longer for its answer than the idle limit.
 TEST_CASE("the idle limit leaves an answer alone that is still being read")
 {
     relay_fixture site;
@@ -383,8 +372,7 @@
     CHECK(site.reports.back().status == 200);
 }
 
-// A caller's connection is dropped with the process's end while its last
-// answer is being sent.
+// Connections that were dropped pile up in memory.
 TEST_CASE("a caller that is dropped while it finishes is freed")
 {
     relay_fixture site;
--- a/tests/routing/admission_test.cpp
+++ b/tests/routing/admission_test.cpp
@@ -159,8 +159,7 @@
     CHECK(!routing::takes_new(1'500ms, 2'000ms, 15'000ms));
 }
 
-// A stopping host takes a request that its own end then cuts off: a caller
-// loses the answer to a request that ran.
+// A stopping host cuts off what it has taken, and a caller loses its answer.
 TEST_CASE("a stopping host takes late requests only if they end before it")
 {
     constexpr auto limit = 8'000ms;
--- a/tests/runtime/signal_stamp_test.cpp
+++ b/tests/runtime/signal_stamp_test.cpp
@@ -12,8 +12,7 @@
 
 using namespace std::chrono_literals;
 
-// A busy loop handles the signal to stop late, and takes what it can't finish
-// by then: limits count from the signal's delivery.
+// A busy loop handles the signal to stop late, and takes what it can't finish.
 TEST_CASE("a signal's delivery is known however late it is handled")
 {
     runtime::event_loop loop;
