--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -19,12 +19,6 @@
 /// Taken in one read; larger than any event, and shared by all connections.
 constexpr std::size_t read_bytes = 65'536;
 
-/// Time in which the other side may close after it has been sent all.
-constexpr model::milliseconds closing_time{1'000};
-
-/// A caller that takes no byte for so long has left.
-constexpr model::milliseconds longest_stall{10'000};
-
 } // namespace
 
 stream::stream(runtime::event_loop& loop, int socket, hooks call)
@@ -225,82 +219,4 @@
     return evbuffer_get_length(m_unsent);
 }
 
-void stream::reset()
-{
-    linger const at_once{1, 0};
-    if (is_open()) {
-        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    }
-    close();
-}
-
-void stream::finish(std::function<void(finish_report const&)> on_finished)
-{
-    if (!is_open() || m_finishing) {
-        return;
-    }
-    m_finishing = true;
-    m_on_finished = std::move(on_finished);
-    // Nobody hears of what follows; the owner may go.
-    m_call = {};
-    read(true);
-    if (unsent() == 0) {
-        shutdown(m_socket, SHUT_WR);
-    }
-    wait_for_close(unsent(), model::milliseconds{0});
-}
-
-// The rest of an answer may need longer than any fixed time on a full link.
-void stream::wait_for_close(std::size_t unsent_before,
-                            model::milliseconds stalled)
-{
-    auto const keep = shared_from_this();
-    m_timer = m_loop.after(closing_time, [keep, unsent_before, stalled] {
-        std::size_t const left = keep->unsent();
-        bool const moves = left < unsent_before;
-        auto const now_stalled =
-            moves ? model::milliseconds{0} : stalled + closing_time;
-        if (now_stalled >= (left == 0 ? closing_time : longest_stall)) {
-            keep->end(stream_end::own_close);
-            return;
-        }
-        keep->wait_for_close(left, now_stalled);
-    });
-}
-
-void stream::end(stream_end how)
-{
-    bool const tell = !m_finishing;
-    auto const call = m_call.on_end;
-    auto const on_finished = std::exchange(m_on_finished, nullptr);
-    finish_report const report{how, unsent(), m_late_bytes};
-    close();
-    if (tell && call) {
-        call(how);
-    }
-    if (on_finished) {
-        on_finished(report);
-    }
-}
-
-void stream::close()
-{
-    if (m_socket < 0) {
-        return;
-    }
-    m_loop.cancel(m_timer);
-    if (m_read != nullptr) {
-        event_free(m_read);
-        event_free(m_write);
-        m_read = nullptr;
-        m_write = nullptr;
-    }
-    ::close(m_socket);
-    m_socket = -1;
-    // The hooks keep their owner alive; whoever is being called from one of
-    // them holds a copy of it.
-    m_call = {};
-    m_on_finished = nullptr;
-}
-
 } // namespace caperjunction::proxy
