--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -71,7 +71,9 @@
         return;
     }
     // The caller rests from here on, not from its answer's end at this host.
-    m_since = m_context.loop.now();
+    if (m_reader.is_between()) {
+        m_since = m_context.loop.now();
+    }
 }
 
 void caller::take(std::string_view bytes)
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -92,8 +92,7 @@
     bool m_closing = false;
     /// The present answer's head lets the caller send another request.
     bool m_announced = false;
-    /// How long the caller may take it to be open, by the limits when it
-    /// began to rest.
+    /// The idle limit that stood when the connection began to rest.
     model::milliseconds m_longest_rest{0};
     /// When the present request's first byte, or the last answer's last,
     /// went by.
