--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -13,21 +13,22 @@
 
 def told(request_id="r1", path="/book/x", **more):
     values = dict(id=request_id, path=path, key="k", host="h0", sent=100.0, ended=100.1,
-                  status=200, service="i-0", body=b"/book/x by r1", whole=True, left=False)
+                  status=200, service="i-0", body=b"/book/x by r1", whole=True, left=False, deadline=2.5, rested=0.1,
+                  after_pause=False)
     values.update(more)
     return types.SimpleNamespace(**values)
 
 
 def run(request_id="r1", path="/book/x", **more):
     values = dict(id=request_id, path=path, engine="i-0", service="s0", team="desk",
-                  began=100.0, ended=100.1, resumed_after=0)
+                  began=100.0, ended=100.1, resumed_after=0, broke_off=False)
     values.update(more)
     return types.SimpleNamespace(**values)
 
 
 def site(all_told, runs, **more):
     values = dict(told=all_told, runs=runs, revoked={}, moves=[], stops=[], left_at={}, engines=[],
-                  harmed=lambda begin, end: False, now=lambda: 200.0)
+                  reloads=[], configurations=[(0.0, 2.5)], harmed=lambda begin, end: False, now=lambda: 200.0)
     values.update(more)
     return types.SimpleNamespace(**values)
 
@@ -84,9 +85,62 @@
         many = [told(request_id=f"r{n}") for n in range(100)]
         self.assertTrue(checks.retries_keep_to_budget(site(many, [], engines=[engine])))
 
+    def lost(self, runs=(), **more):
+        """What the check says of a request that was sent at 100.0 and ended without an answer."""
+        around = {k: more.pop(k) for k in ("stops", "reloads", "configurations", "harmed") if k in more}
+        cut = told(**{"whole": False, "status": None, "ended": 101.0, **more})
+        return checks.planned_work_loses_nothing(site([cut], list(runs), **around))
+
     def test_an_answer_that_a_planned_stop_cut(self):
-        cut = told(whole=False, status=200, ended=101.0)
-        self.assertTrue(checks.planned_stops_cut_nothing(site([cut], [run()], stops=[("h0", 100.5, 108.0)])))
+        self.assertTrue(self.lost([run()], status=200, stops=[("h0", 100.5, 108.0)]))
+        self.assertFalse(self.lost([run()], status=200, stops=[("h1", 100.5, 108.0)]))
+
+    def test_a_late_request_that_a_planned_stop_took_and_cut(self):
+        """Guards against a stop that takes more than it can answer: sent 3.5 s after the signal, cut at its limit."""
+        late = dict(path="/long/100", deadline=12.0, ended=104.3, status=200)
+        self.assertTrue(self.lost([run(ended=104.3)], stops=[("h0", 96.5, 104.4)], **late))
+
+    def test_a_request_that_was_read_and_never_passed_on(self):
+        """Guards against a close that throws away what it has read: 0.3 s is longer than a crossing takes."""
+        self.assertTrue(self.lost(ended=100.3, stops=[("h0", 99.0, 108.0)]))
+
+    def test_a_request_that_a_reload_cut(self):
+        self.assertTrue(self.lost([run()], reloads=[("h0", 100.5)]))
+        self.assertFalse(self.lost([run()], reloads=[("h1", 100.5)]))
+
+    def test_a_request_that_a_change_of_configuration_cut(self):
+        self.assertTrue(self.lost([run()], configurations=[(0.0, 2.5), (100.5, 2.5)]))
+        self.assertFalse(self.lost([run()]))
+
+    def test_requests_that_may_end_without_an_answer(self):
+        stop = dict(stops=[("h0", 99.0, 107.5)])
+        allowed = {
+            "its upstream broke off": dict(runs=[run(broke_off=True)]),
+            "its deadline was reached": dict(runs=[run()], ended=102.5),
+            "its route's timeout was reached": dict(runs=[run()], ended=101.6, configurations=[(0.0, 1.5)]),
+            "at work in the last sixth": dict(runs=[run(ended=106.7)], ended=106.7, deadline=12.0, path="/long/100"),
+            "it was refused": dict(status=503),
+            "it crossed the close unread": dict(ended=100.1),
+            "sent after the process was gone": dict(ended=100.5, stops=[("h0", 92.0, 99.9)]),
+            "its caller left": dict(runs=[run()], left=True),
+            "something else went wrong": dict(runs=[run()], harmed=lambda begin, end: True),
+        }
+        for why, case in allowed.items():
+            with self.subTest(why):
+                self.assertFalse(self.lost(**{**stop, **case}))
+
+    def test_a_kept_connection_that_a_stop_closed(self):
+        """Guards against a close of a connection on which an answer has just allowed another request."""
+        cut = told(whole=False, status=None, ended=100.01)
+        kept = checks.kept_connections_are_kept
+        self.assertTrue(kept(site([cut], [], stops=[("h0", 99.0, 107.0)])))
+        self.assertFalse(kept(site([cut], [], stops=[("h0", 97.0, 100.2)])), "the process ends")
+        self.assertFalse(kept(site([told(whole=False, status=None, rested=0.6)], [])), "it has rested")
+
+    def test_a_pausing_caller_that_was_cut(self):
+        """Guards against a limit on bytes that a live caller has not taken yet."""
+        cut = told(path="/big/x", whole=False, ended=102.0, deadline=12.0)
+        self.assertTrue(checks.slow_readers_get_all(site([cut], [run(path="/big/x")])))
 
     def test_nothing_served(self):
         self.assertTrue(checks.requests_are_answered(site([told(status=503)], [])))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -23,10 +23,10 @@
 SETTLE_SECONDS = 1.5
 
 
-async def inject(site, until, calm):
+async def inject(site, until, calm, draw):
     while time.monotonic() < until:
         await asyncio.sleep(site.random.uniform(0.1, 0.8 * calm))
-        asyncio.ensure_future(faults.draw(site))
+        asyncio.ensure_future(draw(site))
 
 
 def tell_failure(loop, context):
@@ -44,7 +44,9 @@
         until = time.monotonic() + options.seconds
         # Some seeds are calm: checks that need quiet have something to see.
         work = [caller.run(until) for caller in site.callers(options.callers)]
-        await asyncio.gather(inject(site, until - 1.0, 1.0 + seed % 4), *work)
+        # In every third seed all that happens is planned.
+        calm, draw = (1.0 + seed % 4, faults.draw) if seed % 3 else (1.0, faults.draw_planned)
+        await asyncio.gather(inject(site, until - 1.0, calm, draw), *work)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -4,7 +4,11 @@
 
 import collections
 
+from .engine import event_count, plain_answer
+
 PROMISES = (408, 421, 429, 503)
+# Prefixes of routes whose requests run once at most.
+ONCE = ("/book/", "/stream/", "/slow/", "/long/")
 # Times in seconds, from the settings that the soak gives its hosts.
 KEY_LIFETIME = 5.0
 APPLY_LIMIT = 2.5
@@ -12,6 +16,12 @@
 RETRY_EXTRA = 50
 BUDGET_WINDOW = 10.0
 LEAVING_LIMIT = 0.5
+STOP_LIMIT = 8.0
+# A request that was wholly sent so long before its connection ended was read.
+LOSS_SLACK = 0.2
+# A caller that goes on with a connection so soon finds it open: a stopping
+# host waits for half a second, and no idle limit of the soak is shorter.
+SOON = 0.3
 # Scheduling of this machine, far above what its runs showed.
 SLACK = 0.3
 
@@ -27,7 +37,7 @@
     return [
         f"{i} ({runs[0].path}) ran {len(runs)} times"
         for i, runs in runs_by_id(site).items()
-        if len(runs) > 1 and runs[0].path.startswith(("/book/", "/stream/"))
+        if len(runs) > 1 and runs[0].path.startswith(ONCE)
     ]
 
 
@@ -36,7 +46,7 @@
     return [
         f"{t.id} ({t.path}) was told {t.status} and ran"
         for t in site.told
-        if t.status in PROMISES and by_id.get(t.id) and t.path.startswith(("/book/", "/stream/"))
+        if t.status in PROMISES and by_id.get(t.id) and t.path.startswith(ONCE)
     ]
 
 
@@ -45,10 +55,10 @@
     for t in site.told:
         if t.status != 200 or not t.whole:
             continue
-        if t.path.startswith(("/stream/", "/resume/")):
-            want = "".join(f"id: {n}\ndata: {t.id} {n}\n\n" for n in range(1, 21))
+        if t.path.startswith(("/stream/", "/resume/", "/long/")):
+            want = "".join(f"id: {n}\ndata: {t.id} {n}\n\n" for n in range(1, event_count(t.path) + 1))
         else:
-            want = f"{t.path} by {t.id}"
+            want = plain_answer(t.path, t.id)
         if t.body.decode() != want:
             found.append(f"{t.id} ({t.path}) got {t.body[:80]!r}")
         if not t.service:
@@ -122,20 +132,84 @@
     return []
 
 
-def planned_stops_cut_nothing(site):
-    found = []
+def is_cut(t):
+    """The connection ended, by the host, without a complete answer."""
+    return t.ended is not None and not t.left and not t.whole and t.status in (None, 200)
+
+
+def time_allowed(site, t):
+    """The shortest of its deadline and the timeouts of its route that may have been in force."""
+    if t.path.startswith(("/big/", "/long/")):
+        return t.deadline
+    ends = [at for at, _ in site.configurations[1:]] + [float("inf")]
+    in_force = [timeout for (at, timeout), end in zip(site.configurations, ends)
+                if at <= t.ended and t.sent < end + APPLY_LIMIT]
+    return min([t.deadline, *in_force])
+
+
+def may_be_cut(site, t, runs):
+    """What allows a host to end an answer: its upstream, the time, or the last sixth of its stop."""
+    if site.harmed(t.sent - 1.0, t.ended) or any(run.broke_off for run in runs):
+        return True
+    worked_until = max((run.ended or site.now() for run in runs), default=0)
+    at_the_limit = any(host == t.host and begin < t.ended and t.sent <= begin + 3.0
+                       and worked_until >= begin + STOP_LIMIT * 5 / 6 for host, begin, _ in site.stops)
+    return at_the_limit or t.ended - t.sent >= time_allowed(site, t)
+
+
+def planned_work(site, t):
+    """What was planned at the request's host while it was open, or None."""
     for host, begin, end in site.stops:
-        for t in site.told:
-            if t.host != host or t.left or t.whole or not begin - 2.5 < t.sent < begin + 3.0:
-                continue
-            if t.ended and t.ended > begin and t.status in (None, 200) and not site.harmed(t.sent - 1.0, t.ended):
-                # A request that crosses the end of an idle connection was
-                # not read: no upstream has it.
-                if any(run.id == t.id for run in site.runs):
-                    found.append(f"{t.id} ({t.path}) at {host} was cut by its planned stop")
+        if host == t.host and begin < t.ended and t.sent < min(end, begin + STOP_LIMIT + 1.0):
+            return f"{t.ended - begin:.2f} s after a planned stop began"
+    for host, at in site.reloads:
+        if host == t.host and t.sent < at + APPLY_LIMIT and at < t.ended:
+            return f"{t.ended - at:.2f} s after a reload"
+    for at, _ in site.configurations:
+        if at < t.ended < at + APPLY_LIMIT + 1.0:
+            return f"{t.ended - at:.2f} s after a change of configuration"
+    return None
+
+
+def planned_work_loses_nothing(site):
+    by_id = runs_by_id(site)
+    found = []
+    for t in filter(is_cut, site.told):
+        runs = by_id.get(t.id, [])
+        planned = planned_work(site, t)
+        was_read = runs or t.ended - t.sent > LOSS_SLACK
+        if planned and was_read and not may_be_cut(site, t, runs):
+            ran = "ran" if runs else "didn't run"
+            found.append(f"{t.id} ({t.path}) at {t.host}, {t.ended - t.sent:.2f} s old, {ran}, was cut {planned}")
+    return found
+
+
+def closed_too_soon(site, after_pause):
+    """Requests sent soon after an answer that allowed them, or after the connection was opened, but not taken."""
+    found = []
+    for t in filter(is_cut, site.told):
+        # Whoever connects as the process ends may be too late.
+        late = any(host == t.host and min(end, begin + STOP_LIMIT) - 0.5 < t.ended < end + SLACK
+                   for host, begin, end in site.stops)
+        calm = not late and not site.harmed(t.sent - 1.0, t.ended)
+        if t.status is None and t.rested < SOON and t.after_pause == after_pause and calm:
+            found.append(f"{t.id} ({t.path}) at {t.host} was cut, sent {t.rested:.3f} s after the answer before")
     return found
 
 
+def kept_connections_are_kept(site):
+    return closed_too_soon(site, False)
+
+
+def slow_readers_get_all(site):
+    by_id = runs_by_id(site)
+    return [
+        f"{t.id} at {t.host} was cut {t.ended - t.sent:.2f} s after it was sent, its caller pausing"
+        for t in site.told
+        if t.path.startswith("/big/") and is_cut(t) and t.status and not may_be_cut(site, t, by_id.get(t.id, []))
+    ]
+
+
 def requests_are_answered(site):
     served = sum(t.status == 200 and t.whole for t in site.told)
     return [] if served > len(site.told) / 4 else [f"{served} of {len(site.told)} were served"]
@@ -150,6 +224,8 @@
     configuration_is_in_force,
     leaving_engines_are_left,
     retries_keep_to_budget,
-    planned_stops_cut_nothing,
+    planned_work_loses_nothing,
+    kept_connections_are_kept,
+    slow_readers_get_all,
     requests_are_answered,
 )
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -7,6 +7,17 @@
 from .http import answer, quietly, read_body, read_head
 
 SOUND, GREY, HANG, FULL = "sound", "grey", "hang", "full"
+BIG_ANSWER_BYTES = 3_000_000
+
+
+def event_count(path):
+    """Streams have 20 events; a long one says how many, 0.1 s apart."""
+    return int(path.rpartition("/")[2]) if path.startswith("/long/") else 20
+
+
+def plain_answer(path, request_id):
+    text = f"{path} by {request_id}"
+    return (text + " ") * (BIG_ANSWER_BYTES // len(text)) if path.startswith("/big/") else text
 
 
 class Run:
@@ -20,6 +31,8 @@
         self.team = key_team
         self.began = time.monotonic()
         self.ended = None
+        # The upstream ended its connection in the middle.
+        self.broke_off = False
         self.resumed_after = 0
 
 
@@ -43,6 +56,8 @@
     async def crash(self):
         self.server.close()
         self.server = None
+        for run in self.runs:
+            run.broke_off |= run.engine == self.name and run.ended is None
         for writer in list(self.writers):
             writer.transport.abort()
 
@@ -90,20 +105,23 @@
             await asyncio.sleep(3600)
         if self.mode == GREY and self.random.random() < 0.5:
             if self.random.random() < 0.5:
+                run.broke_off = True
                 writer.transport.abort()
                 return False
             writer.write(answer(500, b"oops", mark + ["Response-Seal: x"]))
             return True
         mark = mark + [f"Response-Seal: {self.name}"]
-        if not path.startswith(("/stream/", "/resume/")):
-            await asyncio.sleep(0.01)
-            writer.write(answer(200, f"{path} by {run.id}".encode(), mark))
+        if not path.startswith(("/stream/", "/resume/", "/long/")):
+            # A slow request says in its path how many milliseconds it takes.
+            await asyncio.sleep(int(path[6:]) / 1000 if path.startswith("/slow/") else 0.01)
+            writer.write(answer(200, plain_answer(path, run.id).encode(), mark))
+            await quietly(writer.drain())
             return True
         lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *mark, "", ""]
         writer.write("\r\n".join(lines).encode())
         run.resumed_after = int(headers.get("last-event-id", "0"))
-        for number in range(run.resumed_after + 1, 21):
-            await asyncio.sleep(0.03)
+        for number in range(run.resumed_after + 1, event_count(path) + 1):
+            await asyncio.sleep(0.1 if path.startswith("/long/") else 0.03)
             if writer.transport.is_closing() or run.ended is not None:
                 return False
             event = f"id: {number}\ndata: {run.id} {number}\n\n".encode()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -97,9 +97,28 @@
         process.send_signal(signal.SIGCONT)
 
 
-async def host_stopped(site):
+async def hosts_stopped(site, count=1):
     if not any(h.is_stopping for h in site.hosts):
-        await site.stop_host(site.random.choice(site.hosts))
+        await asyncio.gather(*(site.stop_host(h) for h in site.random.sample(site.hosts, count)))
+
+
+async def host_reloaded(site):
+    """Told to read its settings, which are as they were."""
+    host = site.random.choice(site.hosts)
+    # Before it is ready, a process may not listen for signals yet.
+    if await host.ask_ready() and not host.is_stopping:
+        site.reloads.append((host.name, site.now()))
+        host.send(signal.SIGHUP)
+
+
+async def limits_change(site):
+    site.idle_limit = site.random.choice([0.6, 1.0, 2.0, 15.0])
+    site.publish()
+
+
+async def timeouts_change(site):
+    site.timeout = site.random.choice([1.5, 2.5, 4.0])
+    site.publish()
 
 
 async def key_revoked(site):
@@ -119,8 +138,23 @@
     site.store.forget()
 
 
+def draw_planned(site):
+    """One piece of planned work: nothing excuses a lost request then."""
+    choices = [
+        lambda: hosts_stopped(site),
+        lambda: hosts_stopped(site, 2),
+        lambda: host_reloaded(site),
+        lambda: limits_change(site),
+        lambda: timeouts_change(site),
+        lambda: key_revoked(site),
+        lambda: route_moves(site),
+        lambda: engine_leaves(site),
+    ]
+    return site.random.choice(choices)()
+
+
 def draw(site):
-    """One fault, as a coroutine."""
+    """One fault, or a piece of planned work, as a coroutine."""
     rng = site.random
     seconds = rng.uniform(0.3, 8.0)
     choices = [
@@ -133,11 +167,9 @@
         lambda: engine_leaves(site),
         lambda: host_killed(site),
         lambda: host_paused(site, seconds),
-        lambda: host_stopped(site),
-        lambda: host_stopped(site),
+        lambda: hosts_stopped(site),
         lambda: key_revoked(site),
-        lambda: key_revoked(site),
-        lambda: route_moves(site),
         lambda: history_forgotten(site),
+        *[lambda: draw_planned(site)] * 4,
     ]
     return rng.choice(choices)()
--- a/tools/soak/http.py
+++ b/tools/soak/http.py
@@ -19,8 +19,8 @@
         headers[name.strip().lower()] = value.strip()
 
 
-async def read_body(reader, headers):
-    """The body as bytes; raises IncompleteReadError if it breaks off."""
+async def read_body(reader, headers, pause=0):
+    """The body as bytes, with a pause in the middle; raises IncompleteReadError if it breaks off."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
@@ -29,7 +29,12 @@
             await reader.readexactly(2)
             if size == 0:
                 return body
-    return await reader.readexactly(int(headers.get("content-length", "0")))
+    size = int(headers.get("content-length", "0"))
+    if not pause:
+        return await reader.readexactly(size)
+    begun = await reader.readexactly(size // 4)
+    await asyncio.sleep(pause)
+    return begun + await reader.readexactly(size - size // 4)
 
 
 def answer(status, body=b"", headers=()):
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -1,8 +1,10 @@
 """A loopback proxy that harms connections as the schedule says."""
 
 import asyncio
+import socket
 
 PASS, DELAY, SILENT, ONE_WAY, REFUSE = "pass", "delay", "silent", "one_way", "refuse"
+BUFFER_BYTES = 131_072
 
 
 class FaultProxy:
@@ -18,6 +20,8 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
+        # Small buffers: a caller that reads nothing is felt on the other side.
+        self.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
 
     def reset_all(self):
         for writer in list(self.pairs):
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -20,6 +20,9 @@
         self.data_centre = data_centre
         self.program = program
         self.log_path = os.path.join(folder, f"{name}.log")
+        self.settings_path = os.path.join(folder, f"{name}.flags")
+        with open(self.settings_path, "w", encoding="utf-8") as settings:
+            settings.write("--stop_limit=8s\n")
         self.listen, self.admin, self.peer = ports.take(), ports.take(), ports.take()
         self.front = FaultProxy(self.listen)
         self.store_path = None
@@ -33,14 +36,18 @@
             f"--data_centre={self.data_centre}", f"--listen=127.0.0.1:{self.listen}",
             f"--admin_listen=127.0.0.1:{self.admin}", f"--peer_listen=127.0.0.1:{self.peer}",
             f"--platform=127.0.0.1:{self.store_path.port}", f"--seeds={seeds}",
-            f'--regions={json.dumps({"a": "west", "b": "west", "c": "east"})}', "--stop_limit=8s", *flags,
+            f'--regions={json.dumps({"a": "west", "b": "west", "c": "east"})}',
+            f"--config={self.settings_path}", *flags,
         ]
         self.is_stopping = False
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(arguments, stdout=log, stderr=log)
 
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
     def send(self, number):
-        if self.process is not None and self.process.poll() is None:
+        if self.is_running():
             self.process.send_signal(number)
 
     async def ask_ready(self):
@@ -61,6 +68,9 @@
         self.random = rng
         self.store = Store()
         self.told, self.runs, self.moves, self.stops = [], [], [], []
+        # When each configuration was sent, with its routes' timeout; reloads by host.
+        self.configurations, self.reloads = [], []
+        self.timeout, self.idle_limit = 2.5, 15.0
         self.revoked, self.left_at, self.harms = {}, {}, []
         self.engines = []
         self.paths = {}
@@ -90,16 +100,19 @@
     def publish(self):
         self.version += 1
         kinds = {"/book/": ("non_idempotent", 1), "/view/": ("idempotent", 2),
-                 "/stream/": ("streaming", 1), "/resume/": ("streaming", 3)}
+                 "/stream/": ("streaming", 1), "/resume/": ("streaming", 3), "/slow/": ("non_idempotent", 1),
+                 "/big/": ("idempotent", 2), "/long/": ("streaming", 1)}
         routes = [
             {"name": p, "host": "desk.example", "prefix": p, "route_type": kind, "max_attempts": attempts,
-             "timeout_ms": 2500, "target_latency_ms": 200, "stream_resume": p == "/resume/",
+             "timeout_ms": 12_000 if p in ("/big/", "/long/") else int(self.timeout * 1000),
+             "target_latency_ms": 200, "stream_resume": p == "/resume/",
              "service": self.booking_service if p == "/book/" else "s0"}
             for p, (kind, attempts) in kinds.items()
         ]
         alive = [k for k in self.keys if k not in self.revoked]
+        self.configurations.append((self.now(), self.timeout))
         self.store.put("op/config", {
-            "version": self.version, "routes": routes,
+            "version": self.version, "routes": routes, "limits": {"idle_timeout_ms": int(self.idle_limit * 1000)},
             "services": [{"name": s, "max_connections": 500} for s in ("s0", "s1")],
             "tenants": [{"name": "desk", "api_keys": alive}],
         })
@@ -149,12 +162,15 @@
     async def stop_host(self, host):
         """A planned stop, and a start when the process is gone."""
         begin = self.now()
+        # Until the process is gone; a run may end before.
+        self.stops.append([host.name, begin, float("inf")])
+        stop = self.stops[-1]
         host.is_stopping = True
         host.send(signal.SIGTERM)
         while host.process.poll() is None and self.now() < begin + 8.5:
             await asyncio.sleep(0.1)
         host.send(signal.SIGKILL)
-        self.stops.append((host.name, begin, self.now()))
+        stop[2] = self.now()
         self.start_host(host)
 
     def end(self):
@@ -166,4 +182,8 @@
                 host.process.wait()
 
     def callers(self, count):
-        return [Caller(self, self.random) for _ in range(count)]
+        """Of all kinds, and a few of those that hold a host up."""
+        usual = [Caller(self, self.random, stubborn=n % 5 == 0) for n in range(count)]
+        slow = [Caller(self, self.random, ("/slow/",), stubborn=True) for _ in range(count // 5)]
+        paused = [Caller(self, self.random, ("/big/",)) for _ in range(count // 10)]
+        return usual + slow + paused + [Caller(self, self.random, ("/long/", "/view/")) for _ in range(count // 5)]
