--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -1,7 +1,9 @@
 """Each check of the soak finds the fault that it is for."""
 
 import os
+import random
 import sys
+import tempfile
 import types
 import unittest
 
@@ -9,6 +11,7 @@
 
 from tools.soak import checks  # noqa: E402
 from tools.soak.engine import Engine  # noqa: E402
+from tools.soak.site import Site  # noqa: E402
 
 
 def told(request_id="r1", path="/book/x", **more):
@@ -147,6 +150,16 @@
         cut = told(path="/big/x", whole=False, ended=102.0, deadline=12.0)
         self.assertTrue(checks.slow_readers_get_all(site([cut], [run(path="/big/x")])))
 
+    def test_no_host_starts_when_the_run_is_over(self):
+        """Guards against a host that stays behind and tells the next run of this one's state."""
+        started = []
+        with tempfile.TemporaryDirectory() as folder:
+            over = Site(random.Random(1), "none", folder, 1, 0)
+            over.hosts[0].start = lambda *_: started.append(1)
+            over.end()
+            over.start_host(over.hosts[0])
+        self.assertEqual([], started)
+
     def test_nothing_served(self):
         self.assertTrue(checks.requests_are_answered(site([told(status=503)], [])))
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -83,6 +83,7 @@
         self.keys = [f"k{n}" for n in range(40)]
         self.booking_service = "s0"
         self.began = time.monotonic()
+        self.is_over = False
 
     def now(self):
         return time.monotonic()
@@ -147,7 +148,9 @@
         asyncio.ensure_future(self.balance())
 
     def start_host(self, host):
-        host.start(",".join(f"127.0.0.1:{h.peer}" for h in self.hosts[:3]), self.flags)
+        # A stop that ends as the run does would leave a host behind, which talks to later runs.
+        if not self.is_over:
+            host.start(",".join(f"127.0.0.1:{h.peer}" for h in self.hosts[:3]), self.flags)
 
     async def balance(self):
         """Asks each host once a second; two misses take it out of rotation."""
@@ -174,6 +177,7 @@
         self.start_host(host)
 
     def end(self):
+        self.is_over = True
         self.ports.lock.close()
         for host in self.hosts:
             if host.process is not None and host.process.poll() is None:
