--- a/src/proxy/answer_port.hpp
+++ b/src/proxy/answer_port.hpp
@@ -17,6 +17,9 @@
     /// Whether the connection can serve another request afterwards; what the
     /// answer's head then says holds.
     std::function<bool()> keeps_alive;
+    /// Whether the caller is still there, by what has come from it by now; if
+    /// not, its request has been cancelled when this returns.
+    std::function<bool()> is_there;
     /// Bytes that the caller has not taken yet.
     std::function<std::size_t()> unsent;
 };
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -159,6 +159,13 @@
     return m_announced;
 }
 
+bool caller::is_there()
+{
+    auto const keep = shared_from_this();
+    m_stream->read_now();
+    return !m_closing;
+}
+
 void caller::begin_exchange()
 {
     m_has_head = false;
@@ -182,6 +189,10 @@
         auto const own = weak.lock();
         return own && own->announce_keep_alive();
     };
+    port.is_there = [weak] {
+        auto const own = weak.lock();
+        return own && own->is_there();
+    };
     port.unsent = [weak] {
         auto const own = weak.lock();
         return own ? own->m_stream->unsent() : 0;
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -75,6 +75,7 @@
     std::string_view request_id() const;
     bool keeps_alive() const;
     bool announce_keep_alive();
+    bool is_there();
     routing::caller_limits const& limits() const;
     model::milliseconds rested() const;
 
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -268,6 +268,11 @@
     }
     m_state.has_begun = m_began;
     m_report.last_try = routing::to_string(how);
+    // A busy host reads late that a caller has left, and would send on what
+    // nobody waits for.
+    if (!m_port.is_there()) {
+        return;
+    }
     if (takes_retry(how) && is_still_allowed()) {
         fill_report();
         if (m_context.on_retried) {
--- a/tests/proxy/relay_close_test.cpp
+++ b/tests/proxy/relay_close_test.cpp
@@ -3,7 +3,11 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace caperjunction::test {
 namespace {
@@ -194,4 +198,44 @@
     served->drop();
 }
 
+// A busy host tries again for a caller whose close it hasn't read.
+TEST_CASE("a request isn't sent again when its caller has left by then")
+{
+    relay_fixture site;
+    std::vector<std::string> asked;
+    int retries = 0;
+    site.context.on_retried = [&retries](proxy::exchange_report const&) {
+        ++retries;
+    };
+    auto const ends = connected_pair();
+    auto caller = std::make_unique<reluctant_reader>(ends[1]);
+    auto const note = [&](received const& request) -> script {
+        asked.push_back(*request.head.find("Attempt-Id"));
+        if (asked.back() == "busy") {
+            // The time for the other request's answer runs out meanwhile.
+            caller.reset();
+            std::this_thread::sleep_for(150ms);
+        }
+        return {};
+    };
+    site.add("i-1", "ledger", note);
+    site.add("i-2", "ledger", note);
+    std::function<void()> always = [&] {
+        site.loop.defer(always);
+    };
+    site.loop.defer(always);
+    site.relay.serve(ends[0]);
+    caller->send(relay_fixture::request("/view/", "left"));
+    REQUIRE(site.run_until([&asked] {
+        return !asked.empty();
+    }));
+    auto const other = site.send(relay_fixture::request("/book/", "busy"));
+    REQUIRE(site.run_until([&site] {
+        return !site.reports.empty();
+    }));
+    site.run_for(100ms);
+    CHECK(site.reports.front().outcome == "left");
+    CHECK(retries == 0);
+}
+
 } // namespace caperjunction::test
