--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -160,6 +160,16 @@
             over.start_host(over.hosts[0])
         self.assertEqual([], started)
 
+    def test_a_host_that_runs_is_not_started_again(self):
+        """Guards against a process that no run knows any more and that tells the next ones of its state."""
+        with tempfile.TemporaryDirectory() as folder:
+            host = Site(random.Random(1), sys.executable, folder, 1, 0).hosts[0]
+            running = types.SimpleNamespace(poll=lambda: None)
+            host.process = running
+            host.store_path = types.SimpleNamespace(port=1)
+            host.start("", [])
+            self.assertIs(running, host.process)
+
     def test_nothing_served(self):
         self.assertTrue(checks.requests_are_answered(site([told(status=503)], [])))
 
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -39,6 +39,9 @@
             f'--regions={json.dumps({"a": "west", "b": "west", "c": "east"})}',
             f"--config={self.settings_path}", *flags,
         ]
+        if self.is_running():
+            # Two faults overlap, and the other one has started it.
+            return
         self.is_stopping = False
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(arguments, stdout=log, stderr=log)
