Log how each read of the store and of another host's list ends

Nothing told when a list was asked for, from whom, how large it was, how far it came and why it ended, so that an answer that is dropped while it is still arriving looks like a store that is away. store_lost and the new peer_list_ended carry bytes, time and time since the last byte; config_applied its size and revision, upstream_changed its revision; two metrics count lists by outcome. The call that collects one document, written twice before, is one class (http_get).

--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -124,10 +124,10 @@
     try {
         proxy::store_record record = m_codec.decode(item);
         if (auto* const read = std::get_if<routing::configuration>(&record)) {
-            take_configuration(std::move(*read));
+            take_configuration(std::move(*read), item);
         } else if (auto const* const described =
                        std::get_if<routing::upstream>(&record)) {
-            take_upstream(*described);
+            take_upstream(*described, item.revision);
         } else if (auto const* const broken =
                        std::get_if<proxy::unreadable_upstream>(&record)) {
             m_context.directory.put_unreadable(broken->id,
@@ -151,7 +151,8 @@
     }
 }
 
-void beliefs::take_configuration(routing::configuration read)
+void beliefs::take_configuration(routing::configuration read,
+                                 proxy::store_item const& item)
 {
     std::uint64_t const before = config_version();
     if (m_context.table && read.version <= before) {
@@ -160,13 +161,16 @@
     runtime::log_line("config_applied")
         .field("version", read.version)
         .field("before", before)
+        .field("revision", item.revision)
+        .field("bytes", item.value.size())
         .field("routes", read.routes.size())
         .field("teams", read.teams.size());
     m_context.table =
         std::make_shared<routing::route_table const>(std::move(read));
 }
 
-void beliefs::take_upstream(routing::upstream const& described)
+void beliefs::take_upstream(routing::upstream const& described,
+                            std::uint64_t revision)
 {
     auto const before = m_context.directory.find(described.id);
     bool const is_news = !before || before->about.draining != described.draining
@@ -179,7 +183,8 @@
             .field("service", described.service)
             .field("at", described.at.address)
             .field("data_centre", described.data_centre)
-            .field("state", described.draining ? "draining" : "ready");
+            .field("state", described.draining ? "draining" : "ready")
+            .field("revision", revision);
     }
 }
 
--- a/src/program/beliefs.hpp
+++ b/src/program/beliefs.hpp
@@ -50,8 +50,10 @@
 
 private:
     void decode(proxy::store_item const& item);
-    void take_configuration(routing::configuration read);
-    void take_upstream(routing::upstream const& described);
+    void take_configuration(routing::configuration read,
+                            proxy::store_item const& item);
+    void take_upstream(routing::upstream const& described,
+                       std::uint64_t revision);
 
     proxy::relay_context& m_context;
     proxy::store_codec const& m_codec;
--- a/src/program/item_fetcher.cpp
+++ b/src/program/item_fetcher.cpp
@@ -14,61 +14,45 @@
 
 } // namespace
 
-item_fetcher::item_fetcher(runtime::event_loop& loop,
-                           std::function<void(proxy::item_list const&)> on_list)
-    : m_loop(loop)
-    , m_on_list(std::move(on_list))
+item_fetcher::item_fetcher(runtime::event_loop& loop, hooks call)
+    : m_call(std::move(call))
+    , m_get(loop)
 {
 }
 
-item_fetcher::~item_fetcher()
+void item_fetcher::ask(model::endpoint const& peer, std::uint64_t since)
 {
-    stop();
+    proxy::get_request request;
+    request.at = peer;
+    request.target = fmt::format("{}?id={}", items_path, since);
+    request.is_last = true;
+    request.connect_limit = connect_limit;
+    request.answer_limit = answer_limit;
+    m_get.ask(request,
+              {[this, peer, since](int status, std::string const& body) {
+                   take({peer, since, "", status}, body);
+               },
+               [this, peer, since](std::string_view why) {
+                   // Asked again, perhaps elsewhere, as long as it is needed.
+                   ended({peer, since}, why);
+               }});
 }
 
-void item_fetcher::stop()
+void item_fetcher::take(fetch_report report, std::string const& body)
 {
-    m_loop.cancel(m_limit);
-    if (auto const connection = std::exchange(m_connection, nullptr)) {
-        connection->close();
+    auto const list =
+        report.status == ok ? proxy::decode_items(body) : std::nullopt;
+    ended(std::move(report), list ? "taken" : "unreadable");
+    if (list) {
+        m_call.on_list(*list);
     }
 }
 
-void item_fetcher::ask(model::endpoint const& peer, std::uint64_t since)
+void item_fetcher::ended(fetch_report report, std::string_view outcome)
 {
-    stop();
-    m_body.clear();
-    m_connection = std::make_shared<proxy::upstream_connection>(m_loop, peer);
-    m_limit = m_loop.after(answer_limit, [this] {
-        stop();
-    });
-    m_connection->send(fmt::format("GET {}?id={} HTTP/1.1\r\nHost: {}\r\n"
-                                   "Connection: close\r\n\r\n",
-                                   items_path,
-                                   since,
-                                   peer.address),
-                       false,
-                       connect_limit,
-                       {[this](proxy::message_head&& head) {
-                            m_status = head.status;
-                        },
-                        [this](std::string_view bytes) {
-                            m_body.append(bytes);
-                        },
-                        [this] {
-                            auto const list = m_status == ok
-                                                  ? proxy::decode_items(m_body)
-                                                  : std::nullopt;
-                            stop();
-                            if (list) {
-                                m_on_list(*list);
-                            }
-                        },
-                        [this](proxy::answer_fault) {
-                            // Asked again, perhaps elsewhere, as long as it is
-                            // needed.
-                            stop();
-                        }});
+    report.outcome = outcome;
+    report.progress = m_get.progress();
+    m_call.on_ended(report);
 }
 
 } // namespace caperjunction::program
--- a/src/program/item_fetcher.hpp
+++ b/src/program/item_fetcher.hpp
@@ -3,18 +3,30 @@
 
 #include "model/endpoint.hpp"
 #include "proxy/digest_codec.hpp"
-#include "proxy/upstream_connection.hpp"
+#include "proxy/http_get.hpp"
 #include "runtime/event_loop.hpp"
 
+#include <cstdint>
 #include <functional>
-#include <memory>
-#include <string>
+#include <string_view>
 
 namespace caperjunction::program {
 
 /// Where hosts give each other what they have read.
 constexpr char const* items_path = "/peer/items";
 
+/// How one call for a list ended, for the log and the metrics.
+struct fetch_report
+{
+    model::endpoint from;
+    /// What was asked for: all changes after this one.
+    std::uint64_t since = 0;
+    /// taken, unreadable, or why there is no answer.
+    std::string_view outcome;
+    int status = 0;
+    proxy::get_progress progress;
+};
+
 /// Asks another host for all that it has read of the platform's store, for
 /// a host that the store refuses, or that starts while the store is away.
 ///
@@ -22,11 +34,14 @@
 class item_fetcher
 {
 public:
-    item_fetcher(runtime::event_loop& loop,
-                 std::function<void(proxy::item_list const&)> on_list);
-    ~item_fetcher();
-    item_fetcher(item_fetcher const&) = delete;
-    item_fetcher& operator=(item_fetcher const&) = delete;
+    struct hooks
+    {
+        std::function<void(proxy::item_list const&)> on_list;
+        /// Called for each call that ended, before `on_list`.
+        std::function<void(fetch_report const&)> on_ended;
+    };
+
+    item_fetcher(runtime::event_loop& loop, hooks call);
 
     /// Begins to ask; what was asked before is given up.
     void ask(model::endpoint const& peer, std::uint64_t since);
@@ -34,23 +49,20 @@
     /// Bytes of the last list that came.
     std::size_t last_size() const
     {
-        return m_body.size();
+        return m_get.progress().bytes;
     }
 
     bool is_asking() const
     {
-        return m_connection != nullptr;
+        return m_get.is_asking();
     }
 
 private:
-    void stop();
-
-    runtime::event_loop& m_loop;
-    std::function<void(proxy::item_list const&)> m_on_list;
-    std::shared_ptr<proxy::upstream_connection> m_connection;
-    runtime::timer_handle m_limit;
-    std::string m_body;
-    int m_status = 0;
+    void take(fetch_report report, std::string const& body);
+    void ended(fetch_report report, std::string_view outcome);
+
+    hooks m_call;
+    proxy::http_get m_get;
 };
 
 } // namespace caperjunction::program
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -58,15 +58,13 @@
           m_loop, m_names, m_settings.relay, boot_now, measure_from(m_settings))
     , m_beliefs(m_context, m_codec)
     , m_fetcher(m_loop,
-                [this](proxy::item_list const& list) {
-                    std::uint64_t const before = m_context.revision;
-                    m_beliefs.merge(list);
-                    tell_of_change(before);
-                    rest_from_asking();
-                    if (m_context.table) {
-                        note_read();
-                    }
-                })
+                {[this](proxy::item_list const& list) {
+                     take_list(list);
+                 },
+                 [this](fetch_report const& ended) {
+                     log_fetch(ended);
+                     m_metrics.count(ended);
+                 }})
     , m_relay(m_context)
     , m_admin(m_loop, m_settings.admin_listen)
     , m_settings_file(absl::GetFlag(FLAGS_config))
@@ -108,10 +106,8 @@
             m_context.keys.confirm(as_of);
             tell_of_change(before);
         };
-        call.on_lost = [this](std::string_view why) {
-            runtime::log_line("store_lost")
-                .field("why", why)
-                .field("config_age_ms", m_context.keys.age(boot_now()).count());
+        call.on_lost = [this](proxy::store_loss const& loss) {
+            log_store_lost(loss);
         };
         call.on_regained = [this] {
             m_context.directory.store_regained(m_loop.now());
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -41,6 +41,7 @@
     model::milliseconds
     patience_with(routing::peer_table::source const& newer) const;
     void tell_of_change(std::uint64_t before);
+    void take_list(proxy::item_list const& list);
     void rest_from_asking();
     void share_reading();
     model::milliseconds watch_wait();
@@ -49,6 +50,8 @@
     void log_retried(proxy::exchange_report const& tried);
     void log_ended(proxy::exchange_report const& ended);
     void log_connection(proxy::connection_report const& ended);
+    void log_fetch(fetch_report const& ended);
+    void log_store_lost(proxy::store_loss const& loss);
     void plan_stop();
     void reload();
     bool is_ready() const;
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -66,4 +66,29 @@
         .field("since_stop_ms", m_context.since_stop().count());
 }
 
+void routed_host::log_fetch(fetch_report const& ended)
+{
+    runtime::log_line("peer_list_ended")
+        .field("from", ended.from.address)
+        .field("since", ended.since)
+        .field("outcome", ended.outcome)
+        .field("status", ended.status)
+        .field("bytes", ended.progress.bytes)
+        .field("total_ms", ended.progress.total.count())
+        .field("quiet_ms", ended.progress.quiet.count())
+        .field("revision", m_context.revision);
+}
+
+void routed_host::log_store_lost(proxy::store_loss const& loss)
+{
+    runtime::log_line("store_lost")
+        .field("why", loss.why)
+        .field("call", loss.call)
+        .field("bytes", loss.progress.bytes)
+        .field("total_ms", loss.progress.total.count())
+        .field("quiet_ms", loss.progress.quiet.count())
+        .field("config_age_ms",
+               m_context.keys.age(m_context.boot_now()).count());
+}
+
 } // namespace caperjunction::program
--- a/src/program/routed_host_peers.cpp
+++ b/src/program/routed_host_peers.cpp
@@ -81,6 +81,17 @@
     }
 }
 
+void routed_host::take_list(proxy::item_list const& list)
+{
+    std::uint64_t const before = m_context.revision;
+    m_beliefs.merge(list);
+    tell_of_change(before);
+    rest_from_asking();
+    if (m_context.table) {
+        note_read();
+    }
+}
+
 // All hosts nearby need the same list, which a few of them have on links that
 // may be narrow. Asked for again at once while thousands of entries come in
 // a row, these would be full with parts of lists that time out.
--- a/src/program/routed_metrics.cpp
+++ b/src/program/routed_metrics.cpp
@@ -62,6 +62,14 @@
                  .Name("caperjunction_routed_loop_late_seconds")
                  .Help("Noticeable delays of the loop")
                  .Register(*m_registry))
+    , m_fetches(prometheus::BuildHistogram()
+                    .Name("caperjunction_routed_peer_list_seconds")
+                    .Help("Calls for another host's list, by outcome")
+                    .Register(*m_registry))
+    , m_fetched_bytes(prometheus::BuildCounter()
+                          .Name("caperjunction_routed_peer_list_bytes_total")
+                          .Help("Bytes of other hosts' lists, by outcome")
+                          .Register(*m_registry))
     , m_gauges(prometheus::BuildGauge()
                    .Name("caperjunction_routed_state")
                    .Help("What this host believes and does, by part")
@@ -113,6 +121,15 @@
         .Increment(static_cast<double>(ended.late_bytes));
 }
 
+void routed_metrics::count(fetch_report const& ended)
+{
+    std::string const outcome(ended.outcome);
+    m_fetches.Add({{"outcome", outcome}}, seconds_buckets())
+        .Observe(model::seconds(ended.progress.total).count());
+    m_fetched_bytes.Add({{"outcome", outcome}})
+        .Increment(static_cast<double>(ended.progress.bytes));
+}
+
 void routed_metrics::count_late(model::milliseconds late)
 {
     m_late.Add({}, seconds_buckets()).Observe(model::seconds(late).count());
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
 #define CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
 
+#include "program/item_fetcher.hpp"
 #include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
 
@@ -27,6 +28,7 @@
 
     void count(proxy::exchange_report const& ended);
     void count(proxy::connection_report const& ended);
+    void count(fetch_report const& ended);
     /// Counts a delay of the loop.
     void count_late(model::milliseconds late);
     void set_beliefs(std::uint64_t config_version,
@@ -48,6 +50,8 @@
     prometheus::Family<prometheus::Counter>& m_connections;
     prometheus::Family<prometheus::Counter>& m_lost_bytes;
     prometheus::Family<prometheus::Histogram>& m_late;
+    prometheus::Family<prometheus::Histogram>& m_fetches;
+    prometheus::Family<prometheus::Counter>& m_fetched_bytes;
     prometheus::Family<prometheus::Gauge>& m_gauges;
 };
 
--- /dev/null
+++ b/src/proxy/http_get.hpp
@@ -0,0 +1,92 @@
+#ifndef CAPERJUNCTION_PROXY_HTTP_GET_HPP
+#define CAPERJUNCTION_PROXY_HTTP_GET_HPP
+
+#include "model/endpoint.hpp"
+#include "model/time.hpp"
+#include "proxy/upstream_connection.hpp"
+#include "runtime/event_loop.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace caperjunction::proxy {
+
+/// What to ask for, and for how long.
+struct get_request
+{
+    model::endpoint at;
+    std::string target;
+    /// The connection isn't wanted for another request.
+    bool is_last = false;
+    model::milliseconds connect_limit{300};
+    /// Until the answer is whole.
+    model::milliseconds answer_limit{700};
+};
+
+/// How far an answer has come.
+struct get_progress
+{
+    std::size_t bytes = 0;
+    /// Since the request.
+    model::milliseconds total{0};
+    /// Since the last byte; since the request if none came.
+    model::milliseconds quiet{0};
+};
+
+/// Asks for one document at a time, and collects it.
+///
+/// Thread safety: none; owned by the loop's task.
+class http_get
+{
+public:
+    struct hooks
+    {
+        std::function<void(int status, std::string const& body)> on_answer;
+        /// There is no whole answer; `why`: silent, unreachable or broken.
+        std::function<void(std::string_view why)> on_failed;
+    };
+
+    explicit http_get(runtime::event_loop& loop);
+    ~http_get();
+    http_get(http_get const&) = delete;
+    http_get& operator=(http_get const&) = delete;
+
+    /// Begins to ask; what was asked before is given up without a word. Hooks
+    /// may ask again.
+    void ask(get_request const& request, hooks call);
+
+    /// Gives up what was asked, and the connection.
+    void stop();
+
+    bool is_asking() const
+    {
+        return m_is_asking;
+    }
+
+    /// Of the last answer, whole or not.
+    get_progress progress() const;
+
+private:
+    void end();
+    void failed(std::string_view why);
+
+    runtime::event_loop& m_loop;
+    std::shared_ptr<upstream_connection> m_connection;
+    model::endpoint m_at;
+    hooks m_call;
+    runtime::timer_handle m_limit;
+    std::string m_body;
+    std::size_t m_bytes = 0;
+    model::time_point m_asked_at{};
+    model::time_point m_last_byte_at{};
+    model::time_point m_ended_at{};
+    int m_status = 0;
+    bool m_is_asking = false;
+};
+
+} // namespace caperjunction::proxy
+
+#endif
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -42,12 +42,12 @@
     , m_codec(codec)
     , m_prefix(std::move(prefix))
     , m_call(std::move(call))
+    , m_get(loop)
 {
 }
 
 store_reader::~store_reader()
 {
-    drop_connection();
     m_loop.cancel(m_again);
 }
 
@@ -64,49 +64,19 @@
     m_wait = std::min(wait, m_codec.longest_wait);
 }
 
-void store_reader::drop_connection()
-{
-    m_loop.cancel(m_limit);
-    if (auto const connection = std::exchange(m_connection, nullptr)) {
-        connection->close();
-    }
-}
-
 void store_reader::call(std::string const& target,
                         model::milliseconds limit,
-                        std::function<void(int)> on_answer)
+                        std::function<void(int, std::string const&)> on_answer)
 {
-    if (!m_connection || !m_connection->is_open() || !m_connection->is_free()) {
-        m_connection = std::make_shared<upstream_connection>(m_loop, m_at);
-    }
-    m_body.clear();
     m_sent_at = m_boot_now();
-    m_loop.cancel(m_limit);
+    get_request request;
+    request.at = m_at;
+    request.target = target;
+    request.connect_limit = connect_limit;
     // Later tries wait longer: a store that answers slowly is not away.
-    auto const patience = limit + read_limit * std::min(m_failures, 3U);
-    m_limit = m_loop.after(patience, [this] {
-        failed("silent");
-    });
-    m_connection->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n\r\n",
-                                   target,
-                                   m_at.address,
-                                   m_at.port),
-                       false,
-                       connect_limit,
-                       {[this](message_head&& head) {
-                            m_status = head.status;
-                        },
-                        [this](std::string_view bytes) {
-                            m_body.append(bytes);
-                        },
-                        [this, on_answer = std::move(on_answer)] {
-                            m_loop.cancel(m_limit);
-                            on_answer(m_status);
-                        },
-                        [this](answer_fault why) {
-                            failed(why == answer_fault::unreachable
-                                       ? "unreachable"
-                                       : "broken");
+    request.answer_limit = limit + read_limit * std::min(m_failures, 3U);
+    m_get.ask(request, {std::move(on_answer), [this](std::string_view why) {
+                            failed(why);
                         }});
 }
 
@@ -118,12 +88,12 @@
     }
     call(m_codec.range_target(m_prefix, after_key),
          read_limit,
-         [this](int status) {
-             take_page(status);
+         [this](int status, std::string const& body) {
+             take_page(status, body);
          });
 }
 
-void store_reader::take_page(int status)
+void store_reader::take_page(int status, std::string const& body)
 {
     if (status != ok) {
         failed(fmt::format("status_{}", status));
@@ -131,7 +101,7 @@
     }
     store_answer page;
     try {
-        page = m_codec.read_range(m_body);
+        page = m_codec.read_range(body);
     } catch (std::exception const& unreadable) {
         failed(unreadable.what());
         return;
@@ -208,12 +178,12 @@
     m_asked_wait = wait;
     call(m_codec.watch_target(m_prefix, m_revision, wait),
          wait + read_limit,
-         [this](int status) {
-             take_changes(status);
+         [this](int status, std::string const& body) {
+             take_changes(status, body);
          });
 }
 
-void store_reader::take_changes(int status)
+void store_reader::take_changes(int status, std::string const& body)
 {
     if (status == gone) {
         m_whole = false;
@@ -226,7 +196,7 @@
     }
     store_answer changes;
     try {
-        changes = m_codec.read_watch(m_body);
+        changes = m_codec.read_watch(body);
     } catch (std::exception const& unreadable) {
         failed(unreadable.what());
         return;
@@ -263,9 +233,9 @@
 
 void store_reader::failed(std::string_view why)
 {
-    drop_connection();
+    m_get.stop();
     if (!std::exchange(m_lost, true)) {
-        m_call.on_lost(why);
+        m_call.on_lost({why, m_whole ? "watch" : "range", m_get.progress()});
     }
     bool const is_watched_for = m_whole && !m_keeps_watching;
     auto const pause =
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -3,19 +3,28 @@
 
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
+#include "proxy/http_get.hpp"
 #include "proxy/store_codec.hpp"
-#include "proxy/upstream_connection.hpp"
 #include "runtime/event_loop.hpp"
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace caperjunction::proxy {
 
+/// How a call to the store failed.
+struct store_loss
+{
+    std::string_view why;
+    /// range or watch.
+    std::string_view call;
+    /// How far the answer had come.
+    get_progress progress;
+};
+
 /// What a reader tells its owner.
 struct store_hooks
 {
@@ -26,7 +35,7 @@
     /// of `as_of` (the clock that counts suspended time).
     std::function<void(model::time_point as_of, std::uint64_t revision)>
         on_confirmed;
-    std::function<void(std::string_view why)> on_lost;
+    std::function<void(store_loss const&)> on_lost;
     std::function<void()> on_regained;
 };
 
@@ -78,12 +87,11 @@
     void watch();
     void call(std::string const& target,
               model::milliseconds limit,
-              std::function<void(int status)> on_answer);
-    void take_page(int status);
-    void take_changes(int status);
+              std::function<void(int, std::string const&)> on_answer);
+    void take_page(int status, std::string const& body);
+    void take_changes(int status, std::string const& body);
     void failed(std::string_view why);
     void succeeded();
-    void drop_connection();
 
     runtime::event_loop& m_loop;
     model::endpoint m_at;
@@ -95,11 +103,8 @@
     model::milliseconds m_asked_wait{0};
     std::function<model::time_point()> m_boot_now;
 
-    std::shared_ptr<upstream_connection> m_connection;
-    runtime::timer_handle m_limit;
+    http_get m_get;
     runtime::timer_handle m_again;
-    std::string m_body;
-    int m_status = 0;
     model::time_point m_sent_at{};
     model::time_point m_confirmed{};
     std::uint64_t m_revision = 0;
--- a/tests/proxy/store_reader_test.cpp
+++ b/tests/proxy/store_reader_test.cpp
@@ -67,8 +67,8 @@
                       confirmed = as_of;
                       revision = all_up_to;
                   },
-                  [this](std::string_view why) {
-                      told.push_back("lost " + std::string(why));
+                  [this](proxy::store_loss const& loss) {
+                      told.push_back("lost " + std::string(loss.why));
                   },
                   [this] {
                       told.emplace_back("regained");
