Give upstreams and the configuration between hosts in lists of their own

Requests reached upstreams over four seconds after they had said that they leave. Cause: a host that lacked a leave got it in the same list as a configuration of 293 KB, and only when that was whole; and keys were confirmed only by a host that had all entries.

Two lanes: /peer/upstreams and /peer/configuration, asked for apart by two calls (routing/catch_up decides when). Digests name both revisions and up to which one the configuration was the newest; keys are confirmed by whoever has no newer configuration, whatever upstreams do. A reader that rests goes on from what is known of both; what the store tells late brings back no upstream. A host that lacks a change of upstreams for half of the time in which it must be in force asks the store itself. Hosts of earlier versions get and give one list as before.

Tests: a leave reaches a host that lacks a large configuration (the interface is new; the list of a leave has under 1 KB of 300), old entries, earlier versions, whom to ask when. The existing tests of beliefs hold, with both lanes asked for.

--- a/src/program/beliefs.cpp
+++ b/src/program/beliefs.cpp
@@ -28,6 +28,13 @@
 
 void beliefs::apply(proxy::store_item const& item)
 {
+    if (m_codec.is_configuration(item.key)) {
+        apply_configuration(item);
+        return;
+    }
+    if (item.revision <= m_context.known.upstreams) {
+        return;
+    }
     if (item.removed) {
         m_items.erase(item.key);
         m_removed.emplace(item.revision, item.key);
@@ -41,11 +48,28 @@
     decode(item);
 }
 
+void beliefs::apply_configuration(proxy::store_item const& item)
+{
+    if (item.removed || item.revision <= m_configuration.revision) {
+        return;
+    }
+    m_configuration = item;
+    m_context.known.configuration = item.revision;
+    decode(item);
+}
+
 void beliefs::commit(std::uint64_t revision)
 {
-    m_context.revision = std::max(m_context.revision, revision);
+    commit_upstreams(revision);
+    m_context.known.checked = std::max(m_context.known.checked, revision);
+}
+
+void beliefs::commit_upstreams(std::uint64_t revision)
+{
+    std::uint64_t& known = m_context.known.upstreams;
+    known = std::max(known, revision);
     if (std::exchange(m_dropped_unseen, false)) {
-        m_forgotten_removal = std::max(m_forgotten_removal, m_context.revision);
+        m_forgotten_removal = std::max(m_forgotten_removal, known);
     }
 }
 
@@ -67,11 +91,10 @@
 
 void beliefs::merge(proxy::item_list const& list)
 {
-    if (list.revision <= m_context.revision
-        || list.since > m_context.revision) {
+    std::uint64_t const before = m_context.known.upstreams;
+    if (list.revision <= before || list.since > before) {
         return;
     }
-    std::uint64_t const before = m_context.revision;
     std::vector<std::string> keys;
     keys.reserve(list.items.size());
     for (proxy::store_item const& item : list.items) {
@@ -92,7 +115,7 @@
         }
         keep_only(keys);
     }
-    commit(list.revision);
+    commit_upstreams(list.revision);
     runtime::log_line("peer_items_merged")
         .field("before", before)
         .field("revision", list.revision)
@@ -102,7 +125,7 @@
 proxy::item_list beliefs::changes(std::uint64_t since) const
 {
     proxy::item_list list;
-    list.revision = m_context.revision;
+    list.revision = m_context.known.upstreams;
     list.since = since > m_forgotten_removal ? since : 0;
     for (auto const& [key, item] : m_items) {
         if (item.revision > list.since) {
@@ -119,6 +142,32 @@
     return list;
 }
 
+void beliefs::merge(proxy::told_configuration const& told)
+{
+    if (m_codec.is_configuration(told.item.key)) {
+        apply_configuration(told.item);
+    }
+    if (m_configuration.revision >= told.item.revision) {
+        std::uint64_t& checked = m_context.known.checked;
+        checked = std::max(checked, told.checked);
+    }
+}
+
+proxy::told_configuration beliefs::configuration() const
+{
+    return {m_configuration, m_context.known.checked};
+}
+
+proxy::item_list beliefs::all_changes(std::uint64_t since) const
+{
+    proxy::item_list list = changes(since);
+    list.revision = m_context.known.all();
+    if (m_configuration.revision > list.since) {
+        list.items.push_back(m_configuration);
+    }
+    return list;
+}
+
 void beliefs::decode(proxy::store_item const& item)
 {
     try {
--- a/src/program/beliefs.hpp
+++ b/src/program/beliefs.hpp
@@ -22,10 +22,12 @@
 public:
     beliefs(proxy::relay_context& context, proxy::store_codec const& codec);
 
-    /// The store gave this item.
+    /// The store gave this item. What is older than what is known here changes
+    /// nothing: the store's reader may lag behind what other hosts have told.
     void apply(proxy::store_item const& item);
 
-    /// All changes up to `revision` are applied, which the store has named.
+    /// All changes of both lanes up to `revision` are applied, which the store
+    /// has named.
     ///
     /// The newest item held says nothing of that: a whole read comes in pages
     /// that are no snapshot, and a later page may hold a change that is newer
@@ -38,17 +40,29 @@
     /// The store was read whole: what is not among `keys` is missing.
     void keep_only(std::vector<std::string> const& keys);
 
-    /// Another host gave all that it has. Items that are older than what is
+    /// Another host gave its upstreams. Items that are older than what is
     /// known here change nothing.
     void merge(proxy::item_list const& list);
 
-    /// What has changed after revision `since`; all, if that is 0 or too
-    /// long ago.
+    /// Another host gave its configuration. An older one changes nothing.
+    void merge(proxy::told_configuration const& told);
+
+    /// Upstreams that have changed after revision `since`; all, if that is 0 or
+    /// too long ago.
     proxy::item_list changes(std::uint64_t since) const;
 
+    /// The newest configuration, for other hosts; an item without a key if
+    /// there is none.
+    proxy::told_configuration configuration() const;
+
+    /// Both in one list, for hosts of versions that know no other.
+    proxy::item_list all_changes(std::uint64_t since) const;
+
     std::uint64_t config_version() const;
 
 private:
+    void apply_configuration(proxy::store_item const& item);
+    void commit_upstreams(std::uint64_t revision);
     void decode(proxy::store_item const& item);
     void take_configuration(routing::configuration read,
                             proxy::store_item const& item);
@@ -57,7 +71,9 @@
 
     proxy::relay_context& m_context;
     proxy::store_codec const& m_codec;
+    /// Without the configuration.
     std::map<std::string, proxy::store_item> m_items;
+    proxy::store_item m_configuration;
     /// Removals, by revision, the newest `most_removals`.
     std::map<std::uint64_t, std::string> m_removed;
     std::uint64_t m_forgotten_removal = 0;
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -57,14 +57,18 @@
     , m_context(
           m_loop, m_names, m_settings.relay, boot_now, measure_from(m_settings))
     , m_beliefs(m_context, m_codec)
-    , m_fetcher(m_loop,
-                {[this](proxy::item_list const& list) {
-                     take_list(list);
-                 },
-                 [this](fetch_report const& ended) {
-                     log_fetch(ended);
-                     m_metrics.count(ended);
-                 }})
+    , m_lists(m_context,
+              m_beliefs,
+              {[this](routing::store_revisions const& before) {
+                   tell_of_change(before);
+                   if (m_context.table) {
+                       note_read();
+                   }
+               },
+               [this](fetch_report const& ended) {
+                   log_fetch(ended);
+                   m_metrics.count(ended);
+               }})
     , m_relay(m_context)
     , m_admin(m_loop, m_settings.admin_listen)
     , m_settings_file(absl::GetFlag(FLAGS_config))
@@ -101,7 +105,7 @@
         };
         call.on_confirmed = [this](model::time_point as_of,
                                    std::uint64_t revision) {
-            std::uint64_t const before = m_context.revision;
+            routing::store_revisions const before = m_context.known;
             m_beliefs.commit(revision);
             m_context.keys.confirm(as_of);
             tell_of_change(before);
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -4,7 +4,7 @@
 #include "net/admin_server.hpp"
 #include "program/beliefs.hpp"
 #include "program/file_watch.hpp"
-#include "program/item_fetcher.hpp"
+#include "program/peer_lists.hpp"
 #include "program/routed_metrics.hpp"
 #include "program/routed_settings.hpp"
 #include "proxy/peer_link.hpp"
@@ -15,7 +15,6 @@
 #include "runtime/log_output.hpp"
 
 #include <memory>
-#include <optional>
 #include <random>
 #include <string_view>
 #include <vector>
@@ -37,12 +36,7 @@
 
 private:
     void serve_peers();
-    void ask_peers();
-    model::milliseconds
-    patience_with(routing::peer_table::source const& newer) const;
-    void tell_of_change(std::uint64_t before);
-    void take_list(proxy::item_list const& list);
-    void rest_from_asking();
+    void tell_of_change(routing::store_revisions const& before);
     void share_reading();
     model::milliseconds watch_wait();
     void note_read();
@@ -66,15 +60,13 @@
     proxy::relay_context m_context;
     routed_metrics m_metrics;
     beliefs m_beliefs;
-    item_fetcher m_fetcher;
+    peer_lists m_lists;
     proxy::relay m_relay;
     net::admin_server m_admin;
     std::unique_ptr<net::admin_server> m_metrics_server;
     std::vector<std::unique_ptr<proxy::store_reader>> m_readers;
     std::unique_ptr<proxy::peer_link> m_peers;
     std::unique_ptr<net::admin_server> m_peer_server;
-    std::optional<model::time_point> m_lagging_since;
-    model::time_point m_ask_again_at{};
     file_watch m_settings_file;
     std::minstd_rand m_random{std::random_device{}()};
     bool m_has_read = false;
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -70,13 +70,15 @@
 {
     runtime::log_line("peer_list_ended")
         .field("from", ended.from.address)
+        .field("path", ended.path)
         .field("since", ended.since)
         .field("outcome", ended.outcome)
         .field("status", ended.status)
         .field("bytes", ended.progress.bytes)
         .field("total_ms", ended.progress.total.count())
         .field("quiet_ms", ended.progress.quiet.count())
-        .field("revision", m_context.revision);
+        .field("upstreams_revision", m_context.known.upstreams)
+        .field("config_revision", m_context.known.configuration);
 }
 
 void routed_host::log_store_lost(proxy::store_loss const& loss)
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -1,7 +1,7 @@
 #ifndef CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
 #define CAPERJUNCTION_PROGRAM_ROUTED_METRICS_HPP
 
-#include "program/item_fetcher.hpp"
+#include "program/peer_fetcher.hpp"
 #include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
 
--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -110,6 +110,20 @@
                : nullptr;
 }
 
+using byte_list = flatbuffers::Vector<std::uint8_t>;
+
+flatbuffers::Offset<byte_list> to_bytes(flatbuffers::FlatBufferBuilder& builder,
+                                        std::string const& text)
+{
+    return builder.CreateVector(
+        reinterpret_cast<std::uint8_t const*>(text.data()), text.size());
+}
+
+std::string text_of(byte_list const& bytes)
+{
+    return {reinterpret_cast<char const*>(bytes.data()), bytes.size()};
+}
+
 std::string text_of(flatbuffers::FlatBufferBuilder const& builder)
 {
     return {reinterpret_cast<char const*>(builder.GetBufferPointer()),
@@ -159,7 +173,12 @@
     made.add_centres(from.centres);
     made.add_relays(from.relays);
     made.add_asks(from.asks);
-    made.add_revision(from.revision);
+    // Earlier versions take it for all changes, and confirm keys by it.
+    made.add_revision(std::max(
+        {from.known.upstreams, from.known.configuration, from.known.checked}));
+    made.add_upstreams_revision(from.known.upstreams);
+    made.add_configuration_revision(from.known.configuration);
+    made.add_configuration_checked(from.known.checked);
     made.add_data_centre(from.data_centre);
     made.add_speaks(from.speaks);
     made.add_work_sums(sum_list);
@@ -180,7 +199,12 @@
     digest.sequence = from->sequence();
 
     digest.hosts_seen = from->hosts_seen();
-    digest.revision = from->revision();
+    digest.known = {from->upstreams_revision(),
+                    from->configuration_revision(),
+                    from->configuration_checked()};
+    if (digest.known == routing::store_revisions{}) {
+        digest.known.upstreams = from->revision();
+    }
     frame.stamp = time_of(from->stamp());
     if (from->echoed_stamp() != 0) {
         frame.echoed = time_of(from->echoed_stamp());
@@ -219,9 +243,7 @@
     std::vector<flatbuffers::Offset<wire::Item>> items;
     for (store_item const& item : list.items) {
         auto const key = builder.CreateString(item.key);
-        auto const value = builder.CreateVector(
-            reinterpret_cast<std::uint8_t const*>(item.value.data()),
-            item.value.size());
+        auto const value = to_bytes(builder, item.value);
         items.push_back(
             wire::CreateItem(builder, key, value, item.revision, item.removed));
     }
@@ -245,8 +267,7 @@
         }
         store_item made;
         made.key = item->key()->str();
-        made.value.assign(reinterpret_cast<char const*>(item->value()->data()),
-                          item->value()->size());
+        made.value = text_of(*item->value());
         made.revision = item->revision();
         made.removed = item->removed();
         list.items.push_back(std::move(made));
@@ -254,4 +275,26 @@
     return list;
 }
 
+std::string encode_configuration(told_configuration const& from)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    auto const key = builder.CreateString(from.item.key);
+    auto const text = to_bytes(builder, from.item.value);
+    builder.Finish(wire::CreateConfiguration(
+        builder, key, text, from.item.revision, from.checked));
+    return text_of(builder);
+}
+
+std::optional<told_configuration> decode_configuration(std::string_view bytes)
+{
+    auto const* const from = verified<wire::Configuration>(bytes);
+    if (from == nullptr || from->key() == nullptr || from->text() == nullptr) {
+        return std::nullopt;
+    }
+    told_configuration made;
+    made.item = {from->key()->str(), text_of(*from->text()), from->revision()};
+    made.checked = from->checked();
+    return made;
+}
+
 } // namespace caperjunction::proxy
--- a/src/proxy/digest_codec.hpp
+++ b/src/proxy/digest_codec.hpp
@@ -33,6 +33,19 @@
 /// Nothing if the bytes are no digest.
 std::optional<digest_frame> decode_digest(std::string_view bytes);
 
+/// The newest configuration that a host has.
+struct told_configuration
+{
+    store_item item;
+    /// Up to this revision the store had no newer one.
+    std::uint64_t checked = 0;
+};
+
+std::string encode_configuration(told_configuration const& from);
+
+/// Nothing if the bytes are no configuration.
+std::optional<told_configuration> decode_configuration(std::string_view bytes);
+
 /// What a host has read of the store.
 struct item_list
 {
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -85,7 +85,7 @@
     routing::peer_digest& digest = frame.digest;
     digest.generation = m_generation;
     digest.sequence = ++m_sequence;
-    digest.revision = m_context.revision;
+    digest.known = m_context.known;
     digest.data_centre = m_context.settings.data_centre;
     auto const now = m_context.loop.now();
     m_context.directory.each([&](routing::upstream_state const& state) {
@@ -121,7 +121,7 @@
     m_context.loop.cancel(m_change_timer);
     m_change_timer = m_context.loop.after(model::milliseconds{0}, [this] {
         tell_all(m_context.peers.audience_of_change(
-                     m_context.loop.now(), m_context.revision, m_random()),
+                     m_context.loop.now(), m_context.known, m_random()),
                  own_frame());
     });
 }
@@ -133,7 +133,7 @@
     peers.forget_silent(now);
     digest_frame const frame = own_frame();
     bool const is_news = m_news.is_news(frame.digest.loads, now);
-    auto const audience = peers.audience(now, m_context.revision, is_news);
+    auto const audience = peers.audience(now, m_context.known, is_news);
     if (is_news) {
         m_news.told(frame.digest.loads, now);
     }
@@ -219,18 +219,30 @@
         frame->digest.confirmed =
             *frame->echoed + frame->echo_held - *frame->confirmed_age;
     }
-    // All changes up to that moment are among those applied here.
-    bool const has_all =
-        m_context.revision != 0 && m_context.revision >= frame->digest.revision;
-    if (frame->digest.confirmed && has_all) {
-        m_context.keys.confirm(std::min(*frame->digest.confirmed, now));
-    }
+    confirm_by(frame->digest, now);
     m_context.peers.hear(from, frame->digest, m_context.loop.now());
-    if (m_on_heard && frame->digest.revision > m_context.revision) {
+    routing::store_revisions const& told = frame->digest.known;
+    bool const knows_more =
+        told.upstreams > m_context.known.upstreams
+        || told.configuration > m_context.known.configuration;
+    if (m_on_heard && knows_more) {
         m_on_heard();
     }
 }
 
+void peer_link::confirm_by(routing::peer_digest const& told,
+                           model::time_point now)
+{
+    routing::store_revisions& known = m_context.known;
+    if (!known.covers_configuration(told.known)) {
+        return;
+    }
+    known.checked = std::max(known.checked, told.known.checked);
+    if (told.confirmed) {
+        m_context.keys.confirm(std::min(*told.confirmed, now));
+    }
+}
+
 void peer_link::apply_loads()
 {
     m_context.peers.add_up();
--- a/src/proxy/peer_link.hpp
+++ b/src/proxy/peer_link.hpp
@@ -60,6 +60,7 @@
     void send_to(model::endpoint const& to, digest_frame& frame);
     void hear();
     void take(std::string_view bytes, model::endpoint const& from);
+    void confirm_by(routing::peer_digest const& told, model::time_point now);
     void apply_loads();
     digest_frame own_frame();
 
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -37,8 +37,7 @@
     routing::freshness keys;
     /// Null until a configuration is known.
     std::shared_ptr<routing::route_table const> table;
-    /// The newest change of the store that has been applied, with all before.
-    std::uint64_t revision = 0;
+    routing::store_revisions known;
     routing::upstream_directory directory;
     routing::picker picker;
     upstream_pool pool;
--- a/src/proxy/store_codec.hpp
+++ b/src/proxy/store_codec.hpp
@@ -61,6 +61,8 @@
     /// \throws model::error (bad_list) for a configuration that can't be
     /// read; entries of upstreams that can't be are named as such.
     std::function<store_record(store_item const&)> decode;
+    /// Whether the configuration stands under this key.
+    std::function<bool(std::string const& key)> is_configuration;
     /// The upstream that a key names; empty if it names none.
     std::function<std::string(std::string const& key)> upstream_id;
 };
--- a/src/proxy/wire/digest_generated.h
+++ b/src/proxy/wire/digest_generated.h
@@ -36,6 +36,9 @@
 struct Items;
 struct ItemsBuilder;
 
+struct Configuration;
+struct ConfigurationBuilder;
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Load FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -235,7 +238,10 @@
     VT_CENTRES = 46,
     VT_WORKS = 48,
     VT_WORK_SUMS = 50,
-    VT_WORKS_BEYOND = 52
+    VT_WORKS_BEYOND = 52,
+    VT_UPSTREAMS_REVISION = 54,
+    VT_CONFIGURATION_REVISION = 56,
+    VT_CONFIGURATION_CHECKED = 58
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -312,6 +318,15 @@
   const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *works_beyond() const {
     return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Work *> *>(VT_WORKS_BEYOND);
   }
+  uint64_t upstreams_revision() const {
+    return GetField<uint64_t>(VT_UPSTREAMS_REVISION, 0);
+  }
+  uint64_t configuration_revision() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_REVISION, 0);
+  }
+  uint64_t configuration_checked() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_CHECKED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
@@ -348,6 +363,9 @@
            verifier.VerifyVector(work_sums()) &&
            VerifyOffset(verifier, VT_WORKS_BEYOND) &&
            verifier.VerifyVector(works_beyond()) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_CHECKED, 8) &&
            verifier.EndTable();
   }
 };
@@ -431,6 +449,15 @@
   void add_works_beyond(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works_beyond) {
     fbb_.AddOffset(Digest::VT_WORKS_BEYOND, works_beyond);
   }
+  void add_upstreams_revision(uint64_t upstreams_revision) {
+    fbb_.AddElement<uint64_t>(Digest::VT_UPSTREAMS_REVISION, upstreams_revision, 0);
+  }
+  void add_configuration_revision(uint64_t configuration_revision) {
+    fbb_.AddElement<uint64_t>(Digest::VT_CONFIGURATION_REVISION, configuration_revision, 0);
+  }
+  void add_configuration_checked(uint64_t configuration_checked) {
+    fbb_.AddElement<uint64_t>(Digest::VT_CONFIGURATION_CHECKED, configuration_checked, 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -468,8 +495,14 @@
     uint32_t centres = 0,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works = 0,
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> work_sums = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works_beyond = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works_beyond = 0,
+    uint64_t upstreams_revision = 0,
+    uint64_t configuration_revision = 0,
+    uint64_t configuration_checked = 0) {
   DigestBuilder builder_(_fbb);
+  builder_.add_configuration_checked(configuration_checked);
+  builder_.add_configuration_revision(configuration_revision);
+  builder_.add_upstreams_revision(upstreams_revision);
   builder_.add_data_centre(data_centre);
   builder_.add_revision(revision);
   builder_.add_confirmed_age_us(confirmed_age_us);
@@ -524,7 +557,10 @@
     uint32_t centres = 0,
     const std::vector<caperjunction::proxy::wire::Work> *works = nullptr,
     const std::vector<caperjunction::proxy::wire::Work> *work_sums = nullptr,
-    const std::vector<caperjunction::proxy::wire::Work> *works_beyond = nullptr) {
+    const std::vector<caperjunction::proxy::wire::Work> *works_beyond = nullptr,
+    uint64_t upstreams_revision = 0,
+    uint64_t configuration_revision = 0,
+    uint64_t configuration_checked = 0) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Suspect>(*suspects) : 0;
   auto peers__ = peers ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Address>(*peers) : 0;
@@ -560,7 +596,10 @@
       centres,
       works__,
       work_sums__,
-      works_beyond__);
+      works_beyond__,
+      upstreams_revision,
+      configuration_revision,
+      configuration_checked);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -728,6 +767,95 @@
       since);
 }
 
+struct Configuration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_TEXT = 6,
+    VT_REVISION = 8,
+    VT_CHECKED = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *text() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TEXT);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t checked() const {
+    return GetField<uint64_t>(VT_CHECKED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyVector(text()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CHECKED, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ConfigurationBuilder {
+  typedef Configuration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(Configuration::VT_KEY, key);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text) {
+    fbb_.AddOffset(Configuration::VT_TEXT, text);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(Configuration::VT_REVISION, revision, 0);
+  }
+  void add_checked(uint64_t checked) {
+    fbb_.AddElement<uint64_t>(Configuration::VT_CHECKED, checked, 0);
+  }
+  explicit ConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Configuration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Configuration>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Configuration> CreateConfiguration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> text = 0,
+    uint64_t revision = 0,
+    uint64_t checked = 0) {
+  ConfigurationBuilder builder_(_fbb);
+  builder_.add_checked(checked);
+  builder_.add_revision(revision);
+  builder_.add_text(text);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Configuration> CreateConfigurationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *text = nullptr,
+    uint64_t revision = 0,
+    uint64_t checked = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto text__ = text ? _fbb.CreateVector<uint8_t>(*text) : 0;
+  return caperjunction::proxy::wire::CreateConfiguration(
+      _fbb,
+      key__,
+      text__,
+      revision,
+      checked);
+}
+
 }  // namespace wire
 }  // namespace proxy
 }  // namespace caperjunction
--- a/src/routing/peer_audience.cpp
+++ b/src/routing/peer_audience.cpp
@@ -29,13 +29,13 @@
 
 bool peer_table::is_due_far(peer const& known,
                             model::time_point now,
-                            std::uint64_t revision) const
+                            store_revisions const& own) const
 {
     if (!relays() || !known.told.relays) {
         return false;
     }
     auto const period = is_reader() ? reader_period : ask_period;
-    return now - known.asked_at >= period || known.told_revision != revision;
+    return now - known.asked_at >= period || known.told_known != own;
 }
 
 // Within a data centre digests cost nothing but the time to read them; what
@@ -61,10 +61,10 @@
 peer_table::listener peer_table::tell(model::endpoint const& at,
                                       peer& known,
                                       model::time_point now,
-                                      std::uint64_t revision) const
+                                      store_revisions const& own) const
 {
     known.asked_at = now;
-    known.told_revision = revision;
+    known.told_known = own;
     known.wants_answer = false;
     listener made{at, share_of(known), !known.is_heard};
     made.wants_names = now - known.named_at >= naming_period;
@@ -74,9 +74,8 @@
     return made;
 }
 
-std::vector<peer_table::listener> peer_table::audience(model::time_point now,
-                                                       std::uint64_t revision,
-                                                       bool is_news)
+std::vector<peer_table::listener> peer_table::audience(
+    model::time_point now, store_revisions const& own, bool is_news)
 {
     std::vector<listener> told;
     for (auto& [address, known] : m_peers) {
@@ -85,20 +84,20 @@
             is_due =
                 is_worth_asking(known) && now - known.asked_at >= ask_period;
         } else if (share_of(known) != share::beliefs) {
-            is_due = is_due || known.told_revision != revision
+            is_due = is_due || known.told_known != own
                      || is_due_with_loads(known, now, is_news);
         } else {
-            is_due = is_due || is_due_far(known, now, revision);
+            is_due = is_due || is_due_far(known, now, own);
         }
         if (is_due) {
-            told.push_back(tell(address, known, now, revision));
+            told.push_back(tell(address, known, now, own));
         }
     }
     return told;
 }
 
 std::vector<peer_table::listener> peer_table::audience_of_change(
-    model::time_point now, std::uint64_t revision, std::uint64_t draw)
+    model::time_point now, store_revisions const& own, std::uint64_t draw)
 {
     std::size_t const neighbours = nearby();
     std::size_t place = 0;
@@ -109,10 +108,10 @@
             is_due = (place + draw) % neighbours < told_of_change;
             ++place;
         } else {
-            is_due = known.is_heard && is_due_far(known, now, revision);
+            is_due = known.is_heard && is_due_far(known, now, own);
         }
         if (is_due) {
-            told.push_back(tell(address, known, now, revision));
+            told.push_back(tell(address, known, now, own));
         }
     }
     return told;
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -3,6 +3,7 @@
 
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
+#include "routing/store_revisions.hpp"
 #include "routing/upstream_state.hpp"
 
 #include <xxhash.h>
@@ -62,11 +63,9 @@
     /// Differs with each start of the sender.
     std::uint64_t generation = 0;
     std::uint64_t sequence = 0;
-    /// The newest change of the store that the sender has applied; it has
-    /// applied all before it.
-    std::uint64_t revision = 0;
-    /// As of when the store had no change beyond it, on the receiver's
-    /// clock; nothing if that can't be told.
+    store_revisions known;
+    /// As of when the store had no newer configuration than `known` names, on
+    /// the receiver's clock; nothing if that can't be told.
     std::optional<model::time_point> confirmed;
     /// Hosts that the sender has known at one time.
     std::uint32_t hosts_seen = 0;
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -214,22 +214,34 @@
     return !is_large() || m_rank_here < readers_here;
 }
 
-peer_table::source peer_table::newer_than(std::uint64_t revision,
-                                          std::uint64_t draw) const
+std::uint64_t peer_table::newest(lane which) const
 {
-    std::vector<model::endpoint const*> nearby;
-    std::vector<model::endpoint const*> far;
+    std::uint64_t newest = 0;
     for (auto const& [address, known] : m_peers) {
-        if (known.is_heard && known.told.revision > revision) {
-            (is_here(known) ? nearby : far).push_back(&address);
+        if (known.is_heard) {
+            newest = std::max(newest, known.told.known.of(which));
         }
     }
-    std::vector<model::endpoint const*> const& from =
-        nearby.empty() ? far : nearby;
-    if (from.empty()) {
-        return {};
+    return newest;
+}
+
+peer_table::source peer_table::newer_than(store_revisions const& own,
+                                          lane which,
+                                          std::uint64_t draw) const
+{
+    std::vector<source> nearby;
+    std::vector<source> far;
+    for (auto const& [address, known] : m_peers) {
+        bool const knows_more = known.told.known.of(which) > own.of(which);
+        if (known.is_heard && knows_more) {
+            bool const is_near = is_here(known);
+            bool const has_one_list = known.told.known.configuration == 0;
+            (is_near ? nearby : far)
+                .push_back({&address, is_near, has_one_list});
+        }
     }
-    return {from[draw % from.size()], !nearby.empty()};
+    std::vector<source> const& from = nearby.empty() ? far : nearby;
+    return from.empty() ? source{} : from[draw % from.size()];
 }
 
 } // namespace caperjunction::routing
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -83,11 +83,11 @@
         bool wants_names = false;
     };
 
-    /// Whom to tell what now, where the newest change applied is `revision`;
+    /// Whom to tell what now, where this host knows `own` of the store;
     /// `is_news`: loads have changed so much that hosts of other data centres
     /// would place otherwise.
     std::vector<listener>
-    audience(model::time_point now, std::uint64_t revision, bool is_news);
+    audience(model::time_point now, store_revisions const& own, bool is_news);
 
     /// Whom to tell of a change at once: some hosts nearby, from `draw` on,
     /// and those that relay it to other data centres. The rest hear of it by
@@ -95,7 +95,7 @@
     /// the first one, the 3,001 entries of a starting fleet of 296 hosts kept
     /// its link of 10 Mbit/s full for half a minute.
     std::vector<listener> audience_of_change(model::time_point now,
-                                             std::uint64_t revision,
+                                             store_revisions const& own,
                                              std::uint64_t draw);
 
     /// Hosts that concern the host at `to`, at most `most`: those of its data
@@ -154,23 +154,30 @@
         return m_crashes.empty();
     }
 
-    /// A host that has applied changes beyond `revision`, and is to be asked
-    /// for them.
+    /// A host that knows more of the store, and is to be asked for it.
     struct source
     {
         /// Null if there is none.
         model::endpoint const* at = nullptr;
         /// It stands in this host's data centre.
         bool is_near = false;
+        /// It gives both lanes in one list, as earlier versions do.
+        bool has_one_list = false;
     };
 
-    /// One of the hosts that know more; `draw` is any number.
+    /// One of the hosts that know more than `own` of `which`; `draw` is any
+    /// number.
     ///
     /// When all asked the same one, a fleet of 296 hosts that starts asked
     /// one link for 200 MB: a published configuration was in force after 18 s
     /// in place of one. Each draws its own, of its own data centre where one
     /// knows more: what crosses between data centres is paid for.
-    source newer_than(std::uint64_t revision, std::uint64_t draw) const;
+    source newer_than(store_revisions const& own,
+                      lane which,
+                      std::uint64_t draw) const;
+
+    /// The newest of `which` that any host has told to know.
+    std::uint64_t newest(lane which) const;
 
     /// Whether this host is one of those that watch the store for all.
     ///
@@ -190,8 +197,8 @@
         model::time_point asked_at{};
         model::time_point learnt_at{};
         model::time_point named_at{};
-        /// The revision that it was last told.
-        std::uint64_t told_revision = 0;
+        /// What it was last told to be known here.
+        store_revisions told_known;
         bool is_heard = false;
         bool is_seed = false;
         bool is_placed = false;
@@ -217,7 +224,7 @@
     bool is_worth_asking(peer const& known) const;
     bool is_due_far(peer const& known,
                     model::time_point now,
-                    std::uint64_t revision) const;
+                    store_revisions const& own) const;
     bool is_due_with_loads(peer const& known,
                            model::time_point now,
                            bool is_news) const;
@@ -225,7 +232,7 @@
     listener tell(model::endpoint const& at,
                   peer& known,
                   model::time_point now,
-                  std::uint64_t revision) const;
+                  store_revisions const& own) const;
     bool ranks_before(model::endpoint const& a, model::endpoint const& b) const;
     std::vector<peer const*> far_speakers() const;
     std::vector<peer_load> sums_with(std::vector<peer_load> const& own) const;
--- a/tests/program/beliefs_test.cpp
+++ b/tests/program/beliefs_test.cpp
@@ -49,6 +49,15 @@
     program::beliefs beliefs{context, codec};
 };
 
+/// `host` asks `other` for both lanes, as over their links.
+void ask(believer& host, believer& other)
+{
+    host.beliefs.merge(*proxy::decode_items(proxy::encode_items(
+        other.beliefs.changes(host.context.known.upstreams))));
+    host.beliefs.merge(*proxy::decode_configuration(
+        proxy::encode_configuration(other.beliefs.configuration())));
+}
+
 } // namespace
 
 // A host reads the store in pages. After the first page a configuration is
@@ -67,13 +76,13 @@
     believer peer;
     peer.beliefs.apply(configuration(3, 10));
     peer.beliefs.commit(10);
-    peer.beliefs.merge(reader.beliefs.changes(10));
-    CHECK(peer.context.revision == 10);
+    ask(peer, reader);
+    CHECK(peer.context.known == routing::store_revisions{10, 10, 10});
 
     reader.beliefs.apply(configuration(4, 11));
     reader.beliefs.commit(12);
-    peer.beliefs.merge(reader.beliefs.changes(10));
-    CHECK(peer.context.revision == 12);
+    ask(peer, reader);
+    CHECK(peer.context.known == routing::store_revisions{12, 11, 12});
     CHECK(peer.beliefs.config_version() == 4);
     CHECK(peer.context.directory.find("i-1") != nullptr);
 }
@@ -117,7 +126,7 @@
     host.beliefs.keep_only({"op/config", "servers/i-2"});
     host.beliefs.commit(20);
     peer.beliefs.merge(host.beliefs.changes(11));
-    CHECK(peer.context.revision == 20);
+    CHECK(peer.context.known.upstreams == 20);
     CHECK(peer.context.directory.find("i-2") != nullptr);
     CHECK(peer.context.directory.find("i-1") == nullptr);
 
@@ -129,3 +138,71 @@
     third.beliefs.merge(peer.beliefs.changes(11));
     CHECK(third.context.directory.find("i-1") == nullptr);
 }
+
+// Over a full link a configuration of 300 KB takes seconds. Behind it in one
+// list, a leave came so late that the upstream still got requests.
+TEST_CASE("a leave reaches a host that lacks a large configuration")
+{
+    believer reader;
+    believer host;
+    for (believer* const one : {&reader, &host}) {
+        one->beliefs.apply(configuration(3, 10));
+        one->beliefs.apply(upstream("i-1", 11));
+        one->beliefs.commit(11);
+    }
+    proxy::store_item large = configuration(4, 12);
+    large.value.insert(1, std::string(300'000, ' '));
+    reader.beliefs.apply(large);
+    reader.beliefs.apply({"servers/i-1", "", 13, true});
+    reader.beliefs.commit(13);
+
+    proxy::item_list const told = reader.beliefs.changes(11);
+    CHECK(proxy::encode_items(told).size() < 1'000);
+    host.beliefs.merge(told);
+    CHECK(host.context.directory.find("i-1") == nullptr);
+    CHECK(host.beliefs.config_version() == 3);
+    // And nothing is confirmed that was not told.
+    CHECK(host.context.known == routing::store_revisions{13, 10, 11});
+    CHECK(host.context.known.all() == 11);
+
+    ask(host, reader);
+    CHECK(host.beliefs.config_version() == 4);
+    CHECK(host.context.known == reader.context.known);
+}
+
+// A host whose configuration lags asks the store from there. Applied again, an
+// old entry would bring back an upstream that is gone.
+TEST_CASE("what the store tells late brings back no upstream")
+{
+    believer host;
+    host.beliefs.apply(configuration(3, 10));
+    host.beliefs.commit(10);
+    proxy::item_list list;
+    list.since = 10;
+    list.revision = 13;
+    list.items.push_back({"servers/i-1", "", 13, true});
+    host.beliefs.merge(list);
+
+    host.beliefs.apply(upstream("i-1", 11));
+    host.beliefs.apply(configuration(4, 12));
+    CHECK(host.context.directory.find("i-1") == nullptr);
+    CHECK(host.beliefs.config_version() == 4);
+}
+
+// While hosts are replaced one by one, some know no lanes.
+TEST_CASE("a host of an earlier version gets both lanes in one list")
+{
+    believer host;
+    host.beliefs.apply(configuration(3, 10));
+    host.beliefs.apply(upstream("i-1", 11));
+    host.beliefs.commit(11);
+    proxy::item_list const all = host.beliefs.all_changes(0);
+    CHECK(all.items.size() == 2);
+    CHECK(all.revision == 11);
+    CHECK(host.beliefs.all_changes(10).items.size() == 1);
+
+    believer other;
+    other.beliefs.merge(all);
+    CHECK(other.beliefs.config_version() == 3);
+    CHECK(other.context.directory.find("i-1") != nullptr);
+}
--- a/tests/proxy/item_fetcher_test.cpp
+++ b/tests/proxy/peer_fetcher_test.cpp
@@ -1,5 +1,6 @@
-#include "program/item_fetcher.hpp"
+#include "program/peer_fetcher.hpp"
 
+#include "proxy/digest_codec.hpp"
 #include "proxy/scripted_upstream.hpp"
 
 #include <doctest/doctest.h>
@@ -42,17 +43,19 @@
                                  }};
     std::optional<std::uint64_t> taken;
     std::string outcome;
-    program::item_fetcher fetcher{loop,
-                                  {[this](proxy::item_list const& list) {
-                                       taken = list.revision;
-                                   },
-                                   [this](program::fetch_report const& ended) {
-                                       outcome = ended.outcome;
-                                   }}};
+    program::peer_fetcher fetcher{
+        loop,
+        {[this](std::string_view, std::string const& body) {
+             taken = proxy::decode_items(body)->revision;
+             return true;
+         },
+         [this](program::fetch_report const& ended) {
+             outcome = ended.outcome;
+         }}};
 
     void run(model::milliseconds longest)
     {
-        fetcher.ask(peer.at(), 0);
+        fetcher.ask(peer.at(), program::upstreams_path, 0);
         auto const limit = loop.now() + longest;
         while (outcome.empty() && loop.now() < limit) {
             loop.run_once();
--- a/tests/routing/admission_test.cpp
+++ b/tests/routing/admission_test.cpp
@@ -3,6 +3,7 @@
 #include "routing/retry_allowance.hpp"
 #include "routing/retry_rule.hpp"
 #include "routing/stop_rule.hpp"
+#include "routing/store_revisions.hpp"
 #include "routing/support.hpp"
 #include "routing/watch_pace.hpp"
 
@@ -56,6 +57,17 @@
     CHECK(!routing::admit(&table, keys, request).refused);
 }
 
+// A key was taken away by a configuration that this host lacks. Confirmed by a
+// host that has it, the key would go on working here.
+TEST_CASE("keys are confirmed only by hosts whose configuration is here too")
+{
+    routing::store_revisions const own{20, 12, 15};
+    CHECK(own.covers_configuration({30, 12, 30}));
+    CHECK(own.covers_configuration({10, 11, 30}));
+    CHECK(!own.covers_configuration({20, 16, 20}));
+    CHECK(!own.covers_configuration({20, 0, 0}));
+}
+
 TEST_CASE("a confirmation that comes late never makes a belief older")
 {
     routing::freshness keys(5'000ms);
--- a/tests/routing/fleet_gossip_test.cpp
+++ b/tests/routing/fleet_gossip_test.cpp
@@ -56,14 +56,14 @@
             own.generation = 1;
             own.sequence = m_sequence;
             own.data_centre = host.centre;
-            own.revision = host.revision;
+            own.known.upstreams = host.revision;
             own.loads = {{engine, {1, 100, 0}, {}}};
             if (suspects_of) {
                 own.suspects = suspects_of();
             }
             auto const news = host.table.news(own);
             for (auto const& to :
-                 host.table.audience(m_now, host.revision, is_news)) {
+                 host.table.audience(m_now, {host.revision}, is_news)) {
                 peer_digest told = news.of(to.what);
                 told.asks = to.asks;
                 if (to.wants_names) {
@@ -225,7 +225,10 @@
         fleet.round();
         for (gossip::member& host : fleet.hosts()) {
             // It is fetched from whoever has it.
-            if (host.table.newer_than(host.revision, 0).at != nullptr) {
+            if (host.table
+                    .newer_than({host.revision}, routing::lane::upstreams, 0)
+                    .at
+                != nullptr) {
                 host.revision = 2;
             }
         }
@@ -285,7 +288,7 @@
     gossip::member& reader = fleet.hosts()[7];
     reader.revision = 2;
     auto const told =
-        reader.table.audience_of_change(fleet.now(), reader.revision, 5);
+        reader.table.audience_of_change(fleet.now(), {reader.revision}, 5);
     CHECK(told.size() >= 8);
     CHECK(told.size() <= 20);
 }
@@ -302,7 +305,7 @@
         if (!host.table.speaks()) {
             continue;
         }
-        auto const told = host.table.audience_of_change(fleet.now(), 2, 0);
+        auto const told = host.table.audience_of_change(fleet.now(), {2}, 0);
         for (auto const& to : told) {
             speakers_told += to.what == routing::share::sums ? 1 : 0;
         }
--- a/tests/routing/peer_table_test.cpp
+++ b/tests/routing/peer_table_test.cpp
@@ -118,7 +118,7 @@
     auto told = digest(1);
     told.neighbours = {{host(0), 1, false}, {host(2), 1, false}};
     table.hear(host(1), told, start);
-    auto const audience = table.audience(start, 0, false);
+    auto const audience = table.audience(start, {}, false);
     CHECK(audience.size() == 2);
 }
 
@@ -146,18 +146,19 @@
     peer_table table(host(0), 0, {});
     for (int number = 1; number < 40; ++number) {
         auto told = digest(1, static_cast<std::uint64_t>(number / 10));
-        told.revision = 8;
+        told.known.upstreams = 8;
         table.hear(host(number), told, start);
     }
     std::map<std::string, int> asked;
     for (std::uint64_t draw = 0; draw < 90; ++draw) {
-        auto const source = table.newer_than(7, draw);
+        auto const source =
+            table.newer_than({7}, routing::lane::upstreams, draw);
         REQUIRE(source.at != nullptr);
         CHECK(source.is_near);
         ++asked[source.at->address];
     }
     CHECK(asked.size() == 9);
-    CHECK(table.newer_than(8, 0).at == nullptr);
+    CHECK(table.newer_than({8}, routing::lane::upstreams, 0).at == nullptr);
 }
 
 TEST_CASE("a change that no host nearby has is asked for far away")
@@ -165,9 +166,9 @@
     peer_table table(host(0), 0, {});
     table.hear(host(1), digest(1, 0), start);
     auto told = digest(1, 2);
-    told.revision = 8;
+    told.known.upstreams = 8;
     table.hear(host(20), told, start);
-    auto const source = table.newer_than(7, 5);
+    auto const source = table.newer_than({7}, routing::lane::upstreams, 5);
     REQUIRE(source.at != nullptr);
     CHECK(*source.at == host(20));
     CHECK(!source.is_near);
@@ -218,7 +219,7 @@
         proxy::digest_frame frame;
         frame.digest.generation = generation;
         frame.digest.sequence = sequence;
-        frame.digest.revision = revision;
+        frame.digest.known = {revision, revision + 1, revision + 2};
         frame.digest.hosts_seen = seen;
         frame.digest.speaks = true;
         frame.digest.loads = {
@@ -240,7 +241,7 @@
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->digest.generation == generation);
         RC_ASSERT(read->digest.sequence == sequence);
-        RC_ASSERT(read->digest.revision == revision);
+        RC_ASSERT(read->digest.known == frame.digest.known);
         RC_ASSERT(read->digest.hosts_seen == seen);
         RC_ASSERT(read->digest.speaks);
         RC_ASSERT(read->digest.loads[0].upstream == upstream);
