--- a/src/program/beliefs.hpp
+++ b/src/program/beliefs.hpp
@@ -2,7 +2,7 @@
 #define CAPERJUNCTION_PROGRAM_BELIEFS_HPP
 
 #include "program/configuration_texts.hpp"
-#include "proxy/digest_codec.hpp"
+#include "proxy/list_codec.hpp"
 #include "proxy/relay_context.hpp"
 #include "proxy/store_codec.hpp"
 #include "proxy/store_item.hpp"
--- a/src/program/configuration_texts.hpp
+++ b/src/program/configuration_texts.hpp
@@ -1,7 +1,7 @@
 #ifndef CAPERJUNCTION_PROGRAM_CONFIGURATION_TEXTS_HPP
 #define CAPERJUNCTION_PROGRAM_CONFIGURATION_TEXTS_HPP
 
-#include "proxy/digest_codec.hpp"
+#include "proxy/list_codec.hpp"
 #include "proxy/store_item.hpp"
 
 #include <cstdint>
--- a/src/program/peer_lists.cpp
+++ b/src/program/peer_lists.cpp
@@ -1,6 +1,6 @@
 #include "program/peer_lists.hpp"
 
-#include "proxy/digest_codec.hpp"
+#include "proxy/list_codec.hpp"
 #include "proxy/message_head.hpp"
 
 #include <utility>
--- a/src/proxy/digest_codec.hpp
+++ b/src/proxy/digest_codec.hpp
@@ -2,7 +2,6 @@
 #define CAPERJUNCTION_PROXY_DIGEST_CODEC_HPP
 
 #include "model/time.hpp"
-#include "proxy/store_item.hpp"
 #include "routing/peer_digest.hpp"
 
 #include <cstdint>
@@ -33,39 +32,6 @@
 /// Nothing if the bytes are no digest.
 std::optional<digest_frame> decode_digest(std::string_view bytes);
 
-/// The newest configuration that a host has, on its way to another.
-struct told_configuration
-{
-    std::string key;
-    std::uint64_t revision = 0;
-    /// Up to this revision the store had no newer one.
-    std::uint64_t checked = 0;
-    /// Revision of the configuration that `packed` was packed against; 0: none.
-    std::uint64_t base = 0;
-    /// As `pack_text` gives it.
-    std::string packed;
-};
-
-std::string encode_configuration(told_configuration const& from);
-
-/// Nothing if the bytes are no configuration.
-std::optional<told_configuration> decode_configuration(std::string_view bytes);
-
-/// What a host has read of the store.
-struct item_list
-{
-    std::vector<store_item> items;
-    /// The newest change among them.
-    std::uint64_t revision = 0;
-    /// 0: all items; else those that changed after it, removed ones too.
-    std::uint64_t since = 0;
-};
-
-std::string encode_items(item_list const& list);
-
-/// Nothing if the bytes are no list.
-std::optional<item_list> decode_items(std::string_view bytes);
-
 } // namespace caperjunction::proxy
 
 #endif
--- /dev/null
+++ b/src/proxy/list_codec.cpp
@@ -0,0 +1,88 @@
+#include "proxy/list_codec.hpp"
+
+#include "proxy/wire/digest_generated.h"
+#include "proxy/wire_buffer.hpp"
+
+namespace caperjunction::proxy {
+namespace {
+
+using byte_list = flatbuffers::Vector<std::uint8_t>;
+
+flatbuffers::Offset<byte_list> to_bytes(flatbuffers::FlatBufferBuilder& builder,
+                                        std::string const& text)
+{
+    return builder.CreateVector(
+        reinterpret_cast<std::uint8_t const*>(text.data()), text.size());
+}
+
+std::string text_of(byte_list const& bytes)
+{
+    return {reinterpret_cast<char const*>(bytes.data()), bytes.size()};
+}
+
+} // namespace
+
+std::string encode_configuration(told_configuration const& from)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    auto const key = builder.CreateString(from.key);
+    auto const text = to_bytes(builder, from.packed);
+    builder.Finish(wire::CreateConfiguration(
+        builder, key, text, from.revision, from.checked, from.base));
+    return text_of(builder);
+}
+
+std::optional<told_configuration> decode_configuration(std::string_view bytes)
+{
+    auto const* const from = verified<wire::Configuration>(bytes);
+    if (from == nullptr || from->key() == nullptr || from->text() == nullptr) {
+        return std::nullopt;
+    }
+    told_configuration made;
+    made.key = from->key()->str();
+    made.revision = from->revision();
+    made.checked = from->checked();
+    made.base = from->base();
+    made.packed = text_of(*from->text());
+    return made;
+}
+
+std::string encode_items(item_list const& list)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<wire::Item>> items;
+    for (store_item const& item : list.items) {
+        auto const key = builder.CreateString(item.key);
+        auto const value = to_bytes(builder, item.value);
+        items.push_back(
+            wire::CreateItem(builder, key, value, item.revision, item.removed));
+    }
+    builder.Finish(wire::CreateItems(
+        builder, builder.CreateVector(items), list.revision, list.since));
+    return text_of(builder);
+}
+
+std::optional<item_list> decode_items(std::string_view bytes)
+{
+    auto const* const from = verified<wire::Items>(bytes);
+    if (from == nullptr || from->items() == nullptr) {
+        return std::nullopt;
+    }
+    item_list list;
+    list.revision = from->revision();
+    list.since = from->since();
+    for (wire::Item const* const item : *from->items()) {
+        if (item->key() == nullptr || item->value() == nullptr) {
+            return std::nullopt;
+        }
+        store_item made;
+        made.key = item->key()->str();
+        made.value = text_of(*item->value());
+        made.revision = item->revision();
+        made.removed = item->removed();
+        list.items.push_back(std::move(made));
+    }
+    return list;
+}
+
+} // namespace caperjunction::proxy
--- a/tests/proxy/peer_fetcher_test.cpp
+++ b/tests/proxy/peer_fetcher_test.cpp
@@ -1,6 +1,6 @@
 #include "program/peer_fetcher.hpp"
 
-#include "proxy/digest_codec.hpp"
+#include "proxy/list_codec.hpp"
 #include "proxy/scripted_upstream.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/routing/peer_table_test.cpp
+++ b/tests/routing/peer_table_test.cpp
@@ -1,6 +1,7 @@
 #include "routing/peer_table.hpp"
 
 #include "proxy/digest_codec.hpp"
+#include "proxy/list_codec.hpp"
 #include "routing/support.hpp"
 
 #include <doctest/doctest.h>
