Keep to the requests a second that an upstream in need names

Cause: nothing read the limit, so all hosts sent as before. Ruled out: requests that were under way (arrivals don't change for 28 s).

Each host reads it from its own answers and hears it from others in digests; the newest word holds, also that it is over. A few hosts share it, in an order that all of them know: four, and two for each request a second, each an equal part of four fifths, so that one request at once from each keeps within what is allowed; the others leave the upstream alone. Retries, second sends and resumed streams are placed by the same rule. A limit that nobody has heard of for 15 s is tried, once in four seconds over the fleet. Where all upstreams of a service are limited, the answer is 503 with the time until this host may send one.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -138,6 +138,15 @@
         runtime::log_line("loop_late").field("late_ms", late.count());
         m_metrics.count_late(late);
     };
+    m_context.on_limit_changed = [this](routing::upstream_state const& state) {
+        log_limit(state);
+    };
+    m_context.on_limit_unreadable = [](routing::upstream_state const& from,
+                                       std::string const& text) {
+        runtime::log_line("upstream_limit_unreadable")
+            .field("upstream", from.about.id)
+            .field("text", text);
+    };
     m_context.on_retried = [this](proxy::exchange_report const& tried) {
         log_retried(tried);
     };
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -44,6 +44,7 @@
     void log_retried(proxy::exchange_report const& tried);
     void log_ended(proxy::exchange_report const& ended);
     void log_connection(proxy::connection_report const& ended);
+    void log_limit(routing::upstream_state const& state);
     void log_fetch(fetch_report const& ended);
     void log_store_lost(proxy::store_loss const& loss);
     void plan_stop();
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -1,6 +1,8 @@
 #include "program/routed_host.hpp"
 #include "runtime/log_line.hpp"
 
+#include <string_view>
+
 namespace caperjunction::program {
 
 void routed_host::log_retried(proxy::exchange_report const& tried)
@@ -39,6 +41,7 @@
         .field("slowness", ended.pace.slowness)
         .field("paused_ms", ended.pace.pause.count())
         .field("lane", ended.lane)
+        .field("limited", ended.limited)
         .field("first_byte_ms", ended.first_byte.count())
         .field("total_ms", ended.total.count())
         .field("ended_by", ended.ended_by)
@@ -81,6 +84,29 @@
         .field("config_revision", m_context.known.configuration);
 }
 
+void routed_host::log_limit(routing::upstream_state const& state)
+{
+    bool const was_heard_here =
+        state.own_limit.heard_at == state.limit.notice().heard_at;
+    std::string_view const heard = was_heard_here ? "here" : "from_peers";
+    if (!state.limit.is_limited()) {
+        runtime::log_line("upstream_limit_ended")
+            .field("upstream", state.about.id)
+            .field("service", state.about.service)
+            .field("heard", heard);
+        return;
+    }
+    routing::limit_place const& place = state.limit.place();
+    runtime::log_line("upstream_limited")
+        .field("upstream", state.about.id)
+        .field("service", state.about.service)
+        .field("heard", heard)
+        .field("a_second", *state.limit.notice().a_second)
+        .field("rank", place.rank)
+        .field("hosts", place.hosts)
+        .field("is_among_them", place.is_among_them);
+}
+
 void routed_host::log_store_lost(proxy::store_loss const& loss)
 {
     runtime::log_line("store_lost")
--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -40,6 +40,31 @@
     return {{text, from.port()}, from.data_centre(), from.relays()};
 }
 
+constexpr double parts_a_second = 1'000.0;
+constexpr std::uint32_t no_limit = std::numeric_limits<std::uint32_t>::max();
+
+wire::Limit to_wire(routing::told_limit const& from)
+{
+    std::uint32_t parts = no_limit;
+    if (from.a_second) {
+        parts = static_cast<std::uint32_t>(
+            std::min(*from.a_second * parts_a_second, no_limit - 1.0));
+    }
+    auto const age = std::clamp<std::int64_t>(from.age.count(), 0, no_limit);
+    return {from.upstream, parts, static_cast<std::uint32_t>(age)};
+}
+
+routing::told_limit from_wire(wire::Limit const& from)
+{
+    routing::told_limit made;
+    made.upstream = from.upstream();
+    made.age = model::milliseconds(from.age_ms());
+    if (from.millis_a_second() != no_limit) {
+        made.a_second = from.millis_a_second() / parts_a_second;
+    }
+    return made;
+}
+
 using load_list = flatbuffers::Vector<wire::Work const*>;
 
 /// Parts of a whole slowness in a message.
@@ -113,7 +138,12 @@
     for (routing::neighbour const& item : from.neighbours) {
         neighbours.push_back(to_wire(item));
     }
+    std::vector<wire::Limit> limits;
+    for (routing::told_limit const& item : from.limits) {
+        limits.push_back(to_wire(item));
+    }
     flatbuffers::FlatBufferBuilder builder;
+    auto const limit_list = builder.CreateVectorOfStructs(limits);
     auto const load_list = to_wire(builder, from.loads);
     auto const sum_list = to_wire(builder, from.sums);
     auto const beyond_list = to_wire(builder, from.beyond);
@@ -151,6 +181,7 @@
     made.add_configuration_checked(from.known.checked);
     made.add_data_centre(from.data_centre);
     made.add_speaks(from.speaks);
+    made.add_limits(limit_list);
     made.add_work_sums(sum_list);
     made.add_works_beyond(beyond_list);
     builder.Finish(made.Finish());
@@ -194,6 +225,11 @@
             digest.suspects.push_back({item->fingerprint(), item->crashes()});
         }
     }
+    if (from->limits() != nullptr) {
+        for (wire::Limit const* const item : *from->limits()) {
+            digest.limits.push_back(from_wire(*item));
+        }
+    }
     digest.hosts_here = from->hosts_here();
     digest.hosts_alive = from->hosts_alive();
     digest.centres = from->centres();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -162,6 +162,7 @@
     m_report.unread_tokens = m_pick.unread_tokens;
     m_report.pace = m_pick.pace;
     m_report.lane = m_pick.lane;
+    m_report.limited = m_pick.limited;
     m_report.candidates = m_pick.candidates;
     m_report.total = since(m_arrived, m_context.loop.now());
     m_report.since_stop = m_since_stop;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -55,13 +55,18 @@
 private:
     using step = routing::refusal_reason;
 
-    // exchange_send.cpp
+    // exchange_place.cpp
     void place();
-    bool is_still_allowed();
+    void refuse_unplaced();
     std::optional<model::milliseconds> comes_back_after() const;
     routing::pick_request pick_request();
     routing::pick choose();
     bool has_other_place();
+    std::uint64_t fingerprint();
+    bool is_quarantined();
+
+    // exchange_send.cpp
+    bool is_still_allowed();
     void send_to(routing::pick const& chosen);
     void arm_silence_timer(routing::pick const& chosen);
     void try_ended(routing::try_end how);
@@ -83,9 +88,6 @@
     void deliver_whole();
     void note_first_byte();
 
-    std::uint64_t fingerprint();
-    bool is_quarantined();
-
     void fill_report();
     void give_up(routing::refusal_reason reason);
     void refuse(routing::refusal_reason reason,
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -1,6 +1,7 @@
 #include "proxy/exchange.hpp"
 
 #include "proxy/message_text.hpp"
+#include "proxy/upstream_limits.hpp"
 
 #include <utility>
 
@@ -56,6 +57,7 @@
         m_connection->skip_answer();
         return;
     }
+    note_limit(m_context, *m_upstream, head);
     if (says_not_run) {
         m_upstream->health.record_failure(m_context.loop.now());
         try_ended(try_end::not_run);
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -41,6 +41,8 @@
     /// Upstreams that were handed it.
     std::uint32_t sent = 0;
     std::uint32_t unreached = 0;
+    /// Upstreams that took no more, by their own word.
+    std::size_t limited = 0;
     /// Of the last pick.
     model::milliseconds forecast{0};
     std::uint32_t cold_tokens = 0;
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "proxy/peer_link.hpp"
 
 #include "model/error.hpp"
+#include "proxy/upstream_limits.hpp"
 
 #include <arpa/inet.h>
 #include <event2/event.h>
@@ -101,6 +102,7 @@
                 {routing::urgent_load_key(service), {count, 0, 0}, {}});
         }
     }
+    digest.limits = limits_to_tell(m_context);
     digest.suspects =
         m_context.suspects.to_tell(most_suspects, m_context.loop.now());
     frame.stamp = m_context.boot_now();
@@ -252,6 +254,7 @@
         state.others = told.load;
         state.others_pace = told.pace;
     });
+    apply_told_limits(m_context);
     if (m_alive != m_context.peers.alive()) {
         m_alive = m_context.peers.alive();
         if (m_on_changed) {
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -48,6 +48,11 @@
     std::map<std::string, std::uint32_t> urgent_streams;
     /// Called when a request is tried again, before the next try.
     std::function<void(exchange_report const&)> on_retried;
+    /// Called when an upstream's limit begins or ends.
+    std::function<void(routing::upstream_state const&)> on_limit_changed;
+    /// Called when an upstream names a limit that can't be read.
+    std::function<void(routing::upstream_state const&, std::string const&)>
+        on_limit_unreadable;
     /// Called once for each request that ended.
     std::function<void(exchange_report const&)> on_ended;
     /// Called once for each caller's connection that ended.
--- /dev/null
+++ b/src/proxy/upstream_limits.cpp
@@ -0,0 +1,105 @@
+#include "proxy/upstream_limits.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <limits>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// The others hear of an answer within a second; told for much longer, since
+/// hosts come and go.
+constexpr model::milliseconds told_for{60'000};
+constexpr std::size_t most_told = 64;
+constexpr int misdirected = 421;
+
+void apply(relay_context& context,
+           routing::upstream_state& state,
+           routing::limit_notice const& notice)
+{
+    bool const is_change = state.limit.note(notice);
+    if (state.limit.is_limited()) {
+        state.limit.share(context.peers.place_for(
+            routing::upstream_load_key(state.about.id),
+            state.away == routing::distance::same_data_centre));
+    }
+    if (is_change && context.on_limit_changed) {
+        context.on_limit_changed(state);
+    }
+}
+
+} // namespace
+
+std::optional<double> parse_request_limit(std::string_view text)
+{
+    double value = 0.0;
+    auto const end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, value);
+    bool const is_number = read.ec == std::errc() && read.ptr == end;
+    // Too large for a double is as good as no limit.
+    if (read.ec == std::errc::result_out_of_range && read.ptr == end) {
+        return std::numeric_limits<double>::max();
+    }
+    return is_number && std::isfinite(value) && value >= 0.0
+               ? std::optional(value)
+               : std::nullopt;
+}
+
+void note_limit(relay_context& context,
+                routing::upstream_state& from,
+                message_head const& answer)
+{
+    if (answer.status == misdirected) {
+        return;
+    }
+    std::string const* const line = answer.find(context.names.request_limit);
+    std::optional<double> a_second;
+    if (line != nullptr) {
+        a_second = parse_request_limit(*line);
+        if (!a_second) {
+            // What held before holds on: it is in need, and how much is
+            // unknown.
+            if (context.on_limit_unreadable) {
+                context.on_limit_unreadable(from, *line);
+            }
+            return;
+        }
+    }
+    bool const has_worked = answer.find(context.names.seal) != nullptr;
+    bool const says_end = !a_second && has_worked && from.limit.is_limited();
+    if (a_second || says_end) {
+        from.own_limit = {a_second, context.loop.now()};
+        apply(context, from, from.own_limit);
+    }
+}
+
+void apply_told_limits(relay_context& context)
+{
+    context.directory.each([&context](routing::upstream_state& state) {
+        auto const told =
+            context.peers.limit_of(routing::upstream_load_key(state.about.id));
+        if (told || state.limit.is_limited()) {
+            apply(context, state, told.value_or(routing::limit_notice{}));
+        }
+    });
+}
+
+std::vector<routing::told_limit> limits_to_tell(relay_context const& context)
+{
+    std::vector<routing::told_limit> list;
+    auto const now = context.loop.now();
+    context.directory.each([&](routing::upstream_state const& state) {
+        routing::limit_notice const& own = state.own_limit;
+        auto const age =
+            std::chrono::duration_cast<model::milliseconds>(now - own.heard_at);
+        bool const was_said = own.heard_at != model::time_point{};
+        if (was_said && age < told_for && list.size() < most_told) {
+            list.push_back({routing::upstream_load_key(state.about.id),
+                            own.a_second,
+                            age});
+        }
+    });
+    return list;
+}
+
+} // namespace caperjunction::proxy
--- a/src/proxy/wire/digest_generated.h
+++ b/src/proxy/wire/digest_generated.h
@@ -21,6 +21,8 @@
 
 struct Work;
 
+struct Limit;
+
 struct Suspect;
 
 struct Address;
@@ -115,6 +117,35 @@
 };
 FLATBUFFERS_STRUCT_END(Work, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Limit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t upstream_;
+  uint32_t millis_a_second_;
+  uint32_t age_ms_;
+
+ public:
+  Limit()
+      : upstream_(0),
+        millis_a_second_(0),
+        age_ms_(0) {
+  }
+  Limit(uint32_t _upstream, uint32_t _millis_a_second, uint32_t _age_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        millis_a_second_(flatbuffers::EndianScalar(_millis_a_second)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t millis_a_second() const {
+    return flatbuffers::EndianScalar(millis_a_second_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Limit, 12);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Suspect FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t fingerprint_;
@@ -241,7 +272,8 @@
     VT_WORKS_BEYOND = 52,
     VT_UPSTREAMS_REVISION = 54,
     VT_CONFIGURATION_REVISION = 56,
-    VT_CONFIGURATION_CHECKED = 58
+    VT_CONFIGURATION_CHECKED = 58,
+    VT_LIMITS = 60
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -327,6 +359,9 @@
   uint64_t configuration_checked() const {
     return GetField<uint64_t>(VT_CONFIGURATION_CHECKED, 0);
   }
+  const flatbuffers::Vector<const caperjunction::proxy::wire::Limit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Limit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
@@ -366,6 +401,8 @@
            VerifyField<uint64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_CHECKED, 8) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
 };
@@ -458,6 +495,9 @@
   void add_configuration_checked(uint64_t configuration_checked) {
     fbb_.AddElement<uint64_t>(Digest::VT_CONFIGURATION_CHECKED, configuration_checked, 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Limit *>> limits) {
+    fbb_.AddOffset(Digest::VT_LIMITS, limits);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -498,7 +538,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Work *>> works_beyond = 0,
     uint64_t upstreams_revision = 0,
     uint64_t configuration_revision = 0,
-    uint64_t configuration_checked = 0) {
+    uint64_t configuration_checked = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Limit *>> limits = 0) {
   DigestBuilder builder_(_fbb);
   builder_.add_configuration_checked(configuration_checked);
   builder_.add_configuration_revision(configuration_revision);
@@ -510,6 +551,7 @@
   builder_.add_stamp(stamp);
   builder_.add_sequence(sequence);
   builder_.add_generation(generation);
+  builder_.add_limits(limits);
   builder_.add_works_beyond(works_beyond);
   builder_.add_work_sums(work_sums);
   builder_.add_works(works);
@@ -560,7 +602,8 @@
     const std::vector<caperjunction::proxy::wire::Work> *works_beyond = nullptr,
     uint64_t upstreams_revision = 0,
     uint64_t configuration_revision = 0,
-    uint64_t configuration_checked = 0) {
+    uint64_t configuration_checked = 0,
+    const std::vector<caperjunction::proxy::wire::Limit> *limits = nullptr) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Suspect>(*suspects) : 0;
   auto peers__ = peers ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Address>(*peers) : 0;
@@ -570,6 +613,7 @@
   auto works__ = works ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Work>(*works) : 0;
   auto work_sums__ = work_sums ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Work>(*work_sums) : 0;
   auto works_beyond__ = works_beyond ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Work>(*works_beyond) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Limit>(*limits) : 0;
   return caperjunction::proxy::wire::CreateDigest(
       _fbb,
       generation,
@@ -599,7 +643,8 @@
       works_beyond__,
       upstreams_revision,
       configuration_revision,
-      configuration_checked);
+      configuration_checked,
+      limits__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/proxy/wire_names.hpp
+++ b/src/proxy/wire_names.hpp
@@ -27,6 +27,8 @@
     std::string expected_instance;
     /// The upstream has not run the request.
     std::string not_run;
+    /// Requests a second that an upstream in need takes from all hosts.
+    std::string request_limit;
     /// Rank at the engine; only hosts set it.
     std::string priority;
     /// How an API key is announced, e.g. Bearer.
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -47,6 +47,17 @@
     std::uint32_t crashes = 0;
 };
 
+/// What an upstream has said to a host of the requests that it takes.
+struct told_limit
+{
+    /// As `upstream_load_key` gives it.
+    std::uint32_t upstream = 0;
+    /// Requests a second; nothing: as many as come.
+    std::optional<double> a_second;
+    /// Since it said so.
+    model::milliseconds age{0};
+};
+
 /// A host that another one hears.
 struct neighbour
 {
@@ -95,6 +106,9 @@
     /// its data centre those of all others; told to those that speak for other
     /// data centres: those of the sender's.
     std::vector<crash_suspect> suspects;
+    /// What upstreams have said of the requests that they take, told to whom
+    /// `suspects` are told.
+    std::vector<told_limit> limits;
     /// Other hosts that the sender hears and that concern the receiver.
     std::vector<neighbour> neighbours;
 };
--- a/src/routing/peer_loads.cpp
+++ b/src/routing/peer_loads.cpp
@@ -143,12 +143,13 @@
     }
     made.sums.sums = sums_with(own.loads);
     made.loads.beyond = beyond();
-    auto const append = [](std::vector<crash_suspect>& to,
-                           std::vector<crash_suspect> const& more) {
+    auto const append = [](auto& to, auto const& more) {
         to.insert(to.end(), more.begin(), more.end());
     };
     append(made.sums.suspects, suspects_here());
     append(made.loads.suspects, suspects_beyond());
+    append(made.sums.limits, limits_here());
+    append(made.loads.limits, limits_beyond());
     return made;
 }
 
@@ -156,6 +157,7 @@
 {
     m_loads.clear();
     m_crashes.clear();
+    m_limits.clear();
     peer const* speaker = nullptr;
     model::endpoint const* speaker_at = nullptr;
     for (auto const& [address, known] : m_peers) {
@@ -164,6 +166,7 @@
         }
         add(m_loads, known.told.loads);
         add(m_crashes, known.told.suspects);
+        add_limits(m_limits, known);
         bool const is_better =
             speaker_at == nullptr || ranks_before(address, *speaker_at);
         if (known.told.speaks && is_better) {
@@ -174,6 +177,9 @@
     if (speaks()) {
         add(m_loads, beyond());
         add(m_crashes, suspects_beyond());
+        for (peer const* const far : far_speakers()) {
+            add_limits(m_limits, *far);
+        }
     } else if (speaker != nullptr) {
         add(m_loads, speaker->told.beyond);
     }
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -84,6 +84,7 @@
     if (is_old) {
         return;
     }
+    m_now = std::max(m_now, now);
     bool const is_news = !sender->is_heard
                          || told.hosts_here != sender->told.hosts_here
                          || told.hosts_alive != sender->told.hosts_alive
@@ -106,6 +107,7 @@
 
 void peer_table::forget_silent(model::time_point now)
 {
+    m_now = std::max(m_now, now);
     for (auto item = m_peers.begin(); item != m_peers.end();) {
         peer& known = item->second;
         if (known.is_heard && now - known.heard_at > silence) {
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -149,6 +149,17 @@
     /// Crashes that the others have counted.
     std::uint32_t crashes_of(std::uint64_t fingerprint) const;
 
+    /// What the others have been told by an upstream of the requests that it
+    /// takes; nothing if none has.
+    std::optional<limit_notice> limit_of(std::uint32_t upstream) const;
+
+    /// This host's place among those that share the limit of an upstream,
+    /// which stands in this host's data centre if `is_here`.
+    ///
+    /// In a small fleet all hosts hear each other. In a large one those of the
+    /// upstream's data centre do, and share it among themselves.
+    limit_place place_for(std::uint32_t upstream, bool is_here) const;
+
     bool counts_no_crash() const
     {
         return m_crashes.empty();
@@ -238,12 +249,20 @@
     std::vector<peer_load> sums_with(std::vector<peer_load> const& own) const;
     std::vector<crash_suspect> suspects_here() const;
     std::vector<crash_suspect> suspects_beyond() const;
+    using limit_notices = std::unordered_map<std::uint32_t, limit_notice>;
+    static void add_limits(limit_notices& sum, peer const& known);
+    std::vector<told_limit> limits_here() const;
+    std::vector<told_limit> limits_beyond() const;
+    std::vector<told_limit> listed_limits(limit_notices const& sum) const;
 
     model::endpoint m_own;
     std::uint64_t m_data_centre;
     std::map<model::endpoint, peer, by_address> m_peers;
     std::unordered_map<std::uint32_t, peer_load> m_loads;
     std::unordered_map<std::uint64_t, std::uint32_t> m_crashes;
+    limit_notices m_limits;
+    /// The newest time that was given.
+    model::time_point m_now{};
 
     // Counted anew when a host comes, goes or says otherwise.
     std::size_t m_fleet = 1;
--- a/src/routing/pick.hpp
+++ b/src/routing/pick.hpp
@@ -7,6 +7,7 @@
 #include "routing/upstream_state.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,11 @@
     std::size_t lane = 0;
     double cost = 0.0;
     std::size_t candidates = 0;
+    /// Upstreams that take no more now, by their own word.
+    std::size_t limited = 0;
+    /// Where these are all: until one takes a request from this host; nothing
+    /// if they are left to other hosts.
+    std::optional<model::milliseconds> comes_back;
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -36,9 +36,24 @@
     return late + std::max(0.0, share - 1.0) * weights.cost_of_far_behind;
 }
 
+/// Notes in `into` that an upstream takes no request from this host now.
+void leave_out(pick& into, upstream_state const& limited, model::time_point now)
+{
+    /// Longer waits are no use to a caller: another host may be next.
+    constexpr model::milliseconds longest{2'000};
+    ++into.limited;
+    auto const next = limited.limit.next_send(now);
+    if (next - now > longest) {
+        return;
+    }
+    auto const wait = std::chrono::ceil<model::milliseconds>(next - now);
+    into.comes_back = std::min(wait, into.comes_back.value_or(wait));
+}
+
 std::vector<upstream_ptr> able_of(std::vector<upstream_ptr> const& all,
                                   pick_request const& request,
-                                  model::time_point now)
+                                  model::time_point now,
+                                  pick& into)
 {
     std::vector<upstream_ptr> able;
     std::vector<upstream_ptr> resting;
@@ -46,6 +61,10 @@
         if (was_tried(request, *item)) {
             continue;
         }
+        if (!item->limit.may_send(now)) {
+            leave_out(into, *item, now);
+            continue;
+        }
         (item->health.is_resting(now) ? resting : able).push_back(item);
     }
     // Where all rest, one of them is a better guess than a refusal.
@@ -117,12 +136,13 @@
 
 pick picker::choose(pick_request const& request, model::time_point now) const
 {
+    pick best;
     std::vector<upstream_ptr> const able =
-        able_of(m_directory.of_service(request.service), request, now);
+        able_of(m_directory.of_service(request.service), request, now, best);
+    pick const none = best;
     lanes const divided = divide(request, able);
-    pick best;
     for (upstream_ptr const& item : able) {
-        pick option;
+        pick option = none;
         option.to = item;
         option.cost = cost_of(request, *item, divided, now, option);
         if (!best.to || option.cost < best.cost) {
--- a/src/routing/refusal.cpp
+++ b/src/routing/refusal.cpp
@@ -20,7 +20,7 @@
 /// In the order of the reasons. Times to come back: what is cured by asking
 /// another host is short; what waits for an upstream is as long as a queue
 /// takes to shrink by some requests.
-constexpr std::array<entry, 17> entries{{
+constexpr std::array<entry, 18> entries{{
     {refusal_reason::no_configuration,
      "no_configuration",
      503,
@@ -51,6 +51,11 @@
      503,
      milliseconds{300},
      "try again; no server of this service can be reached"},
+    {refusal_reason::limited,
+     "limited",
+     503,
+     milliseconds{300},
+     "try again later; all servers take fewer requests than are sent"},
     {refusal_reason::too_late,
      "too_late",
      503,
--- a/src/routing/refusal.hpp
+++ b/src/routing/refusal.hpp
@@ -21,6 +21,8 @@
     keys_stale,
     /// No upstream of the service is known or can be reached.
     no_upstream,
+    /// All upstreams of the service take fewer requests than come.
+    limited,
     /// No upstream would answer before the caller's deadline.
     too_late,
     /// Every upstream that was asked was full.
--- /dev/null
+++ b/src/routing/upstream_limit.cpp
@@ -0,0 +1,97 @@
+#include "routing/upstream_limit.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::routing {
+namespace {
+
+/// Part of a limit that is used: two hosts may for a moment both think that a
+/// place is theirs.
+constexpr double used_part = 0.8;
+/// Hosts that share a limit, each with one request at once: so many, and more
+/// for each request a second.
+constexpr double least_sharers = 4.0;
+constexpr double sharers_per_request = 2.0;
+/// A limit of which no host has heard for so long is tried by hosts that don't
+/// share it: those that do may all be gone.
+constexpr model::milliseconds stale_after{15'000};
+/// Requests a second, of all hosts, with which it is tried then.
+constexpr double tried_a_second = 0.25;
+
+model::milliseconds interval(double seconds)
+{
+    constexpr double longest_seconds = 3'600.0;
+    return std::chrono::duration_cast<model::milliseconds>(
+        model::seconds(std::min(seconds, longest_seconds)));
+}
+
+} // namespace
+
+bool upstream_limit::note(limit_notice const& notice)
+{
+    if (notice.heard_at <= m_notice.heard_at) {
+        return false;
+    }
+    bool const was_limited = is_limited();
+    m_notice = notice;
+    if (is_limited() && !was_limited) {
+        m_began = notice.heard_at;
+    }
+    return is_limited() != was_limited;
+}
+
+void upstream_limit::share(limit_place const& place)
+{
+    m_place = place;
+}
+
+bool upstream_limit::is_stale(model::time_point now) const
+{
+    return now - m_notice.heard_at > stale_after;
+}
+
+std::size_t upstream_limit::sharers() const
+{
+    double const most =
+        least_sharers + sharers_per_request * *m_notice.a_second;
+    double const hosts = std::max(1.0, static_cast<double>(m_place.hosts));
+    return static_cast<std::size_t>(std::min(hosts, most));
+}
+
+model::time_point upstream_limit::first_turn(model::time_point from,
+                                             model::milliseconds each) const
+{
+    auto const wait = std::chrono::duration_cast<model::milliseconds>(
+        std::chrono::duration<double, std::milli>(each) * m_place.turn);
+    return std::max(from + wait, m_sent_at + each);
+}
+
+model::time_point upstream_limit::next_of_sharer() const
+{
+    double const rate = *m_notice.a_second * used_part;
+    bool const is_sharer = m_place.is_among_them && m_place.rank < sharers();
+    if (!is_sharer || rate <= 0.0) {
+        return model::time_point::max();
+    }
+    return first_turn(m_began, interval(static_cast<double>(sharers()) / rate));
+}
+
+model::time_point upstream_limit::next_of_stale() const
+{
+    return first_turn(
+        m_notice.heard_at + stale_after,
+        interval(static_cast<double>(m_place.fleet) / tried_a_second));
+}
+
+model::time_point upstream_limit::next_send(model::time_point now) const
+{
+    return is_stale(now) ? std::min(next_of_sharer(), next_of_stale())
+                         : next_of_sharer();
+}
+
+void upstream_limit::record_send(model::time_point now)
+{
+    m_sent_at = now;
+}
+
+} // namespace caperjunction::routing
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -5,6 +5,7 @@
 #include "routing/pace_meter.hpp"
 #include "routing/upstream.hpp"
 #include "routing/upstream_health.hpp"
+#include "routing/upstream_limit.hpp"
 #include "routing/upstream_pace.hpp"
 
 #include <cstddef>
@@ -46,6 +47,10 @@
     pace_meter own_pace;
     /// The same from the others.
     upstream_pace others_pace;
+    /// Requests that it takes from all hosts, if it is in need.
+    upstream_limit limit;
+    /// What its last answer to this host said of that; never said at first.
+    limit_notice own_limit;
     /// When anything last came from it to this host.
     model::time_point heard_at{};
     /// Its place among those of its service that urgent streams get; set by
--- a/tests/routing/peer_table_test.cpp
+++ b/tests/routing/peer_table_test.cpp
@@ -220,6 +220,7 @@
         proxy::digest_frame frame;
         frame.digest.generation = generation;
         frame.digest.sequence = sequence;
+        frame.digest.limits = {{4, 1.625, 70ms}, {5, std::nullopt, 3s}};
         frame.digest.known = {revision, revision + 1, revision + 2};
         frame.digest.hosts_seen = seen;
         frame.digest.speaks = true;
@@ -242,6 +243,10 @@
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->digest.generation == generation);
         RC_ASSERT(read->digest.sequence == sequence);
+        RC_ASSERT(read->digest.limits.size() == std::size_t{2});
+        RC_ASSERT(read->digest.limits[0].a_second == 1.625);
+        RC_ASSERT(read->digest.limits[0].age == 70ms);
+        RC_ASSERT(!read->digest.limits[1].a_second);
         RC_ASSERT(read->digest.known == frame.digest.known);
         RC_ASSERT(read->digest.hosts_seen == seen);
         RC_ASSERT(read->digest.speaks);
