--- a/src/program/routed_host_peers.cpp
+++ b/src/program/routed_host_peers.cpp
@@ -42,7 +42,7 @@
 {
     bool const is_waited_for =
         m_context.peers.is_reader() || m_context.peers.speaks();
-    if (m_peers && is_waited_for && m_context.known != before) {
+    if (m_peers && is_waited_for && !m_context.known.has_changes_of(before)) {
         m_peers->tell_of_change();
     }
 }
--- a/src/routing/peer_audience.cpp
+++ b/src/routing/peer_audience.cpp
@@ -35,7 +35,8 @@
         return false;
     }
     auto const period = is_reader() ? reader_period : ask_period;
-    return now - known.asked_at >= period || known.told_known != own;
+    return now - known.asked_at >= period
+           || !known.told_known.has_changes_of(own);
 }
 
 // Within a data centre digests cost nothing but the time to read them; what
@@ -84,7 +85,7 @@
             is_due =
                 is_worth_asking(known) && now - known.asked_at >= ask_period;
         } else if (share_of(known) != share::beliefs) {
-            is_due = is_due || known.told_known != own
+            is_due = is_due || !known.told_known.has_changes_of(own)
                      || is_due_with_loads(known, now, is_news);
         } else {
             is_due = is_due || is_due_far(known, now, own);
--- a/src/routing/store_revisions.hpp
+++ b/src/routing/store_revisions.hpp
@@ -43,6 +43,14 @@
         return told.configuration != 0 && configuration >= told.configuration;
     }
 
+    /// Whether both hold the same changes; a confirmation that there are no
+    /// others is no reason to tell anybody at once.
+    bool has_changes_of(store_revisions const& other) const
+    {
+        return upstreams == other.upstreams
+               && configuration == other.configuration;
+    }
+
     friend bool operator==(store_revisions const&,
                            store_revisions const&) = default;
 };
--- a/tests/proxy/peer_fetcher_test.cpp
+++ b/tests/proxy/peer_fetcher_test.cpp
@@ -26,6 +26,12 @@
 /// A host that asks another, which answers in pieces.
 struct asking
 {
+    asking(std::size_t piece_bytes, model::milliseconds between)
+        : piece(piece_bytes)
+        , pause(between)
+    {
+    }
+
     runtime::event_loop loop;
     std::size_t piece;
     model::milliseconds pause;
@@ -69,7 +75,7 @@
 // one alone; dropped for that, all begin anew and none ever has it.
 TEST_CASE("a list of another host that keeps coming is not given up")
 {
-    asking host{.piece = 60, .pause = 400ms};
+    asking host(60, 400ms);
     host.run(6s);
     CHECK(host.outcome == "taken");
     CHECK(host.taken == 7);
@@ -78,7 +84,7 @@
 // A host that froze midway would otherwise never be left for another.
 TEST_CASE("a list of another host that stops midway is given up")
 {
-    asking host{.piece = 300, .pause = 2s};
+    asking host(300, 2s);
     host.run(3s);
     CHECK(host.outcome == "silent");
     CHECK(!host.taken);
--- a/tests/routing/fleet_gossip_test.cpp
+++ b/tests/routing/fleet_gossip_test.cpp
@@ -333,3 +333,29 @@
     fleet.round();
     CHECK(fleet.sent_far == 42);
 }
+
+// Where the store stands moves on all the time. Told of it at once, other data
+// centres would get a digest for each step, over links that are paid for.
+TEST_CASE("a confirmation alone is no news for other data centres")
+{
+    gossip fleet(71, 6);
+    fleet.rounds(30);
+    auto const told_far = [&fleet](gossip::member& host,
+                                   routing::store_revisions const& known) {
+        auto const told = host.table.audience(fleet.now(), known, false);
+        return std::count_if(told.begin(), told.end(), [](auto const& to) {
+            return to.what == routing::share::beliefs;
+        });
+    };
+    std::size_t relaying = 0;
+    for (gossip::member& host : fleet.hosts()) {
+        if (!host.table.relays()) {
+            continue;
+        }
+        ++relaying;
+        told_far(host, {2, 1, 2});
+        CHECK(told_far(host, {2, 1, 9}) == 0);
+        CHECK(told_far(host, {2, 3, 9}) > 0);
+    }
+    CHECK(relaying == 12);
+}
