Let the soak's upstreams name limits, and check what they get

A check over all hosts, with the rule's own bound; its draws are apart from those of the other faults, so that a seed's other faults stay what they were.

--- a/tests/routing/upstream_limit_test.cpp
+++ b/tests/routing/upstream_limit_test.cpp
@@ -13,7 +13,6 @@
 
 using namespace caperjunction;
 using namespace std::chrono_literals;
-using routing::limit_notice;
 using routing::limit_place;
 using routing::upstream_limit;
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -30,7 +30,7 @@
 
 
 def site(all_told, runs, **more):
-    values = dict(told=all_told, runs=runs, revoked={}, moves=[], stops=[], left_at={}, engines=[],
+    values = dict(told=all_told, runs=runs, revoked={}, moves=[], stops=[], left_at={}, engines=[], limits=[],
                   reloads=[], configurations=[(0.0, 2.5)], harmed=lambda begin, end: False, now=lambda: 200.0)
     values.update(more)
     return types.SimpleNamespace(**values)
@@ -82,6 +82,14 @@
         engine.arrivals.append((100.0, "r1"))
         self.assertTrue(checks.leaving_engines_are_left(site([], [], left_at={engine: 96.0})))
 
+    def test_an_upstream_that_gets_more_than_it_takes(self):
+        engine = Engine("i-0", "s0", [], 1)
+        engine.arrivals = [(104.0 + n / 4, f"r{n}") for n in range(16)]
+        self.assertTrue(checks.limits_are_kept(site([], [], limits=[(engine, 1.5, 100.0, 109.0)])))
+        # Before all hosts have heard of the limit, and within it.
+        self.assertFalse(checks.limits_are_kept(site([], [], limits=[(engine, 1.5, 104.5, 109.0)])))
+        self.assertFalse(checks.limits_are_kept(site([], [], limits=[(engine, 2.0, 100.0, 109.0)])))
+
     def test_too_many_second_sends(self):
         arrivals = [(100.0 + n / 100, f"r{n}") for n in range(100)] * 2
         engine = types.SimpleNamespace(name="i-0", arrivals=arrivals)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -20,6 +20,7 @@
 from .site import Site
 
 # The first reads, and the end: what runs late still has to show.
+LIMIT_SEED = 1_000_000
 SETTLE_SECONDS = 1.5
 
 
@@ -29,6 +30,14 @@
         asyncio.ensure_future(draw(site))
 
 
+async def limit_some(site, seed, until):
+    """Upstreams name limits; drawn apart, so that a seed's other faults stay what they were."""
+    rng = random.Random(seed + LIMIT_SEED)
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        await faults.engine_limited(site, rng)
+
+
 def tell_failure(loop, context):
     """What is still being served when a run ends is cancelled, and no failure."""
     if not isinstance(context.get("exception"), asyncio.CancelledError):
@@ -46,7 +55,7 @@
         work = [caller.run(until) for caller in site.callers(options.callers)]
         # In every third seed all that happens is planned.
         calm, draw = (1.0 + seed % 4, faults.draw) if seed % 3 else (1.0, faults.draw_planned)
-        await asyncio.gather(inject(site, until - 1.0, calm, draw), *work)
+        await asyncio.gather(inject(site, until - 1.0, calm, draw), limit_some(site, seed, until - 1.0), *work)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -16,6 +16,12 @@
 RETRY_EXTRA = 50
 BUDGET_WINDOW = 10.0
 LEAVING_LIMIT = 0.5
+# From so long after an upstream has named a limit, it gets no more in a window
+# than so much of it, and some requests.
+LIMIT_LEARNT = 3.0
+LIMIT_WINDOW = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_EXTRA = 5
 STOP_LIMIT = 8.0
 # A request that was wholly sent so long before its connection ended was read.
 LOSS_SLACK = 0.2
@@ -114,6 +120,22 @@
     return found
 
 
+def limits_are_kept(site):
+    found = []
+    for engine, limit, since, until in site.limits:
+        arrivals = [at for at, _ in engine.arrivals if since + LIMIT_LEARNT <= at < until]
+        allowed = LIMIT_SHARE * limit * LIMIT_WINDOW + LIMIT_EXTRA
+        for begin in arrivals:
+            end = begin + LIMIT_WINDOW
+            got = sum(begin <= at < end for at in arrivals)
+            # A host that starts anew has to hear of the limit first.
+            calm = not site.harmed(since, end) and not any(s < end and since < e for _, s, e in site.stops)
+            if got > allowed and calm:
+                found.append(f"{engine.name} named {limit} a second and got {got} in {LIMIT_WINDOW} s")
+                break
+    return found
+
+
 def retries_keep_to_budget(site):
     first = {}
     seconds = []
@@ -228,6 +250,7 @@
     work_ends_with_its_caller,
     configuration_is_in_force,
     leaving_engines_are_left,
+    limits_are_kept,
     retries_keep_to_budget,
     planned_work_loses_nothing,
     kept_connections_are_kept,
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -48,6 +48,8 @@
         self.port = port
         self.writers = set()
         self.arrivals = []
+        # Requests a second that it says it takes; None: as many as come.
+        self.limit = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
@@ -77,6 +79,8 @@
         path, headers = head[0].split()[1], head[1]
         request_id = headers.get("attempt-id", "")
         mark = [f"Attempt-Id: {request_id}"]
+        if self.limit is not None:
+            mark.append(f"Server-Limit: {self.limit}")
         if headers.get("expect-instance") != self.name:
             writer.write(answer(421, b"", mark + [f"Instance-Id: {self.name}"]))
             return True
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -74,6 +74,16 @@
     site.store.remove(f"servers/{one.name}")
 
 
+async def engine_limited(site, rng):
+    """It says how many requests a second it takes, for some seconds."""
+    one = rng.choice(site.engines)
+    one.limit = rng.choice([0.8, 1.5, 4.0])
+    seconds = rng.uniform(5.0, 9.0)
+    site.limits.append((one, one.limit, site.now(), site.now() + seconds))
+    await asyncio.sleep(seconds)
+    one.limit = None
+
+
 async def host_killed(site):
     host = site.random.choice(site.hosts)
     if host.is_stopping:
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -75,6 +75,8 @@
         self.configurations, self.reloads = [], []
         self.timeout, self.idle_limit = 2.5, 15.0
         self.revoked, self.left_at, self.harms = {}, {}, []
+        # Each time that an upstream named a limit: which, how much, from and until when.
+        self.limits = []
         self.engines = []
         self.paths = {}
         ports = PortBlock()
