--- a/src/program/peer_lists.cpp
+++ b/src/program/peer_lists.cpp
@@ -81,7 +81,7 @@
         m_context.table != nullptr, peers.is_reader(), peers.speaks()};
     if (lane.turn.is_due(newer, about, m_context.loop.now())) {
         bool const is_whole =
-            lane.lane == routing::lane::configuration && !m_has_good_base;
+            lane.lane == routing::lane::configuration && !m_asks_for_difference;
         lane.fetcher.ask(*newer.at,
                          newer.has_one_list ? items_path : lane.path,
                          is_whole ? 0 : m_context.known.of(lane.lane));
@@ -101,8 +101,8 @@
     routing::store_revisions const before = m_context.known;
     if (path == configuration_path) {
         auto const told = proxy::decode_configuration(body);
-        m_has_good_base = told && m_beliefs.merge(*told);
-        if (!m_has_good_base) {
+        m_asks_for_difference = told && m_beliefs.merge(*told);
+        if (!m_asks_for_difference) {
             return false;
         }
     } else {
--- a/src/program/peer_lists.hpp
+++ b/src/program/peer_lists.hpp
@@ -56,8 +56,9 @@
     proxy::relay_context& m_context;
     beliefs& m_beliefs;
     hooks m_call;
-    /// The last configuration that came could be read against the one here.
-    bool m_has_good_base = true;
+    /// False: the last configuration that came couldn't be read against the
+    /// one here; the next is asked for whole.
+    bool m_asks_for_difference = true;
     std::minstd_rand m_random{std::random_device{}()};
     asking m_upstreams;
     asking m_configuration;
