Name what a newcomer would stumble over in the limits

Two files had one name in two folders; a function said less than it does. No change of behaviour; test_routing, test_proxy, test_program and test_house pass.

--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -1,7 +1,7 @@
 #include "proxy/exchange.hpp"
 
+#include "proxy/limit_notices.hpp"
 #include "proxy/message_text.hpp"
-#include "proxy/upstream_limits.hpp"
 
 #include <utility>
 
--- a/src/proxy/upstream_limits.cpp
+++ b/src/proxy/limit_notices.cpp
@@ -1,4 +1,4 @@
-#include "proxy/upstream_limits.hpp"
+#include "proxy/limit_notices.hpp"
 
 #include <charconv>
 #include <cmath>
--- a/src/proxy/upstream_limits.hpp
+++ b/src/proxy/limit_notices.hpp
@@ -1,5 +1,5 @@
-#ifndef CAPERJUNCTION_PROXY_UPSTREAM_LIMITS_HPP
-#define CAPERJUNCTION_PROXY_UPSTREAM_LIMITS_HPP
+#ifndef CAPERJUNCTION_PROXY_LIMIT_NOTICES_HPP
+#define CAPERJUNCTION_PROXY_LIMIT_NOTICES_HPP
 
 #include "proxy/message_head.hpp"
 #include "proxy/relay_context.hpp"
--- a/src/proxy/peer_link.cpp
+++ b/src/proxy/peer_link.cpp
@@ -1,7 +1,7 @@
 #include "proxy/peer_link.hpp"
 
 #include "model/error.hpp"
-#include "proxy/upstream_limits.hpp"
+#include "proxy/limit_notices.hpp"
 
 #include <arpa/inet.h>
 #include <event2/event.h>
--- a/src/routing/upstream_limit.cpp
+++ b/src/routing/upstream_limit.cpp
@@ -58,8 +58,10 @@
     return static_cast<std::size_t>(std::min(hosts, most));
 }
 
-model::time_point upstream_limit::first_turn(model::time_point from,
-                                             model::milliseconds each) const
+// Hosts begin one after the other, over one interval from `from` on; a host
+// that has sent waits for an interval of its own.
+model::time_point upstream_limit::next_turn(model::time_point from,
+                                            model::milliseconds each) const
 {
     auto const wait = std::chrono::duration_cast<model::milliseconds>(
         std::chrono::duration<double, std::milli>(each) * m_place.turn);
@@ -73,12 +75,12 @@
     if (!is_sharer || rate <= 0.0) {
         return model::time_point::max();
     }
-    return first_turn(m_began, interval(static_cast<double>(sharers()) / rate));
+    return next_turn(m_began, interval(static_cast<double>(sharers()) / rate));
 }
 
 model::time_point upstream_limit::next_of_stale() const
 {
-    return first_turn(
+    return next_turn(
         m_notice.heard_at + stale_after,
         interval(static_cast<double>(m_place.fleet) / tried_a_second));
 }
--- a/src/routing/upstream_limit.hpp
+++ b/src/routing/upstream_limit.hpp
@@ -20,10 +20,11 @@
 /// A host's place among those that share an upstream's limit.
 struct limit_place
 {
-    /// From 0. All that share the limit order each other alike.
+    /// From 0. All of `hosts` order each other alike; the first share it.
     std::size_t rank = 0;
+    /// Hosts that hear each other, with this one.
     std::size_t hosts = 1;
-    /// False: others, which this host doesn't hear, share it.
+    /// False: the limit is shared by others, which this host doesn't hear.
     bool is_among_them = true;
     /// All hosts of the fleet.
     std::size_t fleet = 1;
@@ -85,8 +86,8 @@
     std::size_t sharers() const;
     model::time_point next_of_sharer() const;
     model::time_point next_of_stale() const;
-    model::time_point first_turn(model::time_point from,
-                                 model::milliseconds each) const;
+    model::time_point next_turn(model::time_point from,
+                                model::milliseconds each) const;
 
     limit_notice m_notice;
     limit_place m_place;
--- a/tests/proxy/relay_limit_test.cpp
+++ b/tests/proxy/relay_limit_test.cpp
@@ -1,5 +1,5 @@
+#include "proxy/limit_notices.hpp"
 #include "proxy/relay_fixture.hpp"
-#include "proxy/upstream_limits.hpp"
 
 #include <doctest/doctest.h>
 
