Let the hosts of a large fleet place by newer loads

The aggregator of a data centre of 50 hosts sends some 4 KB to each of them in one burst. On a link of 20 Mbit/s the end of the burst is lost, each time for the same hosts, the last by address: they placed without the loads of other data centres. Beside that, digests of 50 neighbours came once in 0.9 s, loads crossed between data centres only when the aggregator's own few requests changed, and engines were reserved for chats by the streams that were known, 0.5 s and more behind a burst.

Change: digests leave in batches of 12 KB each 10 ms, in the order in which hosts became due (digest_queue); up to 240 instead of 60 datagrams a second are received; an aggregator announces changes of its whole data centre; the reservation follows the slope of the demand (demand_trend); a chat expects a wait before the last slot is taken, by what may have changed since the loads were reported. A digest no longer carries the echo of the recipient before. The terms of the cost moved from picker to placement_cost, digest_set to a file of its own.

Ruled out: a subset of engines for each host (host_subset, a trial in the load test): no difference, requests are spread by their prefixes.

Test: placement_fleet plays 295 hosts, 192 engines and a burst of chats in virtual time, with links of 20 Mbit/s.

--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -16,7 +16,8 @@
     request.attempted = &m_attempted;
 
     request.is_most_urgent = m_is_most_urgent;
-    request.urgent_streams = m_context.fleet_urgent_streams(m_service);
+    request.urgent_streams = m_context.expected_urgent_streams(m_service);
+    request.load_age = m_context.peers.max_load_age();
     return request;
 }
 
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -18,13 +18,6 @@
 namespace caperjunction::proxy {
 namespace {
 
-/// Interval between digests in a small fleet. A prefill takes some 100 ms, and
-/// older loads lead to bad placements.
-constexpr model::milliseconds min_period{100};
-/// Approximate maximum of datagrams with loads that a host receives per second;
-/// they cost some thousandths of a core.
-constexpr double max_datagrams_per_second = 60.0;
-
 constexpr std::size_t max_datagram = 65'536;
 constexpr std::size_t max_suspects = 32;
 constexpr std::size_t max_neighbours_sent = 16;
@@ -68,7 +61,7 @@
         },
         this);
     event_add(m_read, nullptr);
-    m_timer = context.loop.after(min_period, [this] {
+    m_timer = context.loop.after(model::milliseconds{0}, [this] {
         send_digests();
     });
 }
@@ -76,36 +69,42 @@
 peer_gossip::~peer_gossip()
 {
     m_context.loop.cancel(m_timer);
-    m_context.loop.cancel(m_change_timer);
+    m_context.loop.cancel(m_batch_timer);
     event_free(m_read);
     close(m_socket);
 }
 
-digest_frame peer_gossip::own_frame()
+std::vector<routing::peer_load> peer_gossip::own_loads() const
 {
-    digest_frame frame;
-    routing::peer_digest& digest = frame.digest;
-    digest.generation = m_generation;
-    digest.sequence = ++m_sequence;
-    digest.revisions = m_context.known;
-    digest.data_centre = m_context.settings.data_centre;
+    std::vector<routing::peer_load> loads;
     auto const now = m_context.loop.now();
     m_context.directory.each([&](routing::upstream_state const& state) {
         routing::upstream_performance const performance =
             state.own_performance.performance(now);
         if (state.own.running > 0 || performance.observers > 0) {
-            digest.loads.push_back(
-                {routing::upstream_load_key(state.description.id),
-                 state.own,
-                 performance});
+            loads.push_back({routing::upstream_load_key(state.description.id),
+                             state.own,
+                             performance});
         }
     });
     for (auto const& [service, count] : m_context.urgent_streams) {
         if (count > 0) {
-            digest.loads.push_back(
+            loads.push_back(
                 {routing::urgent_load_key(service), {count, 0, 0}, {}});
         }
     }
+    return loads;
+}
+
+digest_frame peer_gossip::own_frame()
+{
+    digest_frame frame;
+    routing::peer_digest& digest = frame.digest;
+    digest.generation = m_generation;
+    digest.sequence = ++m_sequence;
+    digest.revisions = m_context.known;
+    digest.data_centre = m_context.settings.data_centre;
+    digest.loads = own_loads();
     digest.limits = limits_to_advertise(m_context);
     digest.suspects =
         m_context.suspects.suspects_to_send(max_suspects, m_context.loop.now());
@@ -125,12 +124,12 @@
         < routing::peer_table::min_peers_of_large_fleet) {
         return;
     }
-    m_context.loop.cancel(m_change_timer);
-    m_change_timer = m_context.loop.after(model::milliseconds{0}, [this] {
-        send_to_all(m_context.peers.recipients_of_change(
-                        m_context.loop.now(), m_context.known, m_random()),
-                    own_frame());
-    });
+    bool const is_idle = m_queue.is_empty();
+    m_queue.add(m_context.peers.recipients_of_change(
+        m_context.loop.now(), m_context.known, m_random()));
+    if (is_idle) {
+        schedule_batch(model::milliseconds{0});
+    }
 }
 
 void peer_gossip::send_digests()
@@ -138,42 +137,53 @@
     routing::peer_table& peers = m_context.peers;
     auto const now = m_context.loop.now();
     peers.forget_silent(now);
-    digest_frame const frame = own_frame();
-    bool const has_change =
-        m_load_changes.has_significant_change(frame.digest.loads, now);
-    auto const recipients = peers.recipients(now, m_context.known, has_change);
+    auto const loads = peers.loads_for_remote(own_loads());
+    bool const has_change = m_load_changes.has_significant_change(loads, now);
+    m_queue.add(peers.recipients(now, m_context.known, has_change));
     if (has_change) {
-        m_load_changes.record_advertised(frame.digest.loads, now);
+        m_load_changes.record_advertised(loads, now);
     }
-    send_to_all(recipients, frame);
+    send_batch();
     apply_loads();
-    model::milliseconds const load_period{static_cast<std::int64_t>(
-        1'000.0 * static_cast<double>(peers.near_count())
-        / max_datagrams_per_second)};
-    m_timer = m_context.loop.after(std::max(min_period, load_period), [this] {
+    m_timer = m_context.loop.after(peers.digest_period(), [this] {
         send_digests();
     });
 }
 
-void peer_gossip::send_to_all(
-    std::vector<routing::peer_table::recipient> const& recipients,
-    digest_frame frame)
+void peer_gossip::schedule_batch(model::milliseconds delay)
+{
+    m_context.loop.cancel(m_batch_timer);
+    m_batch_timer = m_context.loop.after(delay, [this] {
+        send_batch();
+    });
+}
+
+// Each batch states the revisions and the confirmation of its own time. With
+// those of an earlier batch, a confirmation could be attributed to a revision
+// that it doesn't cover.
+void peer_gossip::send_batch()
 {
+    m_context.loop.cancel(m_batch_timer);
+    digest_frame frame = own_frame();
     routing::digest_set const digests =
         m_context.peers.make_digests(std::move(frame.digest));
-    for (auto const& to : recipients) {
+    m_queue.send_batch([&](routing::peer_table::recipient const& to) {
         frame.digest = digests.of(to.kind);
         frame.digest.requests_reply = to.requests_reply;
         if (to.wants_neighbours) {
             frame.digest.neighbours = m_context.peers.neighbours_for(
                 to.at, max_neighbours_sent, m_random());
         }
-        send_to(to.at, frame);
+        return send_to(to.at, frame);
+    });
+    if (!m_queue.is_empty()) {
+        schedule_batch(routing::digest_queue::batch_interval);
     }
 }
 
-void peer_gossip::send_to(model::endpoint const& to, digest_frame& frame)
+std::size_t peer_gossip::send_to(model::endpoint const& to, digest_frame& frame)
 {
+    frame.echoed.reset();
     auto const last_echo =
         m_echoes.find(fmt::format("{}:{}", to.address, to.port));
     if (last_echo != m_echoes.end()) {
@@ -190,6 +200,7 @@
            0,
            reinterpret_cast<sockaddr const*>(&address),
            sizeof address);
+    return bytes.size();
 }
 
 void peer_gossip::receive()
@@ -265,6 +276,7 @@
         state.others = received.load;
         state.others_performance = received.performance;
     });
+    m_context.record_urgent_demand();
     apply_advertised_limits(m_context);
     if (m_alive != m_context.peers.alive()) {
         m_alive = m_context.peers.alive();
--- a/src/proxy/peer_gossip.hpp
+++ b/src/proxy/peer_gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "proxy/digest_codec.hpp"
 #include "proxy/relay_context.hpp"
+#include "routing/digest_queue.hpp"
 #include "routing/load_change_detector.hpp"
 #include "routing/peer_table.hpp"
 
@@ -56,26 +57,28 @@
     };
 
     void send_digests();
-    void
-    send_to_all(std::vector<routing::peer_table::recipient> const& audience,
-                digest_frame frame);
-    void send_to(model::endpoint const& to, digest_frame& frame);
+    void schedule_batch(model::milliseconds delay);
+    void send_batch();
+    /// Returns the bytes that were sent.
+    std::size_t send_to(model::endpoint const& to, digest_frame& frame);
     void receive();
     void handle_digest(std::string_view bytes, model::endpoint const& from);
     void apply_confirmation(routing::peer_digest const& received,
                             model::time_point now);
     void apply_loads();
+    std::vector<routing::peer_load> own_loads() const;
     digest_frame own_frame();
 
     relay_context& m_context;
     int m_socket = -1;
     event* m_read = nullptr;
     runtime::timer_handle m_timer;
-    runtime::timer_handle m_change_timer;
+    runtime::timer_handle m_batch_timer;
     std::uint64_t m_generation = 0;
     std::uint64_t m_sequence = 0;
     std::minstd_rand m_random;
     std::map<std::string, echo> m_echoes;
+    routing::digest_queue m_queue;
     routing::load_change_detector m_load_changes;
     std::size_t m_alive = 0;
     std::function<void(std::size_t)> m_on_changed;
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -8,6 +8,7 @@
 #include "proxy/upstream_pool.hpp"
 #include "proxy/wire_names.hpp"
 #include "routing/crash_suspects.hpp"
+#include "routing/demand_trend.hpp"
 #include "routing/key_lease.hpp"
 #include "routing/peer_table.hpp"
 #include "routing/picker.hpp"
@@ -46,6 +47,7 @@
     std::map<std::string, routing::retry_budget> retry_budgets;
     /// Running streams of the most urgent rank on this host, by service.
     std::map<std::string, std::uint32_t> urgent_streams;
+    std::map<std::string, routing::demand_trend> urgent_demand;
     /// Called when a request is retried, before the next attempt.
     std::function<void(exchange_report const&)> on_retried;
     /// Called when an upstream's request limit begins or ends.
@@ -101,13 +103,25 @@
                    since_stop(), settings.stop_limit, max_duration);
     }
 
-    /// Returns the running streams of the most urgent rank of `service`, over
+    /// Returns the streams of the most urgent rank of `service` to expect, over
     /// all hosts.
-    std::uint32_t fleet_urgent_streams(std::string const& service) const
+    double expected_urgent_streams(std::string const& service) const
     {
-        auto const local = urgent_streams.find(service);
-        return (local == urgent_streams.end() ? 0 : local->second)
-               + peers.load_of(routing::urgent_load_key(service)).load.running;
+        auto const known = urgent_demand.find(service);
+        return known == urgent_demand.end() ? 0.0 : known->second.expected();
+    }
+
+    /// Records how many of these streams run, over all hosts.
+    void record_urgent_demand()
+    {
+        directory.each_service([this](std::string const& service) {
+            auto const local = urgent_streams.find(service);
+            std::uint32_t const own =
+                local == urgent_streams.end() ? 0 : local->second;
+            std::uint32_t const others =
+                peers.load_of(routing::urgent_load_key(service)).load.running;
+            urgent_demand[service].record(own + others, loop.now());
+        });
     }
 
     /// Returns this host's share of the fleet's burst of retries. Hosts that
--- a/src/routing/peer_loads.cpp
+++ b/src/routing/peer_loads.cpp
@@ -99,6 +99,12 @@
     return listed(sum);
 }
 
+std::vector<peer_load>
+peer_table::loads_for_remote(std::vector<peer_load> const& own) const
+{
+    return is_aggregator() ? aggregate_with(own) : own;
+}
+
 std::vector<peer_load> peer_table::remote_loads() const
 {
     load_sums sum;
--- a/src/routing/peer_recipients.cpp
+++ b/src/routing/peer_recipients.cpp
@@ -17,9 +17,22 @@
 /// Near hosts that a change is sent to at once and that other hosts may fetch
 /// it from.
 constexpr std::size_t recipients_per_change = 12;
+/// Interval between digests in a small fleet. A prefill takes some 100 ms, and
+/// older loads lead to bad placements.
+constexpr model::milliseconds min_digest_period{100};
+/// Approximate maximum of datagrams with loads that a host receives per second;
+/// they cost some thousandths of a core.
+constexpr std::size_t max_datagrams_per_second = 240;
 
 } // namespace
 
+model::milliseconds peer_table::digest_period() const
+{
+    model::milliseconds const load_period(1'000 * near_count()
+                                          / max_datagrams_per_second);
+    return std::max(min_digest_period, load_period);
+}
+
 // A host without others in its data centre has rank 0 there and is a gateway:
 // it contacts the seeds, which send it its neighbours.
 bool peer_table::is_worth_contacting(peer const& known) const
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -3,7 +3,7 @@
 
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
-#include "routing/peer_digest.hpp"
+#include "routing/digest_set.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -13,34 +13,6 @@
 
 namespace caperjunction::routing {
 
-/// Content of a digest, by the role of its recipient.
-enum class digest_kind : std::uint8_t
-{
-    /// The recipient places requests by loads: those of this host, and from an
-    /// aggregator also those of other data centres.
-    loads,
-    /// The recipient aggregates another data centre: the total loads of this
-    /// data centre.
-    aggregated_loads,
-    /// No loads: only the presence of this host and its store revisions.
-    presence,
-};
-
-/// Digests of this host at one time, one for each kind.
-struct digest_set
-{
-    peer_digest loads;
-    peer_digest aggregated_loads;
-    peer_digest presence;
-
-    peer_digest const& of(digest_kind kind) const
-    {
-        return kind == digest_kind::loads              ? loads
-               : kind == digest_kind::aggregated_loads ? aggregated_loads
-                                                       : presence;
-    }
-};
-
 /// State of the other hosts, from their digests.
 ///
 /// In a small fleet all hosts exchange digests with all. In a large fleet each
@@ -128,6 +100,12 @@
     /// centre.
     bool is_gateway() const;
 
+    /// Returns the loads that other data centres place requests by, given the
+    /// loads of this host: the sum over its data centre on an aggregator of a
+    /// large fleet, otherwise its own.
+    std::vector<peer_load>
+    loads_for_remote(std::vector<peer_load> const& own) const;
+
     /// Returns the digests to send. `own` contains the requests, suspects and
     /// store revisions of this host.
     digest_set make_digests(peer_digest own) const;
@@ -138,6 +116,18 @@
     /// Returns the number of hosts that send their loads to this host.
     std::size_t near_count() const;
 
+    /// Returns the interval between the digests of this host. It grows with the
+    /// number of hosts that send their loads to each other.
+    model::milliseconds digest_period() const;
+
+    /// Returns the age that the loads of other hosts reach before newer ones
+    /// arrive: a period of the sender, and one of this host until they are
+    /// summed.
+    model::milliseconds max_load_age() const
+    {
+        return digest_period() * 2;
+    }
+
     /// Returns the number of other live hosts, known from their own digests or
     /// from those of gateways and aggregators.
     std::size_t alive() const
--- a/src/routing/pick.hpp
+++ b/src/routing/pick.hpp
@@ -25,8 +25,10 @@
     std::vector<std::string> const* attempted = nullptr;
     /// No route with prompts has a lower rank.
     bool is_most_urgent = false;
-    /// Running most urgent streams of the service, from all hosts.
-    std::uint32_t urgent_streams = 0;
+    /// Expected most urgent streams of the service, from all hosts.
+    double urgent_streams = 0.0;
+    /// Age that loads of other hosts reach before newer ones arrive.
+    model::milliseconds load_age{0};
 };
 
 /// The upstream chosen for a request and the values behind the choice.
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -1,5 +1,6 @@
 #include "routing/picker.hpp"
 
+#include "routing/placement_cost.hpp"
 #include "routing/reserved_engines.hpp"
 
 #include <xxhash.h>
@@ -25,17 +26,6 @@
     return XXH3_64bits_withSeed(id.data(), id.size(), key);
 }
 
-double lateness(picker_settings const& weights,
-                double forecast_ms,
-                model::milliseconds target)
-{
-    double const share =
-        forecast_ms / std::max(1.0, static_cast<double>(target.count()));
-    double const late = std::max(
-        0.0, (share - weights.safe_share) / (1.0 - weights.safe_share));
-    return late + std::max(0.0, share - 1.0) * weights.cost_per_missed_target;
-}
-
 /// Records in `result` that an upstream accepts no request from this host now.
 void record_limited(pick& out,
                     upstream_state const& limited,
@@ -75,54 +65,6 @@
     return usable.empty() ? backing_off : usable;
 }
 
-/// Interpolates between the idle and the behind cost by the average delay of
-/// the engines.
-double cost_of_uncached_token(picker_settings const& weights,
-                              std::vector<upstream_ptr> const& usable,
-                              model::milliseconds target)
-{
-    double pending = 0.0;
-    for (upstream_ptr const& item : usable) {
-        pending += static_cast<double>(item->pending_prefill_tokens());
-    }
-    double const wait_ms = pending / weights.tokens_per_ms
-                           / std::max(1.0, static_cast<double>(usable.size()));
-    double const allowed =
-        static_cast<double>(target.count()) * weights.share_when_behind;
-    double const behind =
-        std::clamp(wait_ms / std::max(1.0, allowed), 0.0, 1.0);
-    return (1.0 - behind) / weights.uncached_tokens_when_idle
-           + behind / weights.uncached_tokens_when_behind;
-}
-
-/// Returns how long a most urgent stream waits for a slot. Less urgent requests
-/// release theirs.
-double slot_wait_ms(picker_settings const& weights,
-                    upstream_state const& candidate)
-{
-    double const slots = std::max(1U, candidate.description.slots);
-    double const excess = candidate.running() + 1.0 - slots;
-    return std::max(0.0, excess) / slots * weights.stream_duration_ms;
-}
-
-/// Returns how close the longest gap of an engine is to the maximum of the
-/// route: 0 up to a safe share of it, 1 at the maximum.
-double gap_share(pick_request const& request,
-                 model::milliseconds longest_gap,
-                 picker_settings const& weights)
-{
-    double const target =
-        static_cast<double>(request.route->max_event_gap.count());
-    if (target <= 0.0) {
-        return 0.0;
-    }
-    double const share = static_cast<double>(longest_gap.count()) / target;
-    return std::clamp((share - weights.safe_gap_share)
-                          / (1.0 - weights.safe_gap_share),
-                      0.0,
-                      1.0);
-}
-
 double mean_slots(std::vector<upstream_ptr> const& all)
 {
     double sum = 0.0;
@@ -226,39 +168,11 @@
         double const slots = std::max(1U, candidate.description.slots);
         nominal_ms = m_weights.service_ms * (1.0 + candidate.running() / slots);
     } else {
-        std::uint32_t const shared = request.prompt->shared_tokens();
-        out.uncached_tokens =
-            &candidate == groups.affinity_engine
-                ? 0
-                : uncached_tokens(*request.prompt, candidate, now);
-        // Requests that the affinity engine cannot take go to the same overflow
-        // engine from all hosts. Spread over all engines, their prefix would be
-        // read again at each one, and the overload would amplify itself.
-        if (&candidate == groups.overflow_engine) {
-            out.uncached_tokens /= 2;
-        }
-        double const pending =
-            static_cast<double>(candidate.pending_prefill_tokens()
-                                + out.uncached_tokens + request.prompt->tokens)
-            - shared;
-        nominal_ms = m_weights.base_ms + pending / m_weights.tokens_per_ms;
-        wait =
-            request.is_most_urgent ? slot_wait_ms(m_weights, candidate) : 0.0;
-        cost += out.uncached_tokens * groups.cost_of_uncached_token;
-        cost += m_weights.cost_of_event_gap
-                * gap_share(request, out.performance.longest_gap, m_weights);
-        bool const is_reserved = candidate.reservation_rank < groups.reserved;
-        if (!request.is_most_urgent) {
-            cost +=
-                std::min(m_weights.max_cost_of_urgent_streams,
-                         m_weights.cost_per_urgent_stream * candidate.urgent());
-        }
-        if (is_reserved && !request.is_most_urgent) {
-            cost += m_weights.cost_inside_reserved
-                    + pending * m_weights.cost_of_delay_per_token;
-        } else if (!is_reserved && request.is_most_urgent) {
-            cost += m_weights.cost_outside_reserved;
-        }
+        prompt_cost const added =
+            cost_of_prompt(request, candidate, groups, now, out);
+        cost += added.cost;
+        nominal_ms = added.nominal_ms;
+        wait = added.slot_wait_ms;
     }
     double const forecast =
         path.ms + nominal_ms * out.performance.slowdown + wait;
@@ -270,6 +184,53 @@
            + forecast * 1e-4;
 }
 
+picker::prompt_cost picker::cost_of_prompt(pick_request const& request,
+                                           upstream_state const& candidate,
+                                           engine_partition const& groups,
+                                           model::time_point now,
+                                           pick& out) const
+{
+    prompt_cost result;
+    out.uncached_tokens =
+        &candidate == groups.affinity_engine
+            ? 0
+            : uncached_tokens(*request.prompt, candidate, now);
+    // Requests that the affinity engine cannot take go to the same overflow
+    // engine from all hosts. Spread over all engines, their prefix would be
+    // read again at each one, and the overload would amplify itself.
+    if (&candidate == groups.overflow_engine) {
+        out.uncached_tokens /= 2;
+    }
+    double const pending =
+        static_cast<double>(candidate.pending_prefill_tokens()
+                            + out.uncached_tokens + request.prompt->tokens)
+        - request.prompt->shared_tokens();
+    result.nominal_ms = m_weights.base_ms + pending / m_weights.tokens_per_ms;
+    result.cost =
+        out.uncached_tokens * groups.cost_of_uncached_token
+        + m_weights.cost_of_event_gap
+              * gap_share(request, out.performance.longest_gap, m_weights);
+    bool const is_reserved = candidate.reservation_rank < groups.reserved;
+    if (request.is_most_urgent) {
+        result.slot_wait_ms =
+            slot_wait_ms(m_weights, candidate, request.load_age);
+        double const target =
+            static_cast<double>(request.route->latency_target.count());
+        result.cost += m_weights.cost_of_slot_wait * result.slot_wait_ms
+                       / std::max(1.0, target);
+        result.cost += is_reserved ? 0.0 : m_weights.cost_outside_reserved;
+        return result;
+    }
+    result.cost +=
+        std::min(m_weights.max_cost_of_urgent_streams,
+                 m_weights.cost_per_urgent_stream * candidate.urgent());
+    if (is_reserved) {
+        result.cost += m_weights.cost_inside_reserved
+                       + pending * m_weights.cost_of_delay_per_token;
+    }
+    return result;
+}
+
 // A part is cached only if all parts before it are.
 std::uint32_t picker::uncached_tokens(prompt const& requested,
                                       upstream_state const& candidate,
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -48,6 +48,15 @@
         double cost_of_uncached_token = 0.0;
     };
 
+    /// What a prompt adds at an engine.
+    struct prompt_cost
+    {
+        double cost = 0.0;
+        /// Time to the first event at nominal performance, without the wait.
+        double nominal_ms = 0.0;
+        double slot_wait_ms = 0.0;
+    };
+
     engine_partition partition(pick_request const& request,
                                std::vector<upstream_ptr> const& usable) const;
     std::uint32_t uncached_tokens(prompt const& requested,
@@ -59,6 +68,12 @@
                    model::time_point now,
                    pick& out) const;
 
+    prompt_cost cost_of_prompt(pick_request const& request,
+                               upstream_state const& candidate,
+                               engine_partition const& groups,
+                               model::time_point now,
+                               pick& out) const;
+
     upstream_directory const& m_directory;
     picker_settings m_weights;
     prefix_cache_estimate m_prefix_cache;
--- a/src/routing/picker_settings.hpp
+++ b/src/routing/picker_settings.hpp
@@ -42,6 +42,10 @@
     /// A failing upstream is worse than a late one: the caller gets no answer.
     double cost_of_failure = 2.0;
 
+    /// Cost of a wait for a slot that takes a whole latency target, in addition
+    /// to the cost of lateness: it is more than the prefix that a nearly full
+    /// engine has in its cache.
+    double cost_of_slot_wait = 0.5;
     /// Cost of an urgent stream on an engine with long prompts.
     double cost_outside_reserved = 0.4;
     /// Cost of a prompt to the urgent streams on the same engine: a constant,
--- a/src/routing/reserved_engines.hpp
+++ b/src/routing/reserved_engines.hpp
@@ -15,8 +15,8 @@
     std::size_t engines = 0;
     /// Requests that an engine runs at once, on average.
     double slots = 1.0;
-    /// Running most urgent streams of the service, from all hosts.
-    std::uint32_t urgent_streams = 0;
+    /// Expected most urgent streams of the service, from all hosts.
+    double urgent_streams = 0.0;
 };
 
 /// Returns the number of engines that read no long prompts, so that urgent
--- a/src/routing/upstream_directory.hpp
+++ b/src/routing/upstream_directory.hpp
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Calls `visit` for the name of each service.
+    template <typename Visitor>
+    void each_service(Visitor visit) const
+    {
+        for (auto const& [service, upstreams] : m_by_service) {
+            visit(service);
+        }
+    }
+
     std::size_t size() const
     {
         return m_by_id.size();
--- /dev/null
+++ b/tests/routing/placement_fleet_test.cpp
@@ -0,0 +1,67 @@
+#include "routing/placement_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+using routing::request_kind;
+
+namespace {
+
+request_load chats()
+{
+    request_load load;
+    load.route = make_route("/chat/", request_kind::stream, 0);
+    load.route.latency_target = 400ms;
+    load.subjects = 800;
+    load.shared_tokens = 170;
+    load.own_tokens = 540;
+    load.stream = 1'800ms;
+    return load;
+}
+
+request_load letters()
+{
+    request_load load;
+    load.route = make_route("/letter/", request_kind::stream, 1);
+    load.route.latency_target = 600ms;
+    load.subjects = 2'500;
+    load.shared_tokens = 570;
+    load.own_tokens = 1'800;
+    load.stream = 200ms;
+    return load;
+}
+
+request_load digests()
+{
+    request_load load;
+    load.route = make_route("/digest/", request_kind::stream, 2);
+    load.route.latency_target = 1'500ms;
+    load.subjects = 4'000;
+    load.shared_tokens = 6'300;
+    load.own_tokens = 2'900;
+    load.stream = 350ms;
+    return load;
+}
+
+} // namespace
+
+// Guards against chats that queue at a few engines while most are free.
+TEST_CASE("a burst of chats finds the free engines of a large fleet")
+{
+    placement_fleet fleet({295, 6, 192, 16}, {chats(), letters(), digests()});
+    fleet.play({}, 4s);
+    fleet.play({110, 320, 500}, 1s);
+    fleet.reset_results();
+    fleet.play({400, 600, 700}, 3s);
+    fleet.play({}, 2s);
+    auto const& results = fleet.results();
+    constexpr double wanted_on_time = 0.93;
+    for (request_result const& each : results) {
+        CAPTURE(each.sent);
+        CAPTURE(each.share_forecast());
+        CHECK(each.share_on_time() >= wanted_on_time);
+        CHECK(each.turned_away == 0);
+        CHECK(each.served == each.sent);
+    }
+}
