Let requests wait for the configuration of a starting host

Cause: a host listens some 50 ms before it has routes.

Change: a request that arrives before the first configuration waits for it, up to 500 ms or its deadline. Not measured alone.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -12,6 +12,11 @@
 /// deadline.
 constexpr model::milliseconds return_margin{20};
 
+/// A host that has just started receives its configuration within a few round
+/// trips. If it takes longer, other hosts serve the caller sooner.
+constexpr model::milliseconds max_configuration_wait{500};
+constexpr model::milliseconds configuration_poll{10};
+
 model::milliseconds since(model::time_point from, model::time_point now)
 {
     return std::chrono::duration_cast<model::milliseconds>(now - from);
@@ -41,13 +46,37 @@
     m_context.loop.cancel(m_silence_timer);
 }
 
+bool exchange::waits_for_configuration() const
+{
+    auto const wait =
+        std::min(m_metadata.deadline.value_or(max_configuration_wait),
+                 max_configuration_wait);
+    return !m_context.table && !m_context.is_stopping
+           && m_context.loop.now() - m_arrived < wait;
+}
+
 void exchange::start()
 {
-    m_table = m_context.table;
     if (m_metadata.id.empty()) {
         refuse(reason_code::malformed);
         return;
     }
+    if (waits_for_configuration()) {
+        auto const weak = weak_from_this();
+        m_deadline_timer = m_context.loop.after(configuration_poll, [weak] {
+            auto const self = weak.lock();
+            if (self && !self->m_ended) {
+                self->start();
+            }
+        });
+        return;
+    }
+    admit();
+}
+
+void exchange::admit()
+{
+    m_table = m_context.table;
     auto const admitted = routing::admit(m_table.get(),
                                          m_context.keys,
                                          {m_metadata.authority,
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -37,8 +37,8 @@
     exchange(exchange const&) = delete;
     exchange& operator=(exchange const&) = delete;
 
-    /// Admits, places and sends the request. May call the sink before it
-    /// returns.
+    /// Admits, places and sends the request, after a short wait if the host has
+    /// no configuration yet. May call the sink before it returns.
     void start();
 
     /// Called when the caller's connection has ended. Cancels the work at the
@@ -89,6 +89,10 @@
     void send_complete_answer();
     void record_first_byte();
 
+    /// Returns whether the host has just started and may have its configuration
+    /// soon.
+    bool waits_for_configuration() const;
+    void admit();
     void fill_report();
     void abandon(routing::refusal_reason reason);
     void refuse(routing::refusal_reason reason,
