Ask the store less often when a fleet starts or the store is down

A host whose peers watch for it polls a failing store after 0.4 s, doubling up to 4 s. A store that is back is announced by the watchers, whose delay stays 50 to 400 ms.

Test: the bound of polls of an idle reader in an outage of 3 s is 6 instead of 8. Not measured alone.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -123,6 +123,9 @@
         };
         m_readers.push_back(std::make_unique<proxy::store_reader>(
             m_loop, m_settings.platform, m_codec, prefix, std::move(hooks)));
+        // A host with peers doesn't know yet whether it watches the store for
+        // them: `update_store_polling` decides that soon.
+        m_readers.back()->set_watching(!m_peers);
     }
 }
 
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -19,11 +19,12 @@
 /// the delay is short.
 constexpr model::milliseconds min_retry_delay{50};
 constexpr model::milliseconds max_retry_delay{400};
-/// The maximum for a host whose peers watch the store for it. While the store
-/// is unavailable, no host of a fleet receives anything new, and all poll it
+/// The same for a host whose peers watch the store for it. While the store is
+/// unavailable, no host of a fleet receives anything new, and all poll it
 /// themselves. Each failed poll is charged, and the watching hosts announce
 /// when the store is back.
-constexpr model::milliseconds max_idle_retry_delay{2'000};
+constexpr model::milliseconds min_idle_retry_delay{400};
+constexpr model::milliseconds max_idle_retry_delay{4'000};
 
 /// Time for which changes are collected, far below the time within which a
 /// change must be in force. Without it, each change ends one watch of each
@@ -251,8 +252,10 @@
             {reason, m_is_complete ? "watch" : "range", m_get.progress()});
     }
     bool const has_other_watchers = m_is_complete && !m_keeps_watching;
+    auto const first =
+        has_other_watchers ? min_idle_retry_delay : min_retry_delay;
     auto const delay =
-        std::min(min_retry_delay * (1U << std::min(m_failures, 8U)),
+        std::min(first * (1U << std::min(m_failures, 8U)),
                  has_other_watchers ? max_idle_retry_delay : max_retry_delay);
     ++m_failures;
     m_loop.cancel(m_delay_timer);
--- a/tests/proxy/store_reader_test.cpp
+++ b/tests/proxy/store_reader_test.cpp
@@ -306,6 +306,6 @@
         return fixture.targets.size();
     };
     CHECK(asked_in_outage(true) >= 8);
-    CHECK(asked_in_outage(false) <= 8);
+    CHECK(asked_in_outage(false) <= 6);
     CHECK(asked_in_outage(false) >= 5);
 }
