Count a request in an upstream's load at one place

The load of a request was raised and lowered in three places of exchange, and again in the load test: running, urgent streams (twice, by upstream and by service), pending tokens and the performance ticket. load_ticket now holds them together and releases them when it is destroyed; the urgent streams of a service are the sum over its upstreams. Streams at an upstream that is no longer published don't count for the service any more: they need no reserved engine.

--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -10,6 +10,7 @@
 #include "proxy/request_metadata.hpp"
 #include "proxy/upstream_connection.hpp"
 #include "routing/admission.hpp"
+#include "routing/load_ticket.hpp"
 #include "routing/pick.hpp"
 #include "routing/retry_rule.hpp"
 
@@ -134,9 +135,7 @@
     std::shared_ptr<upstream_connection> m_connection;
     routing::pick m_pick;
     model::time_point m_sent_at{};
-    std::uint64_t m_pending_prefill_tokens = 0;
-    routing::performance_meter::ticket m_performance_ticket = 0;
-    bool m_is_load_counted = false;
+    routing::load_ticket m_load;
     message_head m_answer;
     std::string m_answer_body;
     event_framer m_framer;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -99,13 +99,11 @@
     auto const wait =
         std::chrono::duration_cast<model::milliseconds>(now - m_sent_at);
     m_report.upstream_wait = wait;
-    m_upstream->own_performance.end(m_performance_ticket, now);
+    m_load.record_first_event(now);
     if (m_report.first_byte.count() < 0) {
         m_report.first_byte =
             std::chrono::duration_cast<model::milliseconds>(now - m_arrived);
     }
-    m_upstream->own.pending_prefill_tokens -= m_pending_prefill_tokens;
-    m_pending_prefill_tokens = 0;
 }
 
 void exchange::start_forwarding()
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -46,20 +46,8 @@
     m_attempted.push_back(m_upstream->description.id);
     m_connection = m_context.pool.acquire(m_upstream);
     m_sent_at = m_context.loop.now();
-    m_pending_prefill_tokens =
-        m_metadata.prompt.tokens
-        - std::min(m_metadata.prompt.tokens,
-                   m_metadata.prompt.shared_tokens()
-                       - std::min(m_metadata.prompt.shared_tokens(),
-                                  chosen.uncached_tokens));
     m_upstream->limit.record_send(m_sent_at);
-    m_upstream->own.running += 1;
-    m_upstream->own.urgent += m_is_most_urgent ? 1 : 0;
-    m_performance_ticket =
-        m_upstream->own_performance.begin(m_sent_at, chosen.nominal_forecast);
-    m_upstream->own.pending_prefill_tokens += m_pending_prefill_tokens;
-    m_context.urgent_streams[m_service] += m_is_most_urgent ? 1 : 0;
-    m_is_load_counted = true;
+    m_load = routing::load_ticket(chosen, pick_request(), m_sent_at);
     m_answer = {};
     m_answer_body.clear();
     m_framer = {};
@@ -123,15 +111,7 @@
 void exchange::release_connection()
 {
     m_context.loop.cancel(m_silence_timer);
-    if (m_is_load_counted) {
-        m_is_load_counted = false;
-        m_context.urgent_streams[m_service] -= m_is_most_urgent ? 1 : 0;
-        m_upstream->own.running -= 1;
-        m_upstream->own.urgent -= m_is_most_urgent ? 1 : 0;
-        m_upstream->own_performance.drop(m_performance_ticket);
-        m_upstream->own.pending_prefill_tokens -= m_pending_prefill_tokens;
-        m_pending_prefill_tokens = 0;
-    }
+    m_load.end();
     if (auto const connection = std::exchange(m_connection, nullptr)) {
         if (connection->has_sent()) {
             ++m_state.sent;
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -87,12 +87,13 @@
                              performance});
         }
     });
-    for (auto const& [service, count] : m_context.urgent_streams) {
+    m_context.directory.each_service([&](std::string const& service) {
+        auto const count = m_context.directory.own_urgent_streams(service);
         if (count > 0) {
             loads.push_back(
                 {routing::urgent_load_key(service), {count, 0, 0}, {}});
         }
-    }
+    });
     return loads;
 }
 
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -45,8 +45,7 @@
     routing::peer_table peers;
     routing::crash_suspects suspects;
     std::map<std::string, routing::retry_budget> retry_budgets;
-    /// Running streams of the most urgent rank on this host, by service.
-    std::map<std::string, std::uint32_t> urgent_streams;
+    /// Streams of the most urgent rank over all hosts, by service.
     std::map<std::string, routing::demand_trend> urgent_demand;
     /// Called when a request is retried, before the next attempt.
     std::function<void(exchange_report const&)> on_retried;
@@ -115,12 +114,10 @@
     void record_urgent_demand()
     {
         directory.each_service([this](std::string const& service) {
-            auto const local = urgent_streams.find(service);
-            std::uint32_t const own =
-                local == urgent_streams.end() ? 0 : local->second;
             std::uint32_t const others =
                 peers.load_of(routing::urgent_load_key(service)).load.running;
-            urgent_demand[service].record(own + others, loop.now());
+            urgent_demand[service].record(
+                directory.own_urgent_streams(service) + others, loop.now());
         });
     }
 
--- a/src/routing/prompt.hpp
+++ b/src/routing/prompt.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_ROUTING_PROMPT_HPP
 #define CAPERJUNCTION_ROUTING_PROMPT_HPP
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -34,6 +35,12 @@
         return sum;
     }
 
+    /// Returns the tokens that only this request has.
+    std::uint32_t own_tokens() const
+    {
+        return tokens - std::min(tokens, shared_tokens());
+    }
+
     /// Identifies the shared prefix: the id of the last part but one, which
     /// implies all parts before it; 0 if nothing is shared.
     std::uint64_t prefix_id() const
--- a/src/routing/upstream_directory.cpp
+++ b/src/routing/upstream_directory.cpp
@@ -150,6 +150,16 @@
     return m_reservation_orders[std::string(service)] = std::move(order);
 }
 
+std::uint32_t
+upstream_directory::own_urgent_streams(std::string_view service) const
+{
+    std::uint32_t sum = 0;
+    for (upstream_ptr const& item : of_service(service)) {
+        sum += item->own.urgent;
+    }
+    return sum;
+}
+
 upstream_ptr upstream_directory::find(std::string const& id) const
 {
     auto const found = m_by_id.find(id);
--- a/src/routing/upstream_directory.hpp
+++ b/src/routing/upstream_directory.hpp
@@ -4,6 +4,7 @@
 #include "model/time.hpp"
 #include "routing/upstream_state.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -80,6 +81,10 @@
         }
     }
 
+    /// Returns the most urgent streams of this host at the upstreams of a
+    /// service.
+    std::uint32_t own_urgent_streams(std::string_view service) const;
+
     /// Calls `visit` for the name of each service.
     template <typename Visitor>
     void each_service(Visitor visit) const
--- a/tests/routing/placement_fleet.cpp
+++ b/tests/routing/placement_fleet.cpp
@@ -147,9 +147,10 @@
                  performance});
         }
     });
-    if (from.urgent_streams > 0) {
+    auto const urgent = from.directory.own_urgent_streams("llm");
+    if (urgent > 0) {
         digest.loads.push_back(
-            {routing::urgent_load_key("llm"), {from.urgent_streams, 0, 0}, {}});
+            {routing::urgent_load_key("llm"), {urgent, 0, 0}, {}});
     }
     return digest;
 }
@@ -172,7 +173,7 @@
         state.others_performance = received.performance;
     });
     from.urgent_demand.record(
-        from.urgent_streams
+        from.directory.own_urgent_streams("llm")
             + from.peers.load_of(routing::urgent_load_key("llm")).load.running,
         m_now);
     from.next_digest = m_now + from.peers.digest_period();
@@ -263,21 +264,12 @@
     auto sent = std::make_unique<job>();
     sent->kind = kind;
     sent->period = m_period;
-    sent->from = &at;
-    sent->upstream = chosen.to;
-    sent->is_urgent = request.is_most_urgent;
     sent->rank = load.route.rank;
     sent->prefix = subject;
     sent->shared = load.shared_tokens;
-    sent->pending = load.own_tokens + chosen.uncached_tokens;
     sent->sent_at = m_now;
     sent->forecast = chosen.forecast;
-    sent->ticket =
-        chosen.to->own_performance.begin(m_now, chosen.nominal_forecast);
-    chosen.to->own.running += 1;
-    chosen.to->own.urgent += sent->is_urgent ? 1 : 0;
-    chosen.to->own.pending_prefill_tokens += sent->pending;
-    at.urgent_streams += sent->is_urgent ? 1 : 0;
+    sent->load = routing::load_ticket(chosen, request, m_now);
     engine.queue.push_back(std::move(sent));
 }
 
@@ -292,7 +284,6 @@
             ++item;
             continue;
         }
-        record_end(current);
         item = engine.running.erase(item);
     }
     while (engine.running.size() < m_size.slots && !engine.queue.empty()) {
@@ -322,8 +313,7 @@
 void placement_fleet::record_first_event(job& begun)
 {
     begun.has_begun = true;
-    begun.upstream->own_performance.end(begun.ticket, m_now);
-    begun.upstream->own.pending_prefill_tokens -= begun.pending;
+    begun.load.record_first_event(m_now);
     if (begun.period != m_period) {
         return;
     }
@@ -337,11 +327,4 @@
     result.forecast_within_factor_of_two += is_close ? 1 : 0;
 }
 
-void placement_fleet::record_end(job const& ended)
-{
-    ended.upstream->own.running -= 1;
-    ended.upstream->own.urgent -= ended.is_urgent ? 1 : 0;
-    ended.from->urgent_streams -= ended.is_urgent ? 1 : 0;
-}
-
 } // namespace caperjunction::test
--- a/tests/routing/placement_fleet.hpp
+++ b/tests/routing/placement_fleet.hpp
@@ -4,6 +4,7 @@
 #include "routing/demand_trend.hpp"
 #include "routing/digest_queue.hpp"
 #include "routing/load_change_detector.hpp"
+#include "routing/load_ticket.hpp"
 #include "routing/peer_table.hpp"
 #include "routing/picker.hpp"
 #include "routing/support.hpp"
@@ -96,7 +97,6 @@
         routing::picker picker;
         routing::peer_table peers;
         routing::load_change_detector load_changes;
-        std::uint32_t urgent_streams = 0;
         routing::demand_trend urgent_demand;
         std::uint64_t sequence = 0;
         model::time_point next_digest{};
@@ -112,14 +112,10 @@
     {
         std::size_t kind = 0;
         std::uint32_t period = 0;
-        host* from = nullptr;
-        routing::upstream_ptr upstream;
-        bool is_urgent = false;
         std::uint32_t rank = 0;
-        std::uint64_t pending = 0;
         std::uint64_t prefix = 0;
         std::uint32_t shared = 0;
-        routing::performance_meter::ticket ticket = 0;
+        routing::load_ticket load;
         model::milliseconds forecast{0};
         model::time_point sent_at{};
         model::time_point first_event{};
@@ -153,7 +149,6 @@
     void run(simulated_engine& engine);
     void start(simulated_engine& engine, job& next);
     void record_first_event(job& begun);
-    void record_end(job const& ended);
     double random_share();
 
     fleet_size m_size;
