--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -62,6 +62,7 @@
         return;
     }
     if (waits_for_configuration()) {
+        // The deadline depends on the route, so its timer isn't in use yet.
         auto const weak = weak_from_this();
         m_deadline_timer = m_context.loop.after(configuration_poll, [weak] {
             auto const self = weak.lock();
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -27,8 +27,7 @@
 constexpr model::milliseconds max_idle_retry_delay{4'000};
 
 /// Time for which changes are collected, far below the time within which a
-/// change must be in force. Without it, each change ends one watch of each
-/// host.
+/// change must be in force. Without it, each change ends a watch.
 constexpr model::milliseconds batch_time{300};
 
 constexpr int ok = 200;
--- a/src/routing/demand_trend.hpp
+++ b/src/routing/demand_trend.hpp
@@ -33,7 +33,8 @@
         if (elapsed <= 0.0) {
             return;
         }
-        double const weight = 1.0 - std::exp2(-elapsed / slope_half_life);
+        double const weight =
+            1.0 - std::exp2(-elapsed / slope_half_life_seconds);
         m_slope += ((count - m_count) / elapsed - m_slope) * weight;
         m_count = count;
         m_recorded_at = now;
@@ -41,7 +42,8 @@
         double const chance = 2.0 * std::sqrt(count);
         double const ahead =
             count + std::max(0.0, m_slope * lead_seconds - chance);
-        double const fallen = m_expected * std::exp2(-elapsed / fall_half_life);
+        double const fallen =
+            m_expected * std::exp2(-elapsed / fall_half_life_seconds);
         m_expected = std::max(ahead, fallen);
     }
 
@@ -54,8 +56,8 @@
 private:
     /// Age of reports, and the time in which more of them arrive.
     static constexpr double lead_seconds = 1.0;
-    static constexpr double slope_half_life = 0.3;
-    static constexpr double fall_half_life = 3.0;
+    static constexpr double slope_half_life_seconds = 0.3;
+    static constexpr double fall_half_life_seconds = 3.0;
 
     double m_count = 0.0;
     double m_slope = 0.0;
--- a/src/routing/load_change_detector.hpp
+++ b/src/routing/load_change_detector.hpp
@@ -13,9 +13,8 @@
 /// Detects changes of this host's load that affect placement on hosts in other
 /// data centres.
 ///
-/// Links between data centres may be narrow and billed by volume. With digests
-/// at a fixed period only, nearly unchanged loads took as many bytes there as
-/// the requests themselves. A burst is still advertised at once.
+/// Links between data centres may be narrow and billed by volume, so nearly
+/// unchanged loads are sent rarely. A burst is advertised at once.
 ///
 /// Thread safety: none; owned by one task.
 class load_change_detector
--- a/src/routing/overload_rule.hpp
+++ b/src/routing/overload_rule.hpp
@@ -37,13 +37,11 @@
 /// Returns the retry delay of a prompt that is refused because of overload;
 /// nothing if it is accepted.
 ///
-/// Bursts of long prompts may exceed the capacity of all engines together. If
-/// all are accepted, they queue until each one is late. Engines that read
-/// prompts without a break take ten times as long for each event of a stream,
-/// so that running streams time out: more tokens are read and fewer requests
-/// are answered. The least urgent prompts are refused first, before any engine
-/// has received them. The retry delay is the time until the queue is short
-/// enough.
+/// Answers bursts of long prompts that exceed the capacity of all engines
+/// together. If all were accepted, each would be late, and engines that read
+/// prompts without a break would delay their running streams beyond their
+/// timeouts. The least urgent prompts are refused first, before any engine has
+/// received them, with the time until the queue is short enough.
 inline std::optional<model::milliseconds>
 overload_retry_after(overload_inputs const& inputs,
                      overload_limits const& limits = {})
--- a/src/routing/peer_loads.cpp
+++ b/src/routing/peer_loads.cpp
@@ -38,9 +38,8 @@
 }
 
 /// Maximum suspects of a data centre in one digest. When engines crash under
-/// load, each crash makes every request in flight there a suspect. 900
-/// suspects, sent several times a second, filled links of 10 Mbit/s, and
-/// digests with loads and changes were lost.
+/// load, each crash makes every request in flight there a suspect; all of them
+/// would fill a narrow link, and digests with loads would be lost.
 constexpr std::size_t max_suspects_sent = 64;
 
 /// Returns the suspects with the most crashes.
--- a/src/routing/peer_recipients.cpp
+++ b/src/routing/peer_recipients.cpp
@@ -27,8 +27,8 @@
 /// Interval between digests in a small fleet. A prefill takes some 100 ms, and
 /// older loads lead to bad placements.
 constexpr model::milliseconds min_digest_period{100};
-/// Approximate maximum of datagrams with loads that a host receives per second;
-/// they cost some thousandths of a core.
+/// Approximate maximum of datagrams with loads that a host receives per second.
+/// It bounds the processor time for reading them in a large data centre.
 constexpr std::size_t max_datagrams_per_second = 240;
 
 } // namespace
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -69,9 +69,7 @@
     /// Returns the recipients of a digest that announces a change: some near
     /// hosts, starting at `random_value`, and gateways of other data centres.
     /// The other hosts learn of the change from the next digests of any of
-    /// these and fetch it from any of them. When all fetched it from the first
-    /// one, the 3,001 entries of a starting fleet of 296 hosts filled its link
-    /// of 10 Mbit/s for half a minute.
+    /// these, so that they don't all fetch it over the link of the first one.
     std::vector<recipient> recipients_of_change(model::time_point now,
                                                 store_revisions const& own,
                                                 std::uint64_t random_value);
@@ -181,11 +179,9 @@
     /// Returns one of the hosts with a newer revision of `which` than `own`;
     /// `random_value` is arbitrary.
     ///
-    /// When all hosts fetched from the same one, a starting fleet of 296 hosts
-    /// requested 200 MB over one link, and a published configuration was in
-    /// force after 18 s instead of 1 s. Each host therefore selects a source at
-    /// random, from its own data centre if possible: traffic between data
-    /// centres is billed.
+    /// Each host selects a source at random, so that a starting fleet doesn't
+    /// fill the link of one host; and from its own data centre if possible,
+    /// because traffic between data centres is billed.
     source newer_than(store_revisions const& own,
                       list_kind which,
                       std::uint64_t random_value) const;
--- a/tests/routing/placement_fleet_test.cpp
+++ b/tests/routing/placement_fleet_test.cpp
@@ -32,10 +32,10 @@
     return load;
 }
 
-request_load digests()
+request_load summaries()
 {
     request_load load;
-    load.route = make_route("/digest/", request_kind::stream, 2);
+    load.route = make_route("/summary/", request_kind::stream, 2);
     load.route.latency_target = 1'500ms;
     load.subjects = 4'000;
     load.shared_tokens = 6'300;
@@ -49,7 +49,7 @@
 // Guards against chats that queue at a few engines while most are free.
 TEST_CASE("a burst of chats finds the free engines of a large fleet")
 {
-    placement_fleet fleet({295, 6, 192, 16}, {chats(), letters(), digests()});
+    placement_fleet fleet({295, 6, 192, 16}, {chats(), letters(), summaries()});
     fleet.play({}, 4s);
     fleet.play({110, 320, 500}, 1s);
     fleet.reset_results();
