Keep the expected wait for a slot finite

The same mean is computed without the overflow; values elsewhere are equal up to rounding. placement_cost_test fails on the form before (three cases).

--- a/src/routing/placement_cost.cpp
+++ b/src/routing/placement_cost.cpp
@@ -45,7 +45,10 @@
     double const changed = slots * static_cast<double>(load_age.count())
                            / weights.stream_duration_ms;
     double const scale = unit_scale * std::sqrt(2.0 * std::max(changed, 0.1));
-    double const expected = scale * std::log1p(std::exp(excess / scale));
+    // Mean of the positive part of the excess; in this form it can't overflow.
+    double const expected =
+        std::max(0.0, excess)
+        + scale * std::log1p(std::exp(-std::abs(excess) / scale));
     return expected / slots * weights.stream_duration_ms;
 }
 
