Serve requests only in the home regions of their route and team

Ruled out: bodies sent between hosts; this program hands no request over.

Change: route and team carry their home regions, admission intersects them, the picker leaves out upstreams elsewhere, also those whose data centre the settings don't name. A request that is placed again has the regions of the newest configuration. An upstream's state knows its region, not only its distance.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -32,18 +32,21 @@
             + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
-routing::upstream_directory::distance_of
-distance_from(routed_settings const& settings)
+routing::upstream_directory::location_of
+locations_from(routed_settings const& settings)
 {
-    return [settings](std::string const& data_centre) {
+    using routing::distance;
+    return [settings](std::string const& data_centre) -> routing::location {
         if (data_centre == settings.data_centre) {
-            return routing::distance::same_data_centre;
+            return {distance::same_data_centre, settings.region};
         }
-        auto const region = settings.regions.find(data_centre);
-        return region != settings.regions.end()
-                       && region->second == settings.region
-                   ? routing::distance::same_region
-                   : routing::distance::other_region;
+        auto const found = settings.regions.find(data_centre);
+        if (found == settings.regions.end()) {
+            return {distance::other_region, ""};
+        }
+        return {found->second == settings.region ? distance::same_region
+                                                 : distance::other_region,
+                found->second};
     };
 }
 
@@ -58,7 +61,7 @@
                 m_names,
                 m_settings.relay,
                 boot_now,
-                distance_from(m_settings))
+                locations_from(m_settings))
     , m_replica(m_context, m_codec)
     , m_lists(m_context,
               m_replica,
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -85,6 +85,7 @@
                                           m_metadata.key,
                                           m_arrived_boot});
     m_route = admitted.route;
+    m_homes = admitted.homes;
     if (admitted.refused) {
         refuse(*admitted.refused);
         return;
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -14,7 +14,7 @@
     request.service = m_service;
     request.body_bytes = m_body.size();
     request.attempted = &m_attempted;
-
+    request.homes = &m_homes;
     request.is_most_urgent = m_is_most_urgent;
     request.urgent_streams = m_context.expected_urgent_streams(m_service);
     request.load_age = m_context.peers.max_load_age();
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -26,8 +26,9 @@
         m_deadline - m_context.loop.now());
 }
 
-// A key may have been revoked since the request arrived. The age of the
-// configuration is not checked again: it was decided at admission.
+// A key may have been revoked, or its regions changed, since the request
+// arrived. The age of the configuration is not checked again: it was decided at
+// admission.
 bool exchange::is_still_admitted()
 {
     auto const admitted = routing::admit(m_context.table.get(),
@@ -36,6 +37,9 @@
                                           m_metadata.path,
                                           m_metadata.key,
                                           m_arrived_boot});
+    if (admitted.route != nullptr) {
+        m_homes = admitted.homes;
+    }
     return !admitted.refused
            || *admitted.refused == routing::refusal_reason::no_route;
 }
--- a/src/proxy/limit_notices.cpp
+++ b/src/proxy/limit_notices.cpp
@@ -19,9 +19,7 @@
 {
     bool const is_change = state.limit.update(notice);
     if (state.limit.is_limited()) {
-        state.limit.set_share(context.peers.limit_share_for(
-            routing::upstream_load_key(state.description.id),
-            state.network_distance == routing::distance::same_data_centre));
+        state.limit.set_share(context.share_of(state));
     }
     if (is_change && context.on_limit_changed) {
         context.on_limit_changed(state);
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -72,13 +72,13 @@
                   wire_names const& wire,
                   relay_settings const& given,
                   std::function<model::time_point()> boot,
-                  routing::upstream_directory::distance_of measure)
+                  routing::upstream_directory::location_of locate)
         : loop(on)
         , names(wire)
         , settings(given)
         , boot_now(std::move(boot))
         , keys(given.key_lifetime)
-        , directory(std::move(measure))
+        , directory(std::move(locate))
         , picker(directory)
         , pool(on)
         , peers(given.peer_listen, given.data_centre, given.seeds)
@@ -110,6 +110,15 @@
         return known == urgent_demand.end() ? 0.0 : known->second.expected();
     }
 
+    /// Returns this host's share of a limit of `state`.
+    routing::limit_share share_of(routing::upstream_state const& state) const
+    {
+        return peers.limit_share_for(
+            routing::upstream_load_key(state.description.id),
+            state.where.network_distance
+                == routing::distance::same_data_centre);
+    }
+
     /// Records how many of these streams run, over all hosts.
     void record_urgent_demand()
     {
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -24,6 +24,7 @@
     if (result.route == nullptr) {
         return refused(refusal_reason::no_route);
     }
+    result.homes.restrict_to(result.route->home_regions);
     if (result.route->is_public || table->config().teams.empty()) {
         return result;
     }
@@ -40,6 +41,7 @@
     if (result.team == nullptr) {
         return refused(refusal_reason::key_unknown);
     }
+    result.homes.restrict_to(result.team->home_regions);
     return result;
 }
 
--- a/src/routing/admission.hpp
+++ b/src/routing/admission.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_ROUTING_ADMISSION_HPP
 
 #include "model/time.hpp"
+#include "routing/home_regions.hpp"
 #include "routing/key_lease.hpp"
 #include "routing/refusal.hpp"
 #include "routing/route_table.hpp"
@@ -30,6 +31,8 @@
     /// Null on public routes and if the configuration has no teams.
     routing::team const* team = nullptr;
     std::optional<refusal_reason> refused;
+    /// Regions that may serve the request.
+    home_regions homes;
 };
 
 /// Checks the route and the API key of a request against the newest
--- a/src/routing/pick.hpp
+++ b/src/routing/pick.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_ROUTING_PICK_HPP
 
 #include "model/time.hpp"
+#include "routing/home_regions.hpp"
 #include "routing/prompt.hpp"
 #include "routing/route.hpp"
 #include "routing/upstream_state.hpp"
@@ -23,6 +24,8 @@
     std::size_t body_bytes = 0;
     /// Upstreams that received the request or could not be reached for it.
     std::vector<std::string> const* attempted = nullptr;
+    /// Regions that may serve the request; null: all.
+    home_regions const* homes = nullptr;
     /// No route with prompts has a lower rank.
     bool is_most_urgent = false;
     /// Expected most urgent streams of the service, from all hosts.
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -21,6 +21,12 @@
                   != request.attempted->end();
 }
 
+bool is_allowed(pick_request const& request, upstream_state const& candidate)
+{
+    return request.homes == nullptr
+           || request.homes->allows(candidate.where.region);
+}
+
 std::uint64_t rendezvous_score(std::string const& id, std::uint64_t key)
 {
     return XXH3_64bits_withSeed(id.data(), id.size(), key);
@@ -51,7 +57,7 @@
     std::vector<upstream_ptr> usable;
     std::vector<upstream_ptr> backing_off;
     for (upstream_ptr const& item : all) {
-        if (was_attempted(request, *item)) {
+        if (was_attempted(request, *item) || !is_allowed(request, *item)) {
             continue;
         }
         if (!item->limit.may_send(now)) {
@@ -154,7 +160,7 @@
 {
     picker_settings::network_path const& path =
         m_weights.network_paths[static_cast<std::size_t>(
-            candidate.network_distance)];
+            candidate.where.network_distance)];
     double const bytes =
         (static_cast<double>(request.body_bytes) + m_weights.answer_bytes)
         / m_weights.reference_bytes;
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -45,6 +45,8 @@
     std::uint32_t rank = 0;
     /// Never empty.
     std::vector<weighted_service> split;
+    /// Regions that may serve its requests; empty: all.
+    std::vector<std::string> home_regions;
 
     /// Returns whether a gap between two events makes a stream late.
     bool is_gap_too_long(model::milliseconds gap) const
--- a/src/routing/team.hpp
+++ b/src/routing/team.hpp
@@ -16,6 +16,8 @@
     /// Orders requests of equally ranked routes; if unset, the route's rank is
     /// used.
     std::optional<std::uint32_t> rank;
+    /// Regions that may serve its requests; empty: all.
+    std::vector<std::string> home_regions;
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/upstream_directory.cpp
+++ b/src/routing/upstream_directory.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-upstream_directory::upstream_directory(distance_of measure)
-    : m_measure(std::move(measure))
+upstream_directory::upstream_directory(location_of locate)
+    : m_locate(std::move(locate))
 {
 }
 
@@ -41,7 +41,7 @@
         held = std::make_shared<upstream_state>();
     }
     held->description = described;
-    held->network_distance = m_measure(described.data_centre);
+    held->where = m_locate(described.data_centre);
     held->is_retired = described.draining;
     rebuild_list(described.service);
     if (before != described.service) {
--- a/src/routing/upstream_directory.hpp
+++ b/src/routing/upstream_directory.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_ROUTING_UPSTREAM_DIRECTORY_HPP
 
 #include "model/time.hpp"
+#include "routing/location.hpp"
 #include "routing/upstream_state.hpp"
 
 #include <cstdint>
@@ -25,10 +26,10 @@
 class upstream_directory
 {
 public:
-    /// Returns the distance of a data centre from this host.
-    using distance_of = std::function<distance(std::string const&)>;
+    /// Returns where a data centre is.
+    using location_of = std::function<location(std::string const&)>;
 
-    explicit upstream_directory(distance_of measure);
+    explicit upstream_directory(location_of locate);
 
     /// Records that the store responds again after an outage.
     void store_regained(model::time_point now);
@@ -103,7 +104,7 @@
     void drop(std::string const& id);
     void rebuild_list(std::string const& service);
 
-    distance_of m_measure;
+    location_of m_locate;
     std::map<std::string, upstream_ptr> m_by_id;
     std::map<std::string, std::vector<upstream_ptr>, std::less<>> m_by_service;
     /// Built on demand; cleared when the service changes.
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -1,7 +1,7 @@
 #ifndef CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
 #define CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
 
-#include "routing/distance.hpp"
+#include "routing/location.hpp"
 #include "routing/performance_meter.hpp"
 #include "routing/upstream.hpp"
 #include "routing/upstream_health.hpp"
@@ -37,7 +37,7 @@
 struct upstream_state
 {
     upstream description;
-    distance network_distance = distance::same_data_centre;
+    location where;
     upstream_health health;
     /// Requests of this host.
     upstream_load own;
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -24,12 +24,14 @@
         R"("route_type":"streaming","timeout_ms":6000,"target_latency_ms":1500,)"
         R"("priority":2,"traffic_split":[{"service":"a","weight":90},)"
         R"({"service":"b","weight":10}],"max_attempts":2,"public":true,)"
-        R"("session_affinity":true,"stream_resume":true,"gap_aim_ms":1000}],)"
+        R"("session_affinity":true,"stream_resume":true,"gap_aim_ms":1000,)"
+        R"("allowed_regions":["west"]}],)"
         R"("services":[{"name":"a","max_connections":620,)"
         R"("engine":{"slots":128,"kv_capacity":375021}}],)"
         R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
         R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-        R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1},)"
+        R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,)"
+        R"("allowed_regions":["west","east"]},)"
         R"({"name":"u","api_keys":[]}]})");
     CHECK(read.version == 7);
     REQUIRE(read.routes.size() == 1);
@@ -53,6 +55,9 @@
     CHECK(read.teams[0].keys.size() == 2);
     CHECK(read.teams[0].rank == 1U);
     CHECK(!read.teams[1].rank);
+    CHECK(route.home_regions == std::vector<std::string>{"west"});
+    CHECK(read.teams[0].home_regions.size() == 2);
+    CHECK(read.teams[1].home_regions.empty());
 }
 
 TEST_CASE("an invalid configuration is refused with a remedy")
--- a/tests/program/store_replica_test.cpp
+++ b/tests/program/store_replica_test.cpp
@@ -44,7 +44,7 @@
                                      return model::time_point{};
                                  },
                                  [](std::string const&) {
-                                     return routing::distance::same_data_centre;
+                                     return routing::location{};
                                  }};
     program::store_replica replica{context, codec};
 };
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -59,7 +59,7 @@
             return loop.now() + boot_offset;
         },
         [](std::string const&) {
-            return routing::distance::same_data_centre;
+            return routing::location{};
         })
     , relay(context)
 {
--- a/tests/routing/directory_test.cpp
+++ b/tests/routing/directory_test.cpp
@@ -11,7 +11,7 @@
 // applied this at once would refuse every request for seconds.
 TEST_CASE("entries that expire during a store outage are kept for a while")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     directory.put(engine("e1"));
     directory.put(engine("e2"));
     directory.store_regained(start);
@@ -28,7 +28,7 @@
 
 TEST_CASE("an entry that is removed in the steady state is dropped at once")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     directory.put(engine("e1"));
     auto const held = directory.find("e1");
     directory.remove("e1", start);
@@ -38,7 +38,7 @@
 
 TEST_CASE("a draining engine gets no new request and stays known")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     auto draining = engine("e1");
     directory.put(draining);
     draining.draining = true;
@@ -51,7 +51,7 @@
 // including open connections, belongs to the previous process.
 TEST_CASE("a new start under the same id is another engine")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     directory.put(engine("e1"));
     auto const before = directory.find("e1");
     auto restarted = engine("e1");
@@ -64,7 +64,7 @@
 
 TEST_CASE("an engine that moves to another service leaves its first")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     directory.put(engine("e1"));
     directory.put(engine("e1", "a", "other"));
     CHECK(directory.of_service("llm").empty());
@@ -73,7 +73,7 @@
 
 TEST_CASE("entries missing from a complete read are dropped")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     directory.put(engine("e1"));
     directory.put(engine("e2"));
     directory.retain_only({"e2"}, start);
--- a/tests/routing/performance_test.cpp
+++ b/tests/routing/performance_test.cpp
@@ -64,7 +64,7 @@
 
     struct host
     {
-        routing::upstream_directory directory{measure};
+        routing::upstream_directory directory{locate};
         routing::picker picker{directory};
     };
 
--- a/tests/routing/picker_test.cpp
+++ b/tests/routing/picker_test.cpp
@@ -16,7 +16,7 @@
 /// Engines of one service in two regions, and requests for them.
 struct site
 {
-    routing::upstream_directory directory{measure};
+    routing::upstream_directory directory{locate};
     routing::picker picker{directory};
     routing::route bulk = make_route("/bulk/", request_kind::stream, 2);
     routing::route chat = make_route("/chat/", request_kind::stream, 0);
@@ -231,10 +231,11 @@
 // urgent streams must not depend on a host's location.
 TEST_CASE("hosts of all regions agree on the engines of urgent streams")
 {
-    routing::upstream_directory local(measure);
+    routing::upstream_directory local(locate);
     routing::upstream_directory remote([](std::string const& data_centre) {
-        return data_centre == "d" ? routing::distance::same_data_centre
-                                  : routing::distance::other_region;
+        return data_centre == "d"
+                   ? routing::location{routing::distance::same_data_centre, "d"}
+                   : routing::location{routing::distance::other_region, "abc"};
     });
     for (int number = 0; number < 20; ++number) {
         std::string const data_centre(1, static_cast<char>('a' + number % 4));
@@ -286,7 +287,7 @@
 
 TEST_CASE("plain calls go to the nearest free server")
 {
-    routing::upstream_directory directory(measure);
+    routing::upstream_directory directory(locate);
     directory.put(engine("far", "c", "ledger"));
     directory.put(engine("near", "a", "ledger"));
     routing::picker picker(directory);
--- a/tests/routing/placement_fleet.cpp
+++ b/tests/routing/placement_fleet.cpp
@@ -34,14 +34,21 @@
             7'000};
 }
 
-routing::distance distance_between(std::string const& one,
-                                   std::string const& other)
+std::string region_of(std::string const& data_centre)
 {
-    if (one == other) {
-        return routing::distance::same_data_centre;
+    return data_centre[0] % 2 == 0 ? "even" : "odd";
+}
+
+routing::location location_from(std::string const& own,
+                                std::string const& other)
+{
+    std::string const region = region_of(other);
+    if (own == other) {
+        return {routing::distance::same_data_centre, region};
     }
-    return one[0] % 2 == other[0] % 2 ? routing::distance::same_region
-                                      : routing::distance::other_region;
+    return {region == region_of(own) ? routing::distance::same_region
+                                     : routing::distance::other_region,
+            region};
 }
 
 } // namespace
@@ -53,7 +60,7 @@
     , data_centre(static_cast<std::uint64_t>(name[0]))
     , data_centre_name(name)
     , directory([name](std::string const& other) {
-        return distance_between(name, other);
+        return location_from(name, other);
     })
     , picker(directory)
     , peers(own, data_centre, seeds)
@@ -212,9 +219,8 @@
     }
     from.link_free_at +=
         std::chrono::duration_cast<model::time_point::duration>(transit);
-    bool const is_far = distance_between(from.data_centre_name,
-                                         receiver->second->data_centre_name)
-                        == routing::distance::other_region;
+    bool const is_far = region_of(from.data_centre_name)
+                        != region_of(receiver->second->data_centre_name);
     m_network.emplace(from.link_free_at + (is_far ? far_delay : near_delay),
                       datagram{receiver->second, from.at, std::move(digest)});
     return bytes;
--- a/tests/routing/support.hpp
+++ b/tests/routing/support.hpp
@@ -29,13 +29,15 @@
 }
 
 /// Data centres a and b are in one region, c in another; this host is in a.
-inline routing::distance measure(std::string const& data_centre)
+inline routing::location locate(std::string const& data_centre)
 {
     if (data_centre == "a") {
-        return routing::distance::same_data_centre;
+        return {routing::distance::same_data_centre, "west"};
     }
-    return data_centre == "b" ? routing::distance::same_region
-                              : routing::distance::other_region;
+    if (data_centre == "b") {
+        return {routing::distance::same_region, "west"};
+    }
+    return {routing::distance::other_region, "east"};
 }
 
 inline routing::route make_route(std::string const& prefix,
