Send nothing to the upstreams of an evacuated data centre

Cause: op/evacuate/ZONE in the store was not read. Ruled out: entries of the upstreams; these stay 'ready' while their zone is emptied.

Change: the platform folder decodes the item, the replica keeps it with the upstreams' list, so that hosts that don't watch the store get it from their peers within that list's time. The directory leaves the data centre's upstreams out of every choice until the item is gone; a complete read without the item ends the evacuation too.

--- a/src/program/store_replica.cpp
+++ b/src/program/store_replica.cpp
@@ -96,11 +96,20 @@
     for (std::string const& key : keys) {
         ids.push_back(m_codec.upstream_id(key));
     }
-    std::size_t const dropped =
-        std::erase_if(m_items, [&present](auto const& stored) {
-            return present.count(stored.first) == 0;
-        });
-    m_has_undated_removals = m_has_undated_removals || dropped > 0;
+    std::vector<std::string> missing;
+    for (auto const& [key, item] : m_items) {
+        if (present.count(key) == 0) {
+            missing.push_back(key);
+        }
+    }
+    for (std::string const& key : missing) {
+        m_items.erase(key);
+        // The directory itself finds out which upstreams are missing.
+        if (m_codec.upstream_id(key).empty()) {
+            decode({key, "", 0, true});
+        }
+    }
+    m_has_undated_removals = m_has_undated_removals || !missing.empty();
     m_context.directory.retain_only(ids, m_context.loop.now());
 }
 
@@ -205,6 +214,9 @@
             runtime::log_line("upstream_removed")
                 .field("upstream", removed->id)
                 .field("revision", item.revision);
+        } else if (auto const* const evacuated =
+                       std::get_if<proxy::evacuation>(&record)) {
+            put_evacuation(*evacuated, item.revision);
         }
     } catch (model::error const& failure) {
         // The current configuration stays in force.
@@ -233,6 +245,24 @@
         std::make_shared<routing::route_table const>(std::move(read));
 }
 
+void store_replica::put_evacuation(proxy::evacuation const& record,
+                                   std::uint64_t revision)
+{
+    if (!m_context.directory.set_evacuated(record.data_centre,
+                                           record.is_active)) {
+        return;
+    }
+    if (record.is_active) {
+        runtime::log_line("evacuation_begun")
+            .field("data_centre", record.data_centre)
+            .field("revision", revision);
+        return;
+    }
+    runtime::log_line("evacuation_ended")
+        .field("data_centre", record.data_centre)
+        .field("revision", revision);
+}
+
 void store_replica::put_upstream(routing::upstream const& described,
                                  std::uint64_t revision)
 {
--- a/src/program/store_replica.hpp
+++ b/src/program/store_replica.hpp
@@ -73,6 +73,8 @@
     void decode(proxy::store_item const& item);
     void put_configuration(routing::configuration read,
                            proxy::store_item const& item);
+    void put_evacuation(proxy::evacuation const& record,
+                        std::uint64_t revision);
     void put_upstream(routing::upstream const& described,
                       std::uint64_t revision);
 
--- a/src/proxy/store_codec.hpp
+++ b/src/proxy/store_codec.hpp
@@ -35,11 +35,20 @@
     std::string id;
 };
 
+/// The operator wants no request to be sent to the upstreams of a data centre
+/// while the item exists.
+struct evacuation
+{
+    std::string data_centre;
+    bool is_active = true;
+};
+
 using store_record = std::variant<std::monostate,
                                   routing::configuration,
                                   routing::upstream,
                                   unreadable_upstream,
-                                  removed_upstream>;
+                                  removed_upstream,
+                                  evacuation>;
 
 /// Request targets and formats of the platform's store.
 struct store_codec
--- a/src/routing/upstream_directory.cpp
+++ b/src/routing/upstream_directory.cpp
@@ -81,6 +81,20 @@
     }
 }
 
+bool upstream_directory::set_evacuated(std::string const& data_centre,
+                                       bool is_evacuated)
+{
+    bool const is_change =
+        is_evacuated ? m_evacuated_data_centres.insert(data_centre).second
+                     : m_evacuated_data_centres.erase(data_centre) > 0;
+    if (is_change) {
+        for (auto& [service, list] : m_by_service) {
+            rebuild_list(service);
+        }
+    }
+    return is_change;
+}
+
 void upstream_directory::drop_missing(model::time_point now)
 {
     for (auto item = m_missing.begin(); item != m_missing.end();) {
@@ -185,7 +199,10 @@
     list.clear();
     m_reservation_orders.erase(service);
     for (auto const& [id, state] : m_by_id) {
-        if (state->description.service == service && !state->is_retired) {
+        bool const is_evacuated =
+            m_evacuated_data_centres.count(state->description.data_centre) > 0;
+        if (state->description.service == service && !state->is_retired
+            && !is_evacuated) {
             list.push_back(state);
         }
     }
--- a/src/routing/upstream_directory.hpp
+++ b/src/routing/upstream_directory.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,10 @@
     void retain_only(std::vector<std::string> const& ids,
                      model::time_point now);
 
+    /// Excludes the upstreams of a data centre from `of_service`, or includes
+    /// them again. Returns whether that is a change.
+    bool set_evacuated(std::string const& data_centre, bool is_evacuated);
+
     /// Drops upstreams that are still missing. Must be called when `next_drop`
     /// is due.
     void drop_missing(model::time_point now);
@@ -111,6 +116,7 @@
     mutable std::map<std::string, std::vector<upstream_ptr>, std::less<>>
         m_reservation_orders;
     std::map<std::string, model::time_point> m_missing;
+    std::set<std::string> m_evacuated_data_centres;
     model::time_point m_settled_at{};
 };
 
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -121,6 +121,14 @@
         std::holds_alternative<proxy::unreadable_upstream>(codec.decode(item)));
     item = {"someone/else", "junk", 5, false};
     CHECK(std::holds_alternative<std::monostate>(codec.decode(item)));
+    item = {"op/evacuate/otaru", "{}", 5, false};
+    auto record = codec.decode(item);
+    CHECK(std::get<proxy::evacuation>(record).data_centre == "otaru");
+    CHECK(std::get<proxy::evacuation>(record).is_active);
+    item.removed = true;
+    record = codec.decode(item);
+    CHECK(!std::get<proxy::evacuation>(record).is_active);
+    CHECK(codec.upstream_id("op/evacuate/otaru").empty());
     CHECK(codec.upstream_id("servers/i-1") == "i-1");
     CHECK(codec.upstream_id("op/config").empty());
 }
--- a/tests/program/store_replica_test.cpp
+++ b/tests/program/store_replica_test.cpp
@@ -224,3 +224,63 @@
     CHECK(other.replica.config_version() == 3);
     CHECK(other.context.directory.find("i-1") != nullptr);
 }
+
+namespace {
+
+proxy::store_item evacuation(std::string const& data_centre,
+                             std::uint64_t revision,
+                             bool is_removed = false)
+{
+    return {"op/evacuate/" + data_centre, "{}", revision, is_removed};
+}
+
+proxy::store_item cold_service(std::uint64_t revision)
+{
+    return {"op/config",
+            R"({"version":3,"routes":[],"services":[{"name":"s",)"
+            R"("cold_start_s":3.0,"cold_per_s":15.0}],"tenants":[]})",
+            revision,
+            false};
+}
+
+std::size_t usable(replica_host const& host)
+{
+    return host.context.directory.of_service("s").size();
+}
+
+} // namespace
+
+// Guards against a host that hears of an evacuation from its peers alone and
+// goes on sending there.
+TEST_CASE("an evacuation reaches the peers and ends there too")
+{
+    replica_host host;
+    host.replica.apply(cold_service(10));
+    host.replica.apply(upstream("i-1", 11));
+    host.replica.apply(evacuation("z", 12));
+    host.replica.commit(12);
+    CHECK(usable(host) == 0);
+    replica_host peer;
+    fetch_changes(peer, host);
+    CHECK(usable(peer) == 0);
+
+    host.replica.apply(evacuation("z", 13, true));
+    host.replica.commit(13);
+    CHECK(usable(host) == 1);
+    fetch_changes(peer, host);
+    CHECK(usable(peer) == 1);
+}
+
+// Guards against a data centre that stays empty because the store has discarded
+// the change that ended its evacuation.
+TEST_CASE("a complete read ends an evacuation that it does not contain")
+{
+    replica_host host;
+    host.replica.apply(cold_service(10));
+    host.replica.apply(upstream("i-1", 11));
+    host.replica.apply(evacuation("z", 12));
+    host.replica.commit(12);
+    host.replica.retain_only({"op/config", "servers/i-1"});
+    host.replica.commit(30);
+    CHECK(usable(host) == 1);
+}
--- a/tests/routing/directory_test.cpp
+++ b/tests/routing/directory_test.cpp
@@ -99,3 +99,23 @@
     CHECK(suspects.crashes_of(2, start + 3s) == 0);
     CHECK(suspects.crashes_of(1, start + 10min) == 0);
 }
+
+// Guards against requests to the engines of a data centre that the operator is
+// emptying.
+TEST_CASE("the upstreams of an evacuated data centre get no requests")
+{
+    routing::upstream_directory directory(locate);
+    directory.put(engine("e1", "a"));
+    directory.put(engine("e2", "b"));
+    CHECK(directory.set_evacuated("b", true));
+    CHECK(!directory.set_evacuated("b", true));
+    // Its entries are still renewed, and an engine may join.
+    directory.put(engine("e2", "b"));
+    directory.put(engine("e3", "b"));
+    REQUIRE(directory.of_service("llm").size() == 1);
+    CHECK(directory.of_service("llm")[0]->description.id == "e1");
+    CHECK(directory.reservation_order("llm").size() == 1);
+    CHECK(directory.set_evacuated("b", false));
+    CHECK(directory.of_service("llm").size() == 3);
+    CHECK(directory.reservation_order("llm").size() == 3);
+}
