Limit the requests of the whole fleet to a cold engine

Change: entries state how much longer an engine is cold, services what a cold one takes. Its rate is shared like the limit that an overloaded upstream reports (upstream_limit), by hosts of its data centre, with fewer sharers, since the rate holds within each second. After an evacuation the data centre's engines count as cold.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -150,6 +150,10 @@
     m_context.on_limit_changed = [this](routing::upstream_state const& state) {
         log_limit(state);
     };
+    m_context.on_cold = [this](routing::upstream_state const& state,
+                               model::milliseconds remaining) {
+        log_cold(state, remaining);
+    };
     m_context.on_limit_unreadable = [](routing::upstream_state const& from,
                                        std::string const& text) {
         runtime::log_line("upstream_limit_unreadable")
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -45,6 +45,8 @@
     void log_ended(proxy::exchange_report const& ended);
     void log_connection(proxy::connection_report const& ended);
     void log_limit(routing::upstream_state const& state);
+    void log_cold(routing::upstream_state const& state,
+                  model::milliseconds remaining);
     void log_fetch(fetch_report const& ended);
     void log_store_lost(proxy::store_failure const& failure);
     void plan_stop();
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -107,6 +107,20 @@
         .field("is_among_them", share.participates);
 }
 
+void routed_host::log_cold(routing::upstream_state const& state,
+                           model::milliseconds remaining)
+{
+    routing::upstream_limit const& limit = state.cold.limit();
+    runtime::log_line("upstream_cold")
+        .field("upstream", state.description.id)
+        .field("service", state.description.service)
+        .field("for_ms", remaining.count())
+        .field("a_second", limit.notice().requests_per_second.value_or(0.0))
+        .field("rank", limit.share().rank)
+        .field("hosts", limit.share().hosts)
+        .field("is_among_them", limit.share().participates);
+}
+
 void routed_host::log_store_lost(proxy::store_failure const& failure)
 {
     runtime::log_line("store_lost")
--- a/src/program/store_replica.cpp
+++ b/src/program/store_replica.cpp
@@ -1,6 +1,7 @@
 #include "program/store_replica.hpp"
 
 #include "model/error.hpp"
+#include "proxy/cold_upstreams.hpp"
 #include "runtime/log_line.hpp"
 
 #include <algorithm>
@@ -243,6 +244,7 @@
         .field("teams", read.teams.size());
     m_context.table =
         std::make_shared<routing::route_table const>(std::move(read));
+    proxy::apply_cold_limits(m_context);
 }
 
 void store_replica::put_evacuation(proxy::evacuation const& record,
@@ -261,6 +263,7 @@
     runtime::log_line("evacuation_ended")
         .field("data_centre", record.data_centre)
         .field("revision", revision);
+    proxy::record_cold_data_centre(m_context, record.data_centre);
 }
 
 void store_replica::put_upstream(routing::upstream const& described,
@@ -272,6 +275,9 @@
         || before->description.started != described.started
         || !(before->description.at == described.at);
     m_context.directory.put(described);
+    proxy::record_cold(m_context,
+                       *m_context.directory.find(described.id),
+                       described.cold_remaining);
     if (has_changed) {
         runtime::log_line("upstream_changed")
             .field("upstream", described.id)
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -50,7 +50,7 @@
     m_attempted.push_back(m_upstream->description.id);
     m_connection = m_context.pool.acquire(m_upstream);
     m_sent_at = m_context.loop.now();
-    m_upstream->limit.record_send(m_sent_at);
+    m_upstream->record_send(m_sent_at);
     m_load = routing::load_ticket(chosen, pick_request(), m_sent_at);
     m_answer = {};
     m_answer_body.clear();
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -1,6 +1,7 @@
 #include "proxy/peer_gossip.hpp"
 
 #include "model/error.hpp"
+#include "proxy/cold_upstreams.hpp"
 #include "proxy/limit_notices.hpp"
 
 #include <arpa/inet.h>
@@ -276,6 +277,7 @@
     });
     m_context.record_urgent_demand();
     apply_advertised_limits(m_context);
+    apply_cold_limits(m_context);
     if (m_alive != m_context.peers.alive()) {
         m_alive = m_context.peers.alive();
         if (m_on_changed) {
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -54,6 +54,10 @@
     /// Called when an upstream sends a request limit that can't be parsed.
     std::function<void(routing::upstream_state const&, std::string const&)>
         on_limit_unreadable;
+    /// Called when an engine is found to be cold, with the time for which it
+    /// will be.
+    std::function<void(routing::upstream_state const&, model::milliseconds)>
+        on_cold;
     /// Called once for each request when it has ended.
     std::function<void(exchange_report const&)> on_ended;
     /// Called once for each caller's connection when it has ended.
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -41,7 +41,7 @@
     /// send sooner.
     constexpr model::milliseconds max_wait{2'000};
     ++out.limited;
-    auto const next = limited.limit.next_send(now);
+    auto const next = limited.next_send(now);
     if (next - now > max_wait) {
         return;
     }
@@ -60,7 +60,7 @@
         if (was_attempted(request, *item) || !is_allowed(request, *item)) {
             continue;
         }
-        if (!item->limit.may_send(now)) {
+        if (!item->may_send(now)) {
             record_limited(out, *item, now);
             continue;
         }
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_ROUTING_UPSTREAM_HPP
 
 #include "model/endpoint.hpp"
+#include "model/time.hpp"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,8 @@
     std::uint32_t slots = 0;
     /// It is shutting down and gets no new requests.
     bool draining = false;
+    /// How much longer it is cold after its start, as of its entry.
+    model::milliseconds cold_remaining{0};
     /// Distinguishes restarts under the same id; 0 if not reported.
     std::uint64_t started = 0;
 };
--- a/src/routing/upstream_limit.cpp
+++ b/src/routing/upstream_limit.cpp
@@ -8,10 +8,6 @@
 /// Share of a limit that is used. Two hosts may briefly both consider
 /// themselves one of its sharers.
 constexpr double used_share = 0.8;
-/// Number of hosts that share a limit, each with one request at a time: a
-/// minimum, plus hosts per request per second.
-constexpr double min_sharers = 4.0;
-constexpr double sharers_per_request = 2.0;
 /// After this time without a notice, hosts that do not share the limit send
 /// probes: all sharers may have stopped.
 constexpr model::milliseconds stale_after{15'000};
@@ -53,18 +49,21 @@
 std::size_t upstream_limit::sharers() const
 {
     double const max_sharers =
-        min_sharers + sharers_per_request * *m_notice.requests_per_second;
+        m_sharing.min_sharers
+        + m_sharing.sharers_per_request * *m_notice.requests_per_second;
     double const hosts = std::max(1.0, static_cast<double>(m_share.hosts));
     return static_cast<std::size_t>(std::min(hosts, max_sharers));
 }
 
-// Hosts start one after the other within one interval after `from`. A host that
-// has sent a request waits for one interval of its own.
+// Hosts start one after the other within one interval after `from`, in the
+// order of their `position`, 0..1. A host that has sent a request waits for one
+// interval of its own.
 model::time_point upstream_limit::next_slot(model::time_point from,
-                                            model::milliseconds each) const
+                                            model::milliseconds each,
+                                            double position) const
 {
     auto const wait = std::chrono::duration_cast<model::milliseconds>(
-        std::chrono::duration<double, std::milli>(each) * m_share.phase);
+        std::chrono::duration<double, std::milli>(each) * position);
     return std::max(from + wait, m_sent_at + each);
 }
 
@@ -75,15 +74,18 @@
     if (!is_sharer || rate <= 0.0) {
         return model::time_point::max();
     }
+    double const hosts = static_cast<double>(sharers());
     return next_slot(m_limited_since,
-                     interval(static_cast<double>(sharers()) / rate));
+                     interval(hosts / rate),
+                     static_cast<double>(m_share.rank) / hosts);
 }
 
 model::time_point upstream_limit::next_for_stale() const
 {
     return next_slot(
         m_notice.received_at + stale_after,
-        interval(static_cast<double>(m_share.fleet_size) / probes_per_second));
+        interval(static_cast<double>(m_share.fleet_size) / probes_per_second),
+        m_share.phase);
 }
 
 model::time_point upstream_limit::next_send(model::time_point now) const
--- a/src/routing/upstream_limit.hpp
+++ b/src/routing/upstream_limit.hpp
@@ -33,6 +33,14 @@
     double phase = 0.0;
 };
 
+/// Number of hosts that share a limit, each with one request at a time: a
+/// minimum, plus hosts per request per second.
+struct limit_sharing
+{
+    double min_sharers = 4.0;
+    double sharers_per_request = 2.0;
+};
+
 /// Limits this host's part of the requests to an overloaded upstream.
 ///
 /// The upstream reports how many requests it accepts from all hosts together.
@@ -46,6 +54,13 @@
 class upstream_limit
 {
 public:
+    upstream_limit() = default;
+
+    explicit upstream_limit(limit_sharing const& sharing)
+        : m_sharing(sharing)
+    {
+    }
+
     /// Applies a notice that this host or another one received. A notice older
     /// than the current one is ignored. Returns true if a limit begins or ends.
     bool update(limit_notice const& notice);
@@ -89,8 +104,10 @@
     model::time_point next_for_sharer() const;
     model::time_point next_for_stale() const;
     model::time_point next_slot(model::time_point from,
-                                model::milliseconds each) const;
+                                model::milliseconds each,
+                                double position) const;
 
+    limit_sharing m_sharing;
     limit_notice m_notice;
     limit_share m_share;
     model::time_point m_sent_at{};
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
 #define CAPERJUNCTION_ROUTING_UPSTREAM_STATE_HPP
 
+#include "routing/cold_start.hpp"
 #include "routing/location.hpp"
 #include "routing/performance_meter.hpp"
 #include "routing/upstream.hpp"
@@ -8,6 +9,7 @@
 #include "routing/upstream_limit.hpp"
 #include "routing/upstream_performance.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -52,6 +54,8 @@
     /// Notice in its last answer to this host; default-constructed before the
     /// first.
     limit_notice own_limit;
+    /// Limit while it is cold after its start.
+    cold_start cold;
     /// When this host last received data from it.
     model::time_point received_at{};
     /// Position among the engines of its service in the order of reservation;
@@ -75,6 +79,27 @@
         return own.urgent + others.urgent;
     }
 
+    /// Returns whether its limits allow one more request from this host.
+    bool may_send(model::time_point now) const
+    {
+        return next_send(now) <= now;
+    }
+
+    /// Returns when its limits allow one more request from this host:
+    /// `time_point::max()` if other hosts share them.
+    model::time_point next_send(model::time_point now) const
+    {
+        auto const when_warm = limit.is_limited() ? limit.next_send(now) : now;
+        return std::max(when_warm, cold.next_send(now));
+    }
+
+    /// Records that this host sends a request to it.
+    void record_send(model::time_point now)
+    {
+        limit.record_send(now);
+        cold.record_send(now);
+    }
+
     upstream_performance performance(model::time_point now) const
     {
         upstream_performance all = own_performance.performance(now);
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -83,6 +83,25 @@
     CHECK(read->data_centre == "z");
     CHECK(read->started == 1'700'000'000'000);
     CHECK(!read->draining);
+    CHECK(read->cold_remaining == 0ms);
+    auto const cold = platform::decode_upstream(
+        "i-1",
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4,)"
+        R"("state":"ready","cold_remaining_ms":2150.5})");
+    REQUIRE(cold);
+    CHECK(cold->cold_remaining == 2'150ms);
+}
+
+TEST_CASE("the limit of a service's cold engines is decoded")
+{
+    auto const read = platform::decode_configuration(
+        R"({"version":7,"routes":[],"services":[)"
+        R"({"name":"a","cold_start_s":3.5,"cold_per_s":15.0},)"
+        R"({"name":"b","cold_start_s":0.0,"cold_per_s":0.0}]})");
+    CHECK(read.services[0].cold_start == 3'500ms);
+    CHECK(read.services[0].cold_requests_per_second == 15.0);
+    CHECK(read.services[1].cold_start == 0ms);
+    CHECK(!read.services[1].cold_requests_per_second);
 }
 
 // Other writers store entries of their own under the upstreams' prefix. A host
@@ -100,6 +119,9 @@
          R"({"service":"s","address":"1.1.1.1:x","zone":"z","slots":4,"state":"ready"})",
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":"4","state":"ready"})",
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"lost"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","cold_remaining_ms":"1"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","cold_remaining_ms":-1})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","cold_remaining_ms":1e300})",
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","born":1.5})"}) {
         CAPTURE(bad);
         CHECK(!platform::decode_upstream("i-1", bad));
--- a/tests/program/store_replica_test.cpp
+++ b/tests/program/store_replica_test.cpp
@@ -284,3 +284,33 @@
     host.replica.commit(30);
     CHECK(usable(host) == 1);
 }
+
+// Guards against full load on engines that were restarted while their data
+// centre was empty: they are cold, and their entries do not say so yet.
+TEST_CASE("engines are cold after the evacuation of their data centre")
+{
+    replica_host host;
+    host.replica.apply(cold_service(10));
+    host.replica.apply(upstream("i-1", 11));
+    host.replica.apply(evacuation("z", 12));
+    host.replica.apply(evacuation("z", 13, true));
+    auto const state = host.context.directory.find("i-1");
+    auto const now = host.loop.now();
+    CHECK(state->cold.is_cold(now + model::milliseconds{2'900}));
+    CHECK(!state->cold.is_cold(now + model::milliseconds{3'100}));
+    CHECK(*state->cold.limit().notice().requests_per_second == 15.0);
+}
+
+// Guards against a host that reads the entries before the configuration and
+// treats cold engines as warm.
+TEST_CASE("a cold engine's limit applies as soon as its service is known")
+{
+    replica_host host;
+    proxy::store_item cold = upstream("i-1", 11);
+    cold.value.insert(cold.value.size() - 1, R"(,"cold_remaining_ms":2500)");
+    host.replica.apply(cold);
+    auto const state = host.context.directory.find("i-1");
+    CHECK(!state->cold.limit().is_limited());
+    host.replica.apply(cold_service(12));
+    CHECK(state->cold.limit().is_limited());
+}
