--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -102,15 +102,8 @@
     }
     m_service = routing::route_table::pick_service(
         *m_route, std::hash<std::string>{}(m_metadata.id));
-    auto const& routes = m_table->config().routes;
-    m_is_most_urgent = std::none_of(
-        routes.begin(), routes.end(), [&](routing::route const& other) {
-            return other.has_prompt_affinity && other.rank < m_route->rank;
-        });
-    m_is_least_urgent = std::none_of(
-        routes.begin(), routes.end(), [&](routing::route const& other) {
-            return other.has_prompt_affinity && other.rank > m_route->rank;
-        });
+    m_is_most_urgent = m_table->is_most_urgent(*m_route);
+    m_is_least_urgent = m_table->is_least_urgent(*m_route);
     m_context.retry_budget_for(m_service).record_request();
     auto const timeout = std::min(
         m_metadata.deadline.value_or(m_route->timeout), m_route->timeout);
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -24,6 +24,10 @@
 {
     for (route const& item : m_config.routes) {
         m_by_authority[item.authority].push_back(&item);
+        if (item.has_prompt_affinity) {
+            m_first_prompt_rank = std::min(m_first_prompt_rank, item.rank);
+            m_last_prompt_rank = std::max(m_last_prompt_rank, item.rank);
+        }
     }
     for (auto& [authority, routes] : m_by_authority) {
         std::stable_sort(
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -4,6 +4,8 @@
 #include "routing/configuration.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -48,6 +50,18 @@
 
     static constexpr std::uint32_t least_urgent = 9;
 
+    /// Returns whether no route with prompts comes before `matched`.
+    bool is_most_urgent(route const& matched) const
+    {
+        return matched.rank <= m_first_prompt_rank;
+    }
+
+    /// Returns whether no route with prompts comes after `matched`.
+    bool is_least_urgent(route const& matched) const
+    {
+        return matched.rank >= m_last_prompt_rank;
+    }
+
     /// Returns the service for a request of `chosen`. `random_value`
     /// distributes requests by weight and must not change for the same request.
     static std::string const& pick_service(route const& chosen,
@@ -61,6 +75,10 @@
     std::unordered_map<std::string_view, service const*> m_by_service;
     /// All pairs of route and team ranks, most urgent first.
     std::vector<std::pair<std::uint32_t, std::uint32_t>> m_ranks;
+    /// Lowest and highest rank of the routes with prompts.
+    std::uint32_t m_first_prompt_rank =
+        std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t m_last_prompt_rank = 0;
 };
 
 } // namespace caperjunction::routing
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -73,3 +73,25 @@
         }
     }
 }
+
+TEST_CASE("only routes with prompts count for the first and last rank")
+{
+    routing::configuration config;
+    config.routes = {make_route("/chat/", request_kind::stream, 1),
+                     make_route("/letter/", request_kind::stream, 2),
+                     make_route("/summary/", request_kind::stream, 3),
+                     make_route("/book/", request_kind::at_most_once, 0)};
+    routing::route_table const table(config);
+    auto const& routes = table.config().routes;
+    CHECK(table.is_most_urgent(routes[0]));
+    CHECK(!table.is_least_urgent(routes[0]));
+    CHECK(!table.is_most_urgent(routes[1]));
+    CHECK(!table.is_least_urgent(routes[1]));
+    CHECK(table.is_least_urgent(routes[2]));
+    CHECK(table.is_most_urgent(routes[3]));
+
+    config.routes = {make_route("/book/", request_kind::at_most_once, 4)};
+    routing::route_table const plain(config);
+    CHECK(plain.is_most_urgent(plain.config().routes[0]));
+    CHECK(plain.is_least_urgent(plain.config().routes[0]));
+}
