Let requests wait for the upstreams of a starting host too

Cause: after a common loss of power a host gets the configuration and the upstreams from its peers one after the other. Ruled out: evacuations and cold limits; candidates=0 beside limited=0.

Change: a request waits for both lists, as before for the configuration alone, and the host is ready when it has both. Test: relay_start_test, red with the configuration alone: 503 at once.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -67,7 +67,7 @@
               m_replica,
               {[this](routing::store_revisions const& before) {
                    broadcast_change(before);
-                   if (m_context.table) {
+                   if (m_context.has_lists()) {
                        record_first_read();
                    }
                },
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -12,10 +12,11 @@
 /// deadline.
 constexpr model::milliseconds return_margin{20};
 
-/// A host that has just started receives its configuration within a few round
-/// trips. If it takes longer, other hosts serve the caller sooner.
-constexpr model::milliseconds max_configuration_wait{500};
-constexpr model::milliseconds configuration_poll{10};
+/// A host that has just started receives its configuration and the upstreams
+/// within a few round trips. If it takes longer, other hosts serve the caller
+/// sooner.
+constexpr model::milliseconds max_lists_wait{500};
+constexpr model::milliseconds lists_poll{10};
 
 model::milliseconds since(model::time_point from, model::time_point now)
 {
@@ -46,12 +47,11 @@
     m_context.loop.cancel(m_silence_timer);
 }
 
-bool exchange::waits_for_configuration() const
+bool exchange::waits_for_lists() const
 {
     auto const wait =
-        std::min(m_metadata.deadline.value_or(max_configuration_wait),
-                 max_configuration_wait);
-    return !m_context.table && !m_context.is_stopping
+        std::min(m_metadata.deadline.value_or(max_lists_wait), max_lists_wait);
+    return !m_context.has_lists() && !m_context.is_stopping
            && m_context.loop.now() - m_arrived < wait;
 }
 
@@ -61,10 +61,10 @@
         refuse(reason_code::malformed);
         return;
     }
-    if (waits_for_configuration()) {
+    if (waits_for_lists()) {
         // The deadline depends on the route, so its timer isn't in use yet.
         auto const weak = weak_from_this();
-        m_deadline_timer = m_context.loop.after(configuration_poll, [weak] {
+        m_deadline_timer = m_context.loop.after(lists_poll, [weak] {
             auto const self = weak.lock();
             if (self && !self->m_ended) {
                 self->start();
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -91,8 +91,8 @@
     void record_first_byte();
 
     /// Returns whether the host has just started and may have its configuration
-    /// soon.
-    bool waits_for_configuration() const;
+    /// and upstreams soon.
+    bool waits_for_lists() const;
     void admit();
     void fill_report();
     void abandon(routing::refusal_reason reason);
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -97,6 +97,13 @@
                            : model::milliseconds{-1};
     }
 
+    /// Returns whether the configuration and upstreams have been received. A
+    /// host that starts gets them one after the other.
+    bool has_lists() const
+    {
+        return table != nullptr && directory.size() > 0;
+    }
+
     /// Returns whether a request that may take up to `max_duration` is accepted
     /// now.
     bool accepts_new_request(model::milliseconds max_duration) const
--- a/tests/proxy/relay_start_test.cpp
+++ b/tests/proxy/relay_start_test.cpp
@@ -30,6 +30,21 @@
     CHECK(caller->received_bytes.find("HTTP/1.1 200") == 0);
 }
 
+// Guards against refusals by a host that has the configuration from one peer
+// and not yet the upstreams from another.
+TEST_CASE("a request that a starting host receives waits for the upstreams")
+{
+    relay_fixture fixture;
+    auto const caller = fixture.send(relay_fixture::request("/book/"));
+    fixture.run_for(60ms);
+    CHECK(caller->received_bytes.empty());
+    fixture.add("i-1", "ledger", done);
+    REQUIRE(fixture.run_until([&] {
+        return !caller->received_bytes.empty();
+    }));
+    CHECK(caller->received_bytes.find("HTTP/1.1 200") == 0);
+}
+
 // Guards against callers that wait for a host that gets no configuration.
 TEST_CASE("a host without configuration refuses after a short wait")
 {
