Let a host that is cut off share only the limits of its data centre

Cause: a host that hears from none of a large fleet took the fleet for a small one and itself for the first of a few that share every upstream's limit, cold engines' included. Many of them together can send a cold engine more than it takes.

Change: hosts that have known a large fleet share the limits of upstreams in their own data centre alone, as they do while they hear from it. Test: upstream_limit_test, red before.

--- a/src/routing/peer_limits.cpp
+++ b/src/routing/peer_limits.cpp
@@ -91,7 +91,7 @@
     limit_share share;
     share.phase = phase_of(own);
     share.fleet_size = std::max(m_fleet_size, m_largest_fleet_seen);
-    share.participates = is_local || !is_large();
+    share.participates = is_local || !has_been_large();
     for (auto const& [address, known] : m_peers) {
         if (is_near(known)) {
             ++share.hosts;
--- a/src/routing/peer_table.cpp
+++ b/src/routing/peer_table.cpp
@@ -176,6 +176,11 @@
     return alive() >= min_peers_of_large_fleet;
 }
 
+bool peer_table::has_been_large() const
+{
+    return m_largest_fleet_seen > min_peers_of_large_fleet;
+}
+
 bool peer_table::is_in_data_centre(peer const& known) const
 {
     return known.has_known_data_centre
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -157,7 +157,8 @@
     /// upstream is in this host's data centre.
     ///
     /// In a small fleet all hosts exchange digests and share the limit. In a
-    /// large fleet the hosts of the upstream's data centre do.
+    /// large fleet the hosts of the upstream's data centre do, also those that
+    /// are cut off from the others.
     limit_share limit_share_for(std::uint32_t upstream, bool is_local) const;
 
     bool has_no_crashes() const
@@ -229,6 +230,7 @@
     void add_neighbour(neighbour const& other, model::time_point now);
     void recount();
     bool is_large() const;
+    bool has_been_large() const;
     bool is_in_data_centre(peer const& known) const;
     bool is_near(peer const& known) const;
     bool is_worth_contacting(peer const& known) const;
--- a/tests/routing/upstream_limit_test.cpp
+++ b/tests/routing/upstream_limit_test.cpp
@@ -240,3 +240,26 @@
     REQUIRE(aggregator_digests[0].limits.size() == 1);
     CHECK(aggregator_digests[0].limits[0].upstream == 7);
 }
+
+// Guards against hosts that have been cut off from a large fleet: each of them
+// would take itself for the first of a few that share every upstream's limit.
+TEST_CASE("a host that is cut off from a large fleet shares local limits alone")
+{
+    constexpr int count = 30;
+    constexpr std::uint32_t engine = 99;
+    routing::peer_table table(at(0), 1, {});
+    for (int other = 1; other < count; ++other) {
+        routing::peer_digest digest;
+        digest.generation = 1;
+        digest.sequence = 1;
+        digest.data_centre = 1 + other % 3;
+        table.record_digest(at(other), digest, start);
+    }
+    CHECK(!table.limit_share_for(engine, false).participates);
+    table.forget_silent(start + 60s);
+    REQUIRE(table.alive() == 0);
+    CHECK(!table.limit_share_for(engine, false).participates);
+    auto const local = table.limit_share_for(engine, true);
+    CHECK(local.participates);
+    CHECK(local.hosts == count);
+}
