Refuse at once where the last upstream is known to be gone

Cause: let a request wait up to 0.5 s while no upstream was known, also on a host that had the list and knew it to be empty.

Change: a host has its lists when it has a configuration and a revision of the upstreams, whatever that list holds. Test: relay_start_test, "a host that knows of no upstream refuses at once", red before: no answer after 60 ms.

--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -97,11 +97,12 @@
                            : model::milliseconds{-1};
     }
 
-    /// Returns whether the configuration and upstreams have been received. A
-    /// host that starts gets them one after the other.
+    /// Returns whether the configuration and the list of upstreams, which may
+    /// be empty, have been received. A host that starts gets them one after the
+    /// other.
     bool has_lists() const
     {
-        return table != nullptr && directory.size() > 0;
+        return table != nullptr && known.upstreams > 0;
     }
 
     /// Returns whether a request that may take up to `max_duration` is accepted
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -64,6 +64,7 @@
     , relay(context)
 {
     context.table = std::make_shared<routing::route_table const>(lists());
+    context.known.upstreams = 1;
     context.keys.renew(loop.now());
     context.on_ended = [this](proxy::exchange_report const& ended) {
         reports.push_back(ended);
--- a/tests/proxy/relay_start_test.cpp
+++ b/tests/proxy/relay_start_test.cpp
@@ -35,16 +35,29 @@
 TEST_CASE("a request that a starting host receives waits for the upstreams")
 {
     relay_fixture fixture;
+    fixture.context.known.upstreams = 0;
     auto const caller = fixture.send(relay_fixture::request("/book/"));
     fixture.run_for(60ms);
     CHECK(caller->received_bytes.empty());
     fixture.add("i-1", "ledger", done);
+    fixture.context.known.upstreams = 1;
     REQUIRE(fixture.run_until([&] {
         return !caller->received_bytes.empty();
     }));
     CHECK(caller->received_bytes.find("HTTP/1.1 200") == 0);
 }
 
+// Guards against callers that wait although nothing is to come: the host knows
+// that its last upstream is gone.
+TEST_CASE("a host that knows of no upstream refuses at once")
+{
+    relay_fixture fixture;
+    auto const caller = fixture.send(relay_fixture::request("/book/"));
+    fixture.run_for(60ms);
+    CHECK(caller->received_bytes.find("HTTP/1.1 503") == 0);
+    CHECK(caller->received_bytes.find("Retry-After") != std::string::npos);
+}
+
 // Guards against callers that wait for a host that gets no configuration.
 TEST_CASE("a host without configuration refuses after a short wait")
 {
