--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -118,6 +118,7 @@
     std::shared_ptr<routing::route_table const> m_table;
     routing::route const* m_route = nullptr;
     std::string m_team;
+    /// By the newest configuration at the last admission or retry.
     routing::home_regions m_homes;
     std::string m_service;
     std::uint32_t m_rank = 0;
--- a/src/routing/cold_start.hpp
+++ b/src/routing/cold_start.hpp
@@ -53,7 +53,7 @@
     /// The rate holds within each second. Each host may send its first request
     /// at any time, so that fewer hosts share it than in a limit that an
     /// upstream reports.
-    upstream_limit m_limit{limit_sharing{1.0, 0.8}};
+    upstream_limit m_limit{sharer_rule{1.0, 0.8}};
     model::time_point m_until{};
 };
 
--- a/src/routing/upstream_limit.cpp
+++ b/src/routing/upstream_limit.cpp
@@ -49,8 +49,8 @@
 std::size_t upstream_limit::sharers() const
 {
     double const max_sharers =
-        m_sharing.min_sharers
-        + m_sharing.sharers_per_request * *m_notice.requests_per_second;
+        m_sharer_rule.min_hosts
+        + m_sharer_rule.hosts_per_request * *m_notice.requests_per_second;
     double const hosts = std::max(1.0, static_cast<double>(m_share.hosts));
     return static_cast<std::size_t>(std::min(hosts, max_sharers));
 }
--- a/src/routing/upstream_limit.hpp
+++ b/src/routing/upstream_limit.hpp
@@ -35,10 +35,10 @@
 
 /// Number of hosts that share a limit, each with one request at a time: a
 /// minimum, plus hosts per request per second.
-struct limit_sharing
+struct sharer_rule
 {
-    double min_sharers = 4.0;
-    double sharers_per_request = 2.0;
+    double min_hosts = 4.0;
+    double hosts_per_request = 2.0;
 };
 
 /// Limits this host's part of the requests to an overloaded upstream.
@@ -56,8 +56,8 @@
 public:
     upstream_limit() = default;
 
-    explicit upstream_limit(limit_sharing const& sharing)
-        : m_sharing(sharing)
+    explicit upstream_limit(sharer_rule const& rule)
+        : m_sharer_rule(rule)
     {
     }
 
@@ -107,7 +107,7 @@
                                 model::milliseconds each,
                                 double position) const;
 
-    limit_sharing m_sharing;
+    sharer_rule m_sharer_rule;
     limit_notice m_notice;
     limit_share m_share;
     model::time_point m_sent_at{};
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -39,6 +39,7 @@
 struct upstream_state
 {
     upstream description;
+    /// Of its data centre.
     location where;
     upstream_health health;
     /// Requests of this host.
--- a/tests/program/store_replica_test.cpp
+++ b/tests/program/store_replica_test.cpp
@@ -243,6 +243,15 @@
             false};
 }
 
+/// Gives `host` one upstream, in a data centre that is evacuated.
+void evacuate(replica_host& host)
+{
+    host.replica.apply(cold_service(10));
+    host.replica.apply(upstream("i-1", 11));
+    host.replica.apply(evacuation("z", 12));
+    host.replica.commit(12);
+}
+
 std::size_t usable(replica_host const& host)
 {
     return host.context.directory.of_service("s").size();
@@ -255,10 +264,7 @@
 TEST_CASE("an evacuation reaches the peers and ends there too")
 {
     replica_host host;
-    host.replica.apply(cold_service(10));
-    host.replica.apply(upstream("i-1", 11));
-    host.replica.apply(evacuation("z", 12));
-    host.replica.commit(12);
+    evacuate(host);
     CHECK(usable(host) == 0);
     replica_host peer;
     fetch_changes(peer, host);
@@ -276,10 +282,7 @@
 TEST_CASE("a complete read ends an evacuation that it does not contain")
 {
     replica_host host;
-    host.replica.apply(cold_service(10));
-    host.replica.apply(upstream("i-1", 11));
-    host.replica.apply(evacuation("z", 12));
-    host.replica.commit(12);
+    evacuate(host);
     host.replica.retain_only({"op/config", "servers/i-1"});
     host.replica.commit(30);
     CHECK(usable(host) == 1);
@@ -290,9 +293,7 @@
 TEST_CASE("engines are cold after the evacuation of their data centre")
 {
     replica_host host;
-    host.replica.apply(cold_service(10));
-    host.replica.apply(upstream("i-1", 11));
-    host.replica.apply(evacuation("z", 12));
+    evacuate(host);
     host.replica.apply(evacuation("z", 13, true));
     auto const state = host.context.directory.find("i-1");
     auto const now = host.loop.now();
--- a/tests/routing/placement_fleet_test.cpp
+++ b/tests/routing/placement_fleet_test.cpp
@@ -44,6 +44,19 @@
     return load;
 }
 
+/// Checks that all requests were served, and `min_on_time` of each kind in
+/// time.
+void check_callers(placement_fleet const& fleet, double min_on_time)
+{
+    for (request_result const& each : fleet.results()) {
+        CAPTURE(each.sent);
+        CAPTURE(each.share_forecast());
+        CHECK(each.share_on_time() >= min_on_time);
+        CHECK(each.turned_away == 0);
+        CHECK(each.served == each.sent);
+    }
+}
+
 } // namespace
 
 // Guards against chats that queue at a few engines while most are free.
@@ -55,15 +68,7 @@
     fleet.reset_results();
     fleet.play({400, 600, 700}, 3s);
     fleet.play({}, 2s);
-    auto const& results = fleet.results();
-    constexpr double wanted_on_time = 0.93;
-    for (request_result const& each : results) {
-        CAPTURE(each.sent);
-        CAPTURE(each.share_forecast());
-        CHECK(each.share_on_time() >= wanted_on_time);
-        CHECK(each.turned_away == 0);
-        CHECK(each.served == each.sent);
-    }
+    check_callers(fleet, 0.93);
 }
 
 // Guards against letters that wait at the engines that were idle a moment ago,
@@ -76,13 +81,5 @@
     fleet.reset_results();
     fleet.play({85, 1'800, 200}, 2s);
     fleet.play({}, 2s);
-    auto const& results = fleet.results();
-    constexpr double wanted_on_time = 0.95;
-    for (request_result const& each : results) {
-        CAPTURE(each.sent);
-        CAPTURE(each.share_forecast());
-        CHECK(each.share_on_time() >= wanted_on_time);
-        CHECK(each.turned_away == 0);
-        CHECK(each.served == each.sent);
-    }
+    check_callers(fleet, 0.95);
 }
