--- /dev/null
+++ b/tests/proxy/host_fleet.cpp
@@ -0,0 +1,195 @@
+#include "proxy/host_fleet.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace caperjunction::test {
+namespace {
+
+std::uint64_t hash_of(std::string const& name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+/// Returns a port for datagrams that is free now.
+std::uint16_t free_port()
+{
+    int const probe = socket(AF_INET, SOCK_DGRAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind(probe, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+    close(probe);
+    return ntohs(address.sin_port);
+}
+
+proxy::relay_settings settings_of(std::string const& data_centre,
+                                  std::vector<model::endpoint> const& seeds)
+{
+    proxy::relay_settings result = test_settings();
+    result.peer_listen = {"127.0.0.1", free_port()};
+    result.data_centre = hash_of(data_centre);
+    result.seeds = seeds;
+    return result;
+}
+
+/// The answer of a sound upstream: a stream on paths of streams. Some plain
+/// answers end their connection.
+script sound_answer(received const& request)
+{
+    constexpr int requests_per_connection = 3;
+    if (request.head.target.rfind("/stream/", 0) == 0) {
+        return {stream_head() + chunk("id: 1\ndata: done\n\n") + "0\r\n\r\n"};
+    }
+    bool const ends = request.number % requests_per_connection == 0;
+    return {valid_answer("done", ends ? "Connection: close\r\n" : "")};
+}
+
+} // namespace
+
+host_fleet::host::host(host_fleet& fleet,
+                       std::string const& data_centre,
+                       std::vector<model::endpoint> const& seeds)
+    : context(
+        fleet.loop,
+        fleet.names,
+        settings_of(data_centre, seeds),
+        [&fleet] {
+            return fleet.loop.now();
+        },
+        [](std::string const&) {
+            return routing::location{};
+        })
+    , relay(context)
+    , gossip(context, context.settings.peer_listen)
+{
+    context.table =
+        std::make_shared<routing::route_table const>(test_configuration());
+    context.known.upstreams = 1;
+    for (auto const& upstream : fleet.upstreams) {
+        links.push_back(
+            std::make_unique<cuttable_path>(fleet.loop, upstream->at()));
+        routing::upstream described;
+        described.id = "i-" + std::to_string(links.size());
+        described.service = "ledger";
+        described.at = links.back()->at();
+        described.slots = 4;
+        context.directory.put(described);
+    }
+}
+
+host_fleet::host_fleet(std::vector<std::string> const& data_centres,
+                       std::size_t upstream_count)
+{
+    for (std::size_t index = 0; index < upstream_count; ++index) {
+        upstreams.push_back(
+            std::make_unique<scripted_upstream>(loop, sound_answer));
+    }
+    std::vector<model::endpoint> seeds;
+    for (std::string const& data_centre : data_centres) {
+        hosts.push_back(std::make_unique<host>(*this, data_centre, seeds));
+        seeds.push_back(hosts.back()->context.settings.peer_listen);
+    }
+    // Until each has received digests of the others.
+    run_for(400ms);
+}
+
+void host_fleet::set_links(std::size_t host, path_state state)
+{
+    for (auto const& link : hosts[host]->links) {
+        link->set(state);
+    }
+}
+
+void host_fleet::set_upstream(std::size_t upstream, path_state state)
+{
+    for (auto const& item : hosts) {
+        item->links[upstream]->set(state);
+    }
+}
+
+void host_fleet::run_for(model::milliseconds time)
+{
+    bool over = false;
+    loop.after(time, [&over] {
+        over = true;
+    });
+    while (!over) {
+        loop.run_once();
+    }
+}
+
+void host_fleet::play(model::milliseconds time,
+                      std::vector<std::string> const& paths)
+{
+    auto const until = loop.now() + time;
+    while (loop.now() < until) {
+        for (std::size_t index = 0; index < hosts.size(); ++index) {
+            hosts[index]->context.keys.renew(loop.now());
+            first_try made;
+            made.id = "r" + std::to_string(++m_next_id);
+            made.host = index;
+            made.sent_at = loop.now();
+            made.caller = std::make_shared<plain_client>();
+            auto* const raw = made.caller.get();
+            raw->stream = proxy::tcp_stream::connect(
+                loop,
+                {"127.0.0.1", hosts[index]->relay.port()},
+                1'000ms,
+                {nullptr,
+                 [raw](std::string_view bytes) {
+                     raw->received_bytes.append(bytes);
+                 },
+                 [raw](proxy::connection_end) {
+                     raw->closed = true;
+                 },
+                 nullptr});
+            auto const number = static_cast<std::size_t>(m_next_id);
+            std::string const& path = paths[number % paths.size()];
+            raw->stream->write(relay_fixture::request(path, made.id));
+            tries.push_back(std::move(made));
+        }
+        run_for(20ms);
+    }
+}
+
+std::size_t host_fleet::runs_of(std::string const& id) const
+{
+    std::size_t runs = 0;
+    for (auto const& upstream : upstreams) {
+        runs += static_cast<std::size_t>(std::count_if(
+            upstream->requests.begin(),
+            upstream->requests.end(),
+            [&id](received const& request) {
+                auto const* const own = request.head.find("Attempt-Id");
+                return own != nullptr && *own == id;
+            }));
+    }
+    return runs;
+}
+
+std::size_t host_fleet::sent(std::size_t host, model::time_point since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(tries.begin(), tries.end(), [&](first_try const& item) {
+            return item.host == host && item.sent_at >= since;
+        }));
+}
+
+std::size_t host_fleet::served(std::size_t host, model::time_point since) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(tries.begin(), tries.end(), [&](first_try const& item) {
+            return item.host == host && item.sent_at >= since
+                   && item.is_served();
+        }));
+}
+
+} // namespace caperjunction::test
--- /dev/null
+++ b/tests/proxy/host_fleet.hpp
@@ -0,0 +1,88 @@
+#ifndef CAPERJUNCTION_TESTS_PROXY_HOST_FLEET_HPP
+#define CAPERJUNCTION_TESTS_PROXY_HOST_FLEET_HPP
+
+#include "proxy/cuttable_path.hpp"
+#include "proxy/peer_gossip.hpp"
+#include "proxy/relay_fixture.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caperjunction::test {
+
+/// A request of a caller and what became of it.
+struct first_try
+{
+    std::string id;
+    std::size_t host = 0;
+    model::time_point sent_at{};
+    std::shared_ptr<plain_client> caller;
+
+    bool is_served() const
+    {
+        return caller->received_bytes.rfind("HTTP/1.1 200", 0) == 0
+               && caller->received_bytes.find("done") != std::string::npos;
+    }
+
+    bool says_not_run() const
+    {
+        return caller->received_bytes.rfind("HTTP/1.1 503", 0) == 0;
+    }
+};
+
+/// Hosts on loopback that exchange digests, each with links of its own to all
+/// upstreams.
+class host_fleet
+{
+public:
+    /// `data_centres` has the data centre of each host.
+    host_fleet(std::vector<std::string> const& data_centres,
+               std::size_t upstreams);
+
+    /// Sets all links of a host.
+    void set_links(std::size_t host, path_state state);
+
+    /// Sets the links of all hosts to an upstream.
+    void set_upstream(std::size_t upstream, path_state state);
+
+    /// Sends a request to each host every 20 ms for `time`, in turn to the
+    /// paths, each on a connection of its own.
+    void play(model::milliseconds time, std::vector<std::string> const& paths);
+
+    void run_for(model::milliseconds time);
+
+    /// Returns how often upstreams received the request.
+    std::size_t runs_of(std::string const& id) const;
+
+    /// Returns the number of requests at the host that were sent from `since`
+    /// on, and were served.
+    std::size_t sent(std::size_t host, model::time_point since) const;
+    std::size_t served(std::size_t host, model::time_point since) const;
+
+    struct host
+    {
+        host(host_fleet& fleet,
+             std::string const& data_centre,
+             std::vector<model::endpoint> const& seeds);
+
+        proxy::relay_context context;
+        proxy::relay relay;
+        proxy::peer_gossip gossip;
+        std::vector<std::unique_ptr<cuttable_path>> links;
+    };
+
+    runtime::event_loop loop;
+    proxy::wire_names names = platform::wire_names();
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    std::vector<std::unique_ptr<host>> hosts;
+    std::vector<first_try> tries;
+
+private:
+    int m_next_id = 0;
+};
+
+} // namespace caperjunction::test
+
+#endif
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -5,14 +5,6 @@
 namespace caperjunction::test {
 namespace {
 
-proxy::relay_settings settings()
-{
-    proxy::relay_settings result;
-    result.listen = {"127.0.0.1", 0};
-    result.connect_timeout = 200ms;
-    return result;
-}
-
 routing::route make(std::string const& prefix,
                     routing::request_kind kind,
                     std::uint32_t attempts)
@@ -29,7 +21,17 @@
     return result;
 }
 
-routing::configuration lists()
+} // namespace
+
+proxy::relay_settings test_settings()
+{
+    proxy::relay_settings result;
+    result.listen = {"127.0.0.1", 0};
+    result.connect_timeout = 200ms;
+    return result;
+}
+
+routing::configuration test_configuration()
 {
     using routing::request_kind;
     routing::configuration result;
@@ -48,13 +50,11 @@
     return result;
 }
 
-} // namespace
-
 relay_fixture::relay_fixture()
     : context(
         loop,
         names,
-        settings(),
+        test_settings(),
         [this] {
             return loop.now() + boot_offset;
         },
@@ -63,7 +63,8 @@
         })
     , relay(context)
 {
-    context.table = std::make_shared<routing::route_table const>(lists());
+    context.table =
+        std::make_shared<routing::route_table const>(test_configuration());
     context.known.upstreams = 1;
     context.keys.renew(loop.now());
     context.on_ended = [this](proxy::exchange_report const& ended) {
--- a/tests/proxy/relay_fixture.hpp
+++ b/tests/proxy/relay_fixture.hpp
@@ -24,6 +24,13 @@
     bool broken = false;
 };
 
+/// Settings of a relay on loopback.
+proxy::relay_settings test_settings();
+
+/// Routes to service `ledger` by the paths of `relay_fixture::request`, and the
+/// key of one team.
+routing::configuration test_configuration();
+
 /// A relay on loopback with routes, keys and scripted upstreams.
 class relay_fixture
 {
--- a/tests/proxy/scripted_upstream.cpp
+++ b/tests/proxy/scripted_upstream.cpp
@@ -102,6 +102,7 @@
 
 void scripted_upstream::answer(std::shared_ptr<client> const& from)
 {
+    ++from->now.number;
     requests.push_back(from->now);
     std::string const* const id = from->now.head.find("Attempt-Id");
     script const plan = m_answer(from->now);
--- a/tests/proxy/scripted_upstream.hpp
+++ b/tests/proxy/scripted_upstream.hpp
@@ -21,6 +21,8 @@
     std::string body;
     /// Number of the connection, from 1.
     int connection = 0;
+    /// Number of the request on its connection, from 1.
+    int number = 0;
 };
 
 /// How an upstream reacts to a request.
