Reach upstreams through other hosts when all own links are lost

Cause: a host knew one way to an upstream, its own link, and took the loss of all links for as many crashes. Ruled out: upstreams given up for good (each request made four tries), readiness alone (open connections stay, and a data centre with most hosts cut is used whole).

Change: upstream_reach tells a partition (three upstreams can't be connected to and none can; a probe where upstreams that owe an answer have all been silent for a quarter of a second). Then new connections lead through a near host that reaches upstreams, by its tunnel_listen; digests say who does. The host decides as before, on admission, placing, budgets, limits and retries; the other one forwards bytes to upstreams that it knows itself. Only hosts in the request's home regions are used. What was not established has not been sent, so 'not run' stays true. Every half second a direct connection is tried.

--- a/src/program/routed_flags.cpp
+++ b/src/program/routed_flags.cpp
@@ -26,6 +26,11 @@
           seed_port,
           0,
           "route: port of all seeds; 0: use the port of each seed");
+ABSL_FLAG(caperjunction::program::endpoint_flag,
+          tunnel_listen,
+          caperjunction::program::endpoint_flag{},
+          "route: address at which this host connects hosts that have lost "
+          "their links to upstreams with these; port 0: it doesn't");
 ABSL_FLAG(absl::Duration,
           key_lifetime,
           absl::Seconds(5),
@@ -69,6 +74,11 @@
     return regions;
 }
 
+std::uint64_t hash_of(std::string const& name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
 std::vector<model::endpoint> read_seeds(std::string const& text)
 {
     std::vector<model::endpoint> seeds;
@@ -106,8 +116,15 @@
     loaded.metrics_listen = absl::GetFlag(FLAGS_metrics_listen).value;
     loaded.platform = absl::GetFlag(FLAGS_platform).value;
     require_text(loaded.platform.address, "platform");
-    loaded.relay.data_centre =
-        XXH3_64bits(loaded.data_centre.data(), loaded.data_centre.size());
+    loaded.relay.data_centre = hash_of(loaded.data_centre);
+    loaded.relay.region = loaded.region;
+    for (auto const& [name, region] : loaded.regions) {
+        loaded.relay.data_centres[hash_of(name)] = {
+            region == loaded.region ? routing::distance::same_region
+                                    : routing::distance::other_region,
+            region};
+    }
+    loaded.relay.tunnel_listen = absl::GetFlag(FLAGS_tunnel_listen).value;
     loaded.relay.peer_listen = absl::GetFlag(FLAGS_peer_listen).value;
     loaded.relay.seeds = read_seeds(absl::GetFlag(FLAGS_seeds));
     loaded.relay.listen = absl::GetFlag(FLAGS_listen).value;
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -100,6 +100,9 @@
     if (m_settings.relay.peer_listen.port != 0) {
         serve_peers();
     }
+    if (m_settings.relay.tunnel_listen.port != 0) {
+        m_tunnels = std::make_unique<proxy::tunnel_server>(m_context);
+    }
     for (std::string const& prefix : m_codec.prefixes) {
         proxy::store_hooks hooks;
         hooks.on_item = [this](proxy::store_item const& item) {
@@ -150,6 +153,9 @@
     m_context.on_limit_changed = [this](routing::upstream_state const& state) {
         log_limit(state);
     };
+    m_context.on_reach_changed = [this](proxy::reach_report const& changed) {
+        log_reach(changed);
+    };
     m_context.on_cold = [this](routing::upstream_state const& state,
                                model::milliseconds remaining) {
         log_cold(state, remaining);
@@ -265,6 +271,8 @@
     m_metrics.set_work(static_cast<double>(m_relay.callers()),
                        static_cast<double>(m_context.pool.connections_opened()),
                        static_cast<double>(m_log.dropped()));
+    m_metrics.set_paths(m_context.reach.is_lost(),
+                        static_cast<double>(m_context.open_tunnels));
     return m_metrics.text();
 }
 
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -11,6 +11,7 @@
 #include "proxy/relay.hpp"
 #include "proxy/relay_context.hpp"
 #include "proxy/store_reader.hpp"
+#include "proxy/tunnel_server.hpp"
 #include "runtime/event_loop.hpp"
 #include "runtime/log_output.hpp"
 
@@ -45,6 +46,7 @@
     void log_ended(proxy::exchange_report const& ended);
     void log_connection(proxy::connection_report const& ended);
     void log_limit(routing::upstream_state const& state);
+    void log_reach(proxy::reach_report const& changed);
     void log_cold(routing::upstream_state const& state,
                   model::milliseconds remaining);
     void log_fetch(fetch_report const& ended);
@@ -70,6 +72,7 @@
     std::vector<std::unique_ptr<proxy::store_reader>> m_readers;
     std::unique_ptr<proxy::peer_gossip> m_peers;
     std::unique_ptr<net::admin_server> m_peer_server;
+    std::unique_ptr<proxy::tunnel_server> m_tunnels;
     file_watch m_settings_file;
     std::minstd_rand m_random{std::random_device{}()};
     bool m_has_read = false;
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -31,6 +31,7 @@
         .field("reason", ended.reason)
         .field("last_try", ended.last_attempt)
         .field("upstream", ended.upstream)
+        .field("through", ended.through)
         .field("sent", ended.sent)
         .field("unreached", ended.unreached)
         .field("candidates", ended.candidates)
@@ -107,6 +108,18 @@
         .field("is_among_them", share.participates);
 }
 
+void routed_host::log_reach(proxy::reach_report const& changed)
+{
+    if (changed.is_lost) {
+        runtime::log_line("upstreams_lost")
+            .field("upstreams", changed.upstreams)
+            .field("peers", changed.peers);
+        return;
+    }
+    runtime::log_line("upstreams_regained")
+        .field("lost_ms", changed.lost_for.count());
+}
+
 void routed_host::log_cold(routing::upstream_state const& state,
                            model::milliseconds remaining)
 {
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -35,6 +35,8 @@
                          double config_age_s,
                          double upstreams);
     void set_work(double callers, double connections, double dropped_lines);
+    /// `tunnels`: connections of other hosts that lead through this one.
+    void set_paths(bool has_lost_upstreams, double tunnels);
 
     /// Returns the metrics in the Prometheus text format.
     std::string text() const;
--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -185,6 +185,7 @@
     result.add_configuration_checked(from.revisions.checked);
     result.add_data_centre(from.data_centre);
     result.add_speaks(from.is_aggregator);
+    result.add_tunnel_port(from.tunnel_port);
     result.add_limits(limit_list);
     result.add_work_sums(aggregated_list);
     result.add_works_beyond(remote_list);
@@ -221,6 +222,7 @@
     }
     digest.data_centre = from->data_centre();
     digest.is_aggregator = from->speaks();
+    digest.tunnel_port = from->tunnel_port();
     digest.loads = from_wire(from->works());
     digest.aggregated_loads = from_wire(from->work_sums());
     digest.remote_loads = from_wire(from->works_beyond());
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -182,6 +182,7 @@
     m_report.upstream = m_attempted.empty()
                             ? std::string_view()
                             : std::string_view(m_attempted.back());
+    m_report.through = m_through;
     m_report.sent = m_state.sent;
     m_report.unreached = m_state.unreached;
     m_report.forecast = m_pick.forecast;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -80,11 +80,14 @@
     std::uint32_t rank() const;
 
     // exchange_answer.cpp
+    void handle_connected();
+    void record_received();
     void handle_head(message_head&& head);
     bool has_own_request_id(message_head const& head);
     void handle_body(std::string_view bytes);
     void handle_end();
     void handle_fault(answer_fault fault);
+    void record_fault(answer_fault fault);
     void start_forwarding();
     void forward(std::string_view bytes);
     void send_complete_answer();
@@ -105,6 +108,12 @@
         return m_may_have_run;
     }
 
+    /// Whether the current attempt goes to its upstream directly.
+    bool is_direct() const
+    {
+        return m_connection && !m_connection->peer();
+    }
+
     bool is_head_request() const
     {
         return m_head.method == "HEAD";
@@ -146,6 +155,8 @@
     // State over all attempts.
     routing::attempt_state m_state;
     std::vector<std::string> m_attempted;
+    /// Host through which the last attempt went; empty: directly.
+    std::string m_through;
     bool m_may_have_run = false;
     std::uint64_t m_fingerprint = 0;
     bool m_has_begun = false;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "proxy/limit_notices.hpp"
 #include "proxy/message_text.hpp"
+#include "proxy/upstream_paths.hpp"
 
 #include <utility>
 
@@ -45,11 +46,27 @@
     return id != nullptr && *id == m_metadata.id;
 }
 
+void exchange::handle_connected()
+{
+    if (is_direct()) {
+        record_connected(m_context);
+    }
+}
+
+void exchange::record_received()
+{
+    m_upstream->received_at = m_context.loop.now();
+    if (is_direct()) {
+        m_context.reach.record_received(m_upstream->received_at);
+    }
+}
+
 void exchange::handle_head(message_head&& head)
 {
     if (m_ended) {
         return;
     }
+    record_received();
     bool const says_not_run = head.find(m_context.names.not_run) != nullptr
                               || head.status == misdirected;
     bool const is_other_request =
@@ -143,7 +160,7 @@
     if (m_ended) {
         return;
     }
-    m_upstream->received_at = m_context.loop.now();
+    record_received();
     if (m_is_stream) {
         std::uint64_t const before = m_framer.events();
         std::string_view const complete = m_framer.feed(bytes);
@@ -224,17 +241,37 @@
     if (m_ended) {
         return;
     }
+    record_fault(fault);
+    bool const has_no_way = fault == answer_fault::unreachable
+                            || fault == answer_fault::peer_unreachable;
+    attempt_ended(has_no_way ? attempt_end::unreachable : attempt_end::broken);
+}
+
+void exchange::record_fault(answer_fault fault)
+{
     auto const now = m_context.loop.now();
     if (fault == answer_fault::malformed) {
         m_upstream->health.record_failure(now);
-    } else {
-        m_upstream->health.record_unreachable(now);
-        if (fault == answer_fault::broken && m_connection->has_sent()) {
-            m_context.suspects.record_crash(fingerprint(), now);
-        }
+        return;
+    }
+    if (fault == answer_fault::peer_unreachable) {
+        // The upstream is not to blame and may be attempted in another way.
+        record_tunnel_failure(m_context, *m_connection->peer());
+        m_attempted.pop_back();
+        return;
+    }
+    if (fault == answer_fault::broken && !is_direct()) {
+        // Either the upstream or the host in between has broken it.
+        m_upstream->health.record_failure(now);
+        return;
+    }
+    m_upstream->health.record_unreachable(now);
+    if (fault == answer_fault::unreachable && is_direct()) {
+        record_unreachable(m_context, *m_upstream);
+    }
+    if (fault == answer_fault::broken && m_connection->has_sent()) {
+        m_context.suspects.record_crash(fingerprint(), now);
     }
-    attempt_ended(fault == answer_fault::unreachable ? attempt_end::unreachable
-                                                     : attempt_end::broken);
 }
 
 } // namespace caperjunction::proxy
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -19,6 +19,8 @@
     std::string_view team;
     /// Upstream of the last attempt.
     std::string_view upstream;
+    /// Host through which the last attempt went; empty: directly.
+    std::string_view through;
     /// Status code sent to the caller; 0 if no answer was sent.
     int status = 0;
     /// served, refused, failed, cut (the answer broke off) or left (the caller
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -1,6 +1,9 @@
 #include "proxy/exchange.hpp"
 
 #include "proxy/message_text.hpp"
+#include "proxy/upstream_paths.hpp"
+
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -48,8 +51,17 @@
 {
     m_upstream = chosen.to;
     m_attempted.push_back(m_upstream->description.id);
-    m_connection = m_context.pool.acquire(m_upstream);
+    m_connection = m_context.pool.acquire(
+        m_upstream,
+        path_to_upstreams(
+            m_context,
+            m_homes,
+            XXH3_64bits(m_metadata.id.data(), m_metadata.id.size())));
+    m_through = is_direct() ? std::string() : m_connection->peer()->address;
     m_sent_at = m_context.loop.now();
+    if (is_direct()) {
+        m_context.reach.record_sent(m_sent_at);
+    }
     m_upstream->record_send(m_sent_at);
     m_load = routing::load_ticket(chosen, pick_request(), m_sent_at);
     m_answer = {};
@@ -82,6 +94,9 @@
                         },
                         [self](answer_fault fault) {
                             self->handle_fault(fault);
+                        },
+                        [self] {
+                            self->handle_connected();
                         }});
 }
 
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -106,6 +106,10 @@
     digest.revisions = m_context.known;
     digest.data_centre = m_context.settings.data_centre;
     digest.loads = own_loads();
+    bool const offers_tunnels =
+        !m_context.reach.is_lost() && !m_context.is_stopping;
+    digest.tunnel_port =
+        offers_tunnels ? m_context.settings.tunnel_listen.port : 0;
     digest.limits = limits_to_advertise(m_context);
     digest.suspects =
         m_context.suspects.suspects_to_send(max_suspects, m_context.loop.now());
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -1,12 +1,9 @@
 #include "proxy/relay.hpp"
 
-#include "model/error.hpp"
+#include "proxy/tcp_listener.hpp"
+#include "proxy/upstream_paths.hpp"
 
-#include <arpa/inet.h>
 #include <event2/listener.h>
-#include <event2/util.h>
-#include <fmt/format.h>
-#include <netinet/in.h>
 
 #include <utility>
 #include <vector>
@@ -14,10 +11,6 @@
 namespace caperjunction::proxy {
 namespace {
 
-/// Connections that may wait to be accepted. When the queue is full, the SYN of
-/// the next connection is dropped and retransmitted after a second.
-constexpr int backlog = 1'024;
-
 /// Interval, and thereby precision, with which idle and slow connections are
 /// closed.
 constexpr model::milliseconds sweep_period{250};
@@ -38,13 +31,10 @@
 relay::relay(relay_context& context)
     : m_context(context)
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(context.settings.listen.port);
-    inet_pton(
-        AF_INET, context.settings.listen.address.c_str(), &address.sin_addr);
-    m_listener = evconnlistener_new_bind(
-        context.loop.base(),
+    m_listener = listen_on(
+        context.loop,
+        context.settings.listen,
+        "listen",
         [](evconnlistener*,
            evutil_socket_t socket,
            sockaddr*,
@@ -52,24 +42,8 @@
            void* self) {
             static_cast<relay*>(self)->serve(socket);
         },
-        this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-        backlog,
-        reinterpret_cast<sockaddr*>(&address),
-        sizeof address);
-    if (m_listener == nullptr) {
-        throw model::error(model::error_kind::bad_settings,
-                           fmt::format("cannot listen on {}:{}",
-                                       context.settings.listen.address,
-                                       context.settings.listen.port),
-                           "free that port or choose another with --listen");
-    }
-    sockaddr_in bound{};
-    socklen_t size = sizeof bound;
-    getsockname(evconnlistener_get_fd(m_listener),
-                reinterpret_cast<sockaddr*>(&bound),
-                &size);
-    m_port = ntohs(bound.sin_port);
+        this);
+    m_port = port_of(m_listener);
     m_swept_at = m_context.loop.now();
     m_sweep = m_context.loop.every(sweep_period, [this] {
         sweep();
@@ -126,7 +100,7 @@
     for (auto const& item : all_callers()) {
         item->check_timeouts();
     }
-    m_context.pool.close_idle();
+    sweep_paths(m_context);
     m_context.directory.drop_missing(m_context.loop.now());
     if (m_context.is_stopping) {
         check_stop();
@@ -164,7 +138,7 @@
     for (auto const& item : all_callers()) {
         item->close_if_idle(min_idle_before_close);
     }
-    if (m_callers.empty()) {
+    if (m_callers.empty() && m_context.open_tunnels == 0) {
         notify_stopped();
     }
 }
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -4,6 +4,7 @@
 #include "model/time.hpp"
 #include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
+#include "proxy/reach_report.hpp"
 #include "proxy/relay_settings.hpp"
 #include "proxy/upstream_pool.hpp"
 #include "proxy/wire_names.hpp"
@@ -16,6 +17,7 @@
 #include "routing/route_table.hpp"
 #include "routing/stop_rule.hpp"
 #include "routing/upstream_directory.hpp"
+#include "routing/upstream_reach.hpp"
 #include "runtime/event_loop.hpp"
 
 #include <functional>
@@ -43,12 +45,21 @@
     routing::picker picker;
     upstream_pool pool;
     routing::peer_table peers;
+    routing::upstream_reach reach;
+    /// Until when tunnels at an address are not used because one failed.
+    std::map<std::string, model::time_point> failed_tunnels;
+    /// Selects the upstreams of the next probe.
+    std::size_t next_probe = 0;
+    /// Connections of other hosts to upstreams that lead through this host.
+    std::size_t open_tunnels = 0;
     routing::crash_suspects suspects;
     std::map<std::string, routing::retry_budget> retry_budgets;
     /// Streams of the most urgent rank over all hosts, by service.
     std::map<std::string, routing::demand_trend> urgent_demand;
     /// Called when a request is retried, before the next attempt.
     std::function<void(exchange_report const&)> on_retried;
+    /// Called when the links to the upstreams are lost or regained.
+    std::function<void(reach_report const&)> on_reach_changed;
     /// Called when an upstream's request limit begins or ends.
     std::function<void(routing::upstream_state const&)> on_limit_changed;
     /// Called when an upstream sends a request limit that can't be parsed.
--- a/src/proxy/relay_settings.hpp
+++ b/src/proxy/relay_settings.hpp
@@ -3,9 +3,12 @@
 
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
+#include "routing/location.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace caperjunction::proxy {
@@ -19,6 +22,12 @@
     model::endpoint peer_listen;
     /// Hash of the name of this host's data centre.
     std::uint64_t data_centre = 0;
+    /// Address at which this host connects others to upstreams; port 0: it
+    /// doesn't.
+    model::endpoint tunnel_listen;
+    std::string region;
+    /// Where other data centres are, by the hash of their name.
+    std::map<std::uint64_t, routing::location> data_centres;
     /// Hosts that are contacted first to discover others.
     std::vector<model::endpoint> seeds;
     /// How long keys stay valid without confirmation by the store.
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -1,5 +1,7 @@
 #include "proxy/upstream_connection.hpp"
 
+#include "proxy/tunnel_codec.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -42,6 +44,15 @@
 {
 }
 
+upstream_connection::upstream_connection(runtime::event_loop& loop,
+                                         model::endpoint peer,
+                                         std::string id)
+    : upstream_connection(loop, peer)
+{
+    m_peer = std::move(peer);
+    m_upstream_id = std::move(id);
+}
+
 upstream_connection::~upstream_connection()
 {
     close();
@@ -57,30 +68,111 @@
     m_hooks = std::move(callbacks);
     m_reader.expect_no_body(is_head_request);
     if (m_stream == nullptr) {
-        m_stream = tcp_stream::connect(
-            m_loop,
-            m_at,
-            connect_timeout,
-            {[this] {
-                 m_connected = true;
-             },
-             [this](std::string_view bytes) {
-                 handle_data(bytes);
-             },
-             [this](connection_end reason) {
-                 auto const guard = shared_from_this();
-                 if (reason == connection_end::closed && m_reader.feed_end()) {
-                     return;
-                 }
-                 fail(reason == connection_end::unreachable
-                          ? answer_fault::unreachable
-                          : answer_fault::broken);
-             },
-             nullptr});
+        connect(connect_timeout);
+    }
+    if (m_peer && !m_connected) {
+        m_unsent_request = request;
+        return;
     }
     m_stream->write(request);
 }
 
+void upstream_connection::open(model::milliseconds connect_timeout,
+                               answer_hooks callbacks)
+{
+    m_is_probe = true;
+    m_is_available = false;
+    m_hooks = std::move(callbacks);
+    connect(connect_timeout);
+}
+
+void upstream_connection::connect(model::milliseconds timeout)
+{
+    m_stream = tcp_stream::connect(m_loop,
+                                   m_at,
+                                   timeout,
+                                   {[this] {
+                                        if (!m_peer) {
+                                            handle_connected();
+                                        }
+                                    },
+                                    [this](std::string_view bytes) {
+                                        if (m_connected) {
+                                            handle_data(bytes);
+                                        } else {
+                                            handle_reply(bytes);
+                                        }
+                                    },
+                                    [this](connection_end reason) {
+                                        handle_closed(reason);
+                                    },
+                                    nullptr});
+    if (!m_peer) {
+        return;
+    }
+    m_stream->write(encode_tunnel_request(m_upstream_id));
+    // The other host needs as long to connect to the upstream.
+    m_tunnel_timer = m_loop.after(timeout * 2, [this] {
+        fail(answer_fault::peer_unreachable);
+    });
+}
+
+void upstream_connection::handle_connected()
+{
+    auto const guard = shared_from_this();
+    m_connected = true;
+    m_loop.cancel(m_tunnel_timer);
+    auto const callback = m_hooks.on_connected;
+    if (std::exchange(m_is_probe, false)) {
+        m_is_available = true;
+        m_idle_since = m_loop.now();
+        m_hooks = {};
+    }
+    if (callback) {
+        callback();
+    }
+}
+
+void upstream_connection::handle_closed(connection_end reason)
+{
+    auto const guard = shared_from_this();
+    if (reason == connection_end::closed && m_connected
+        && m_reader.feed_end()) {
+        return;
+    }
+    if (m_peer && !m_connected) {
+        fail(answer_fault::peer_unreachable);
+        return;
+    }
+    fail(reason == connection_end::unreachable ? answer_fault::unreachable
+                                               : answer_fault::broken);
+}
+
+void upstream_connection::handle_reply(std::string_view bytes)
+{
+    auto const guard = shared_from_this();
+    m_reply.append(bytes);
+    auto const size = tunnel_message_size(m_reply);
+    if (!size || (*size <= max_tunnel_message && m_reply.size() < *size)) {
+        return;
+    }
+    auto const status = *size > max_tunnel_message
+                            ? std::nullopt
+                            : decode_tunnel_reply(m_reply.substr(0, *size));
+    if (status != tunnel_status::established) {
+        fail(status == tunnel_status::unreachable
+                 ? answer_fault::unreachable
+                 : answer_fault::peer_unreachable);
+        return;
+    }
+    std::string const after = std::exchange(m_reply, {}).substr(*size);
+    handle_connected();
+    if (m_stream && m_stream->is_open()) {
+        m_stream->write(std::exchange(m_unsent_request, {}));
+    }
+    handle_data(after);
+}
+
 void upstream_connection::handle_data(std::string_view bytes)
 {
     auto const guard = shared_from_this();
@@ -168,6 +260,7 @@
 {
     m_is_reusable = false;
     m_hooks = {};
+    m_loop.cancel(m_tunnel_timer);
     if (m_stream) {
         m_stream->close();
     }
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,9 @@
 {
     /// The upstream can't be reached; nothing was sent.
     unreachable,
+    /// The host that should connect this one to the upstream can't be reached
+    /// or refuses; nothing was sent.
+    peer_unreachable,
     /// The connection failed after the request had been sent.
     broken,
     /// The bytes are not a valid answer.
@@ -34,9 +38,12 @@
     /// The answer is complete.
     std::function<void()> on_end;
     std::function<void(answer_fault)> on_fault;
+    /// A new connection was established.
+    std::function<void()> on_connected;
 };
 
-/// A connection to one upstream that carries one request at a time.
+/// A connection to one upstream that carries one request at a time. It leads
+/// through another host if one is given.
 ///
 /// Thread safety: none; owned by the loop's task. Hooks may drop it.
 class upstream_connection
@@ -44,6 +51,12 @@
 {
 public:
     upstream_connection(runtime::event_loop& loop, model::endpoint at);
+
+    /// Leads to the upstream `id` through the host whose tunnels are at `peer`.
+    upstream_connection(runtime::event_loop& loop,
+                        model::endpoint peer,
+                        std::string id);
+
     ~upstream_connection();
     upstream_connection(upstream_connection const&) = delete;
     upstream_connection& operator=(upstream_connection const&) = delete;
@@ -55,6 +68,10 @@
               model::milliseconds connect_timeout,
               answer_hooks callbacks);
 
+    /// Establishes the connection without a request. Afterwards it is
+    /// available, and `callbacks.on_connected` is called. \pre is_available().
+    void open(model::milliseconds connect_timeout, answer_hooks callbacks);
+
     /// Closes the connection, which cancels the upstream's work for the
     /// request.
     void close();
@@ -77,6 +94,12 @@
         return m_stream == nullptr || m_stream->is_open();
     }
 
+    /// Returns the host that it leads through; no value: it is direct.
+    std::optional<model::endpoint> const& peer() const
+    {
+        return m_peer;
+    }
+
     /// Whether request bytes may have been sent to the upstream.
     bool has_sent() const
     {
@@ -95,14 +118,26 @@
     }
 
 private:
+    void connect(model::milliseconds timeout);
+    void handle_connected();
+    void handle_closed(connection_end reason);
     void handle_data(std::string_view bytes);
+    void handle_reply(std::string_view bytes);
     void end_answer();
     void fail(answer_fault fault);
     void record_keep_alive(message_head const& head);
 
     runtime::event_loop& m_loop;
     model::endpoint m_at;
+    std::optional<model::endpoint> m_peer;
+    std::string m_upstream_id;
     std::shared_ptr<tcp_stream> m_stream;
+    /// Until a tunnel is established: what its peer has replied so far, and the
+    /// request that waits for it.
+    std::string m_reply;
+    std::string m_unsent_request;
+    runtime::timer_handle m_tunnel_timer;
+    bool m_is_probe = false;
     http_reader m_reader;
     answer_hooks m_hooks;
     bool m_connected = false;
--- /dev/null
+++ b/src/proxy/upstream_paths.hpp
@@ -0,0 +1,45 @@
+#ifndef CAPERJUNCTION_PROXY_UPSTREAM_PATHS_HPP
+#define CAPERJUNCTION_PROXY_UPSTREAM_PATHS_HPP
+
+#include "proxy/relay_context.hpp"
+#include "proxy/upstream_pool.hpp"
+#include "routing/home_regions.hpp"
+
+#include <cstdint>
+
+namespace caperjunction::proxy {
+
+/// Returns how a request that only `homes` may serve reaches upstreams now:
+/// directly, or, while this host's links are lost, through another host.
+/// `random_value` selects among equal hosts.
+///
+/// Thread safety: the loop's task.
+upstream_path path_to_upstreams(relay_context const& context,
+                                routing::home_regions const& homes,
+                                std::uint64_t random_value);
+
+/// Records that a direct connection was established.
+///
+/// Thread safety: the loop's task.
+void record_connected(relay_context& context);
+
+/// Records that no direct connection to an upstream could be established.
+///
+/// Thread safety: the loop's task.
+void record_unreachable(relay_context& context,
+                        routing::upstream_state const& state);
+
+/// Records that no tunnel could be had from a host.
+///
+/// Thread safety: the loop's task.
+void record_tunnel_failure(relay_context& context, model::endpoint const& peer);
+
+/// Probes the links to upstreams if that is due, and closes idle connections
+/// that are of no more use.
+///
+/// Thread safety: the loop's task.
+void sweep_paths(relay_context& context);
+
+} // namespace caperjunction::proxy
+
+#endif
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -17,25 +17,80 @@
 }
 
 std::shared_ptr<upstream_connection>
-upstream_pool::acquire(routing::upstream_ptr const& upstream)
+upstream_pool::acquire(routing::upstream_ptr const& upstream,
+                       upstream_path const& path)
 {
-    auto const found = m_idle.find(upstream.get());
-    if (found != m_idle.end()) {
-        auto& connections = found->second.connections;
-        while (!connections.empty()) {
-            auto last = std::move(connections.back());
-            connections.pop_back();
-            if (is_usable(*last)) {
-                return last;
-            }
-            last->close();
-        }
+    if (auto idle = take_idle(upstream, path)) {
+        return idle;
+    }
+    if (!path.peer) {
+        return connect(upstream);
     }
+    ++m_opened;
+    return std::make_shared<upstream_connection>(
+        m_loop, *path.peer, upstream->description.id);
+}
+
+std::shared_ptr<upstream_connection>
+upstream_pool::connect(routing::upstream_ptr const& upstream)
+{
     ++m_opened;
     return std::make_shared<upstream_connection>(m_loop,
                                                  upstream->description.at);
 }
 
+std::shared_ptr<upstream_connection>
+upstream_pool::take_idle(routing::upstream_ptr const& upstream,
+                         upstream_path const& path)
+{
+    auto const found = m_idle.find(upstream.get());
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    auto& connections = found->second.connections;
+    for (std::size_t index = connections.size(); index > 0; --index) {
+        auto const at =
+            connections.begin() + static_cast<std::ptrdiff_t>(index - 1);
+        auto const connection = *at;
+        if (!is_usable(*connection)) {
+            connection->close();
+            connections.erase(at);
+        } else if (is_allowed(*connection, path)) {
+            connections.erase(at);
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+bool upstream_pool::is_allowed(upstream_connection const& connection,
+                               upstream_path const& path) const
+{
+    if (!connection.peer()) {
+        return path.uses_idle_direct;
+    }
+    return path.peer && path.allows_peer(*connection.peer());
+}
+
+void upstream_pool::probe(routing::upstream_ptr const& upstream,
+                          model::milliseconds connect_timeout,
+                          std::function<void(bool)> on_result)
+{
+    auto const connection = connect(upstream);
+    auto const* const key = connection.get();
+    m_probes.emplace(key, connection);
+    answer_hooks hooks;
+    hooks.on_connected = [this, key, upstream, on_result] {
+        release(upstream, m_probes.extract(key).mapped());
+        on_result(true);
+    };
+    hooks.on_fault = [this, key, on_result](answer_fault) {
+        auto const ended = m_probes.extract(key);
+        on_result(false);
+    };
+    connection->open(connect_timeout, std::move(hooks));
+}
+
 void upstream_pool::release(routing::upstream_ptr const& upstream,
                             std::shared_ptr<upstream_connection> connection)
 {
@@ -48,7 +103,8 @@
     entry.connections.push_back(std::move(connection));
 }
 
-void upstream_pool::close_idle()
+void upstream_pool::close_idle(
+    std::function<bool(model::endpoint const&)> const& keeps_peer)
 {
     for (auto item = m_idle.begin(); item != m_idle.end();) {
         auto& connections = item->second.connections;
@@ -57,7 +113,9 @@
             std::partition(connections.begin(),
                            connections.end(),
                            [&](auto const& connection) {
-                               return !is_gone && is_usable(*connection);
+                               auto const& peer = connection->peer();
+                               return !is_gone && is_usable(*connection)
+                                      && (!peer || keeps_peer(*peer));
                            });
         std::for_each(stale, connections.end(), [](auto const& connection) {
             connection->close();
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -7,12 +7,26 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace caperjunction::proxy {
 
+/// How a request may reach its upstream now.
+struct upstream_path
+{
+    /// Host through which a new connection leads; no value: it is direct.
+    std::optional<model::endpoint> peer;
+    /// Whether idle direct connections may be used.
+    bool uses_idle_direct = true;
+    /// Returns whether the request may pass through the host whose tunnels are
+    /// at this address.
+    std::function<bool(model::endpoint const&)> allows_peer;
+};
+
 /// Keeps idle connections to upstreams for reuse. A new connection costs a
 /// round trip and, at some upstreams, a slot.
 ///
@@ -22,17 +36,26 @@
 public:
     explicit upstream_pool(runtime::event_loop& loop);
 
-    /// Returns the most recently used idle connection, or a new one.
+    /// Returns the most recently used idle connection that `path` allows, or a
+    /// new one.
     std::shared_ptr<upstream_connection>
-    acquire(routing::upstream_ptr const& upstream);
+    acquire(routing::upstream_ptr const& upstream, upstream_path const& path);
+
+    /// Establishes a direct connection for later use. `on_result` is called
+    /// with whether that succeeded.
+    void probe(routing::upstream_ptr const& upstream,
+               model::milliseconds connect_timeout,
+               std::function<void(bool)> on_result);
 
     /// Returns a connection to the pool after a complete answer.
     void release(routing::upstream_ptr const& upstream,
                  std::shared_ptr<upstream_connection> connection);
 
-    /// Closes connections that have been idle for too long, and all connections
-    /// to upstreams that were removed.
-    void close_idle();
+    /// Closes connections that have been idle for too long, all connections to
+    /// upstreams that were removed, and those through hosts that `keeps_peer`
+    /// rejects.
+    void
+    close_idle(std::function<bool(model::endpoint const&)> const& keeps_peer);
 
     /// Number of connections opened so far.
     std::uint64_t connections_opened() const
@@ -47,10 +70,18 @@
         std::vector<std::shared_ptr<upstream_connection>> connections;
     };
 
+    std::shared_ptr<upstream_connection>
+    connect(routing::upstream_ptr const& upstream);
+    std::shared_ptr<upstream_connection>
+    take_idle(routing::upstream_ptr const& upstream, upstream_path const& path);
     bool is_usable(upstream_connection const& connection) const;
+    bool is_allowed(upstream_connection const& connection,
+                    upstream_path const& path) const;
 
     runtime::event_loop& m_loop;
     std::map<routing::upstream_state const*, idle_set> m_idle;
+    std::map<upstream_connection const*, std::shared_ptr<upstream_connection>>
+        m_probes;
     std::uint64_t m_opened = 0;
 };
 
--- a/src/proxy/wire/digest_generated.h
+++ b/src/proxy/wire/digest_generated.h
@@ -273,7 +273,8 @@
     VT_UPSTREAMS_REVISION = 54,
     VT_CONFIGURATION_REVISION = 56,
     VT_CONFIGURATION_CHECKED = 58,
-    VT_LIMITS = 60
+    VT_LIMITS = 60,
+    VT_TUNNEL_PORT = 62
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -362,6 +363,9 @@
   const flatbuffers::Vector<const caperjunction::proxy::wire::Limit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const caperjunction::proxy::wire::Limit *> *>(VT_LIMITS);
   }
+  uint16_t tunnel_port() const {
+    return GetField<uint16_t>(VT_TUNNEL_PORT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
@@ -403,6 +407,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_CHECKED, 8) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyField<uint16_t>(verifier, VT_TUNNEL_PORT, 2) &&
            verifier.EndTable();
   }
 };
@@ -498,6 +503,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Limit *>> limits) {
     fbb_.AddOffset(Digest::VT_LIMITS, limits);
   }
+  void add_tunnel_port(uint16_t tunnel_port) {
+    fbb_.AddElement<uint16_t>(Digest::VT_TUNNEL_PORT, tunnel_port, 0);
+  }
   explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -539,7 +547,8 @@
     uint64_t upstreams_revision = 0,
     uint64_t configuration_revision = 0,
     uint64_t configuration_checked = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Limit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const caperjunction::proxy::wire::Limit *>> limits = 0,
+    uint16_t tunnel_port = 0) {
   DigestBuilder builder_(_fbb);
   builder_.add_configuration_checked(configuration_checked);
   builder_.add_configuration_revision(configuration_revision);
@@ -566,6 +575,7 @@
   builder_.add_loads(loads);
   builder_.add_hosts_seen(hosts_seen);
   builder_.add_echo_held_us(echo_held_us);
+  builder_.add_tunnel_port(tunnel_port);
   builder_.add_asks(asks);
   builder_.add_relays(relays);
   builder_.add_speaks(speaks);
@@ -603,7 +613,8 @@
     uint64_t upstreams_revision = 0,
     uint64_t configuration_revision = 0,
     uint64_t configuration_checked = 0,
-    const std::vector<caperjunction::proxy::wire::Limit> *limits = nullptr) {
+    const std::vector<caperjunction::proxy::wire::Limit> *limits = nullptr,
+    uint16_t tunnel_port = 0) {
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Suspect>(*suspects) : 0;
   auto peers__ = peers ? _fbb.CreateVectorOfStructs<caperjunction::proxy::wire::Address>(*peers) : 0;
@@ -644,7 +655,8 @@
       upstreams_revision,
       configuration_revision,
       configuration_checked,
-      limits__);
+      limits__,
+      tunnel_port);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/routing/peer_digest.hpp
+++ b/src/routing/peer_digest.hpp
@@ -93,6 +93,9 @@
     std::uint32_t data_centres = 0;
     /// The sender exchanges state with other data centres.
     bool is_gateway = false;
+    /// Port at which the sender connects other hosts to upstreams; 0: it has
+    /// lost its own links to them, or is stopping.
+    std::uint16_t tunnel_port = 0;
     /// The sender has received nothing from the receiver and requests a digest.
     bool requests_reply = false;
     /// For near hosts: the requests of the sender itself.
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -166,6 +166,20 @@
         return m_crashes.empty();
     }
 
+    /// A host that connects other hosts to upstreams.
+    struct tunnel_peer
+    {
+        /// Address of its tunnels.
+        model::endpoint at;
+        std::uint64_t data_centre = 0;
+    };
+
+    /// Returns the live hosts that offer tunnels. If there are none, returns
+    /// the hosts of other data centres that others have named, at port
+    /// `assumed_port`: in a large fleet, a host exchanges digests with its own
+    /// data centre only.
+    std::vector<tunnel_peer> tunnel_peers(std::uint16_t assumed_port) const;
+
     /// A host with a newer revision of the store to fetch from.
     struct source
     {
--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -37,6 +37,7 @@
     result.peer_listen = {"127.0.0.1", free_port()};
     result.data_centre = hash_of(data_centre);
     result.seeds = seeds;
+    result.tunnel_listen = {"127.0.0.1", 0};
     return result;
 }
 
@@ -73,6 +74,8 @@
     context.table =
         std::make_shared<routing::route_table const>(test_configuration());
     context.known.upstreams = 1;
+    tunnels = std::make_unique<proxy::tunnel_server>(context);
+    context.settings.tunnel_listen.port = tunnels->port();
     for (auto const& upstream : fleet.upstreams) {
         links.push_back(
             std::make_unique<cuttable_path>(fleet.loop, upstream->at()));
--- a/tests/proxy/host_fleet.hpp
+++ b/tests/proxy/host_fleet.hpp
@@ -4,6 +4,7 @@
 #include "proxy/cuttable_path.hpp"
 #include "proxy/peer_gossip.hpp"
 #include "proxy/relay_fixture.hpp"
+#include "proxy/tunnel_server.hpp"
 
 #include <functional>
 #include <memory>
@@ -70,6 +71,7 @@
         proxy::relay_context context;
         proxy::relay relay;
         proxy::peer_gossip gossip;
+        std::unique_ptr<proxy::tunnel_server> tunnels;
         std::vector<std::unique_ptr<cuttable_path>> links;
     };
 
