--- /dev/null
+++ b/tests/proxy/tunnel_test.cpp
@@ -0,0 +1,192 @@
+#include "proxy/host_fleet.hpp"
+#include "proxy/upstream_paths.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+
+namespace {
+
+struct raw_tunnel
+{
+    std::shared_ptr<proxy::tcp_stream> stream;
+    std::string received;
+    bool has_ended = false;
+    proxy::connection_end end = proxy::connection_end::closed;
+};
+
+std::shared_ptr<raw_tunnel> open_tunnel(host_fleet& fleet,
+                                        std::string const& bytes)
+{
+    auto result = std::make_shared<raw_tunnel>();
+    auto* const raw = result.get();
+    result->stream = proxy::tcp_stream::connect(
+        fleet.loop,
+        {"127.0.0.1", fleet.hosts[0]->tunnels->port()},
+        1'000ms,
+        {nullptr,
+         [raw](std::string_view text) {
+             raw->received.append(text);
+         },
+         [raw](proxy::connection_end reason) {
+             raw->has_ended = true;
+             raw->end = reason;
+         },
+         nullptr});
+    result->stream->write(bytes);
+    fleet.run_for(100ms);
+    return result;
+}
+
+std::optional<proxy::tunnel_status> status_of(raw_tunnel const& tunnel)
+{
+    auto const size = proxy::tunnel_message_size(tunnel.received);
+    return size && tunnel.received.size() >= *size
+               ? proxy::decode_tunnel_reply(tunnel.received.substr(0, *size))
+               : std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("a tunnel carries the bytes of an upstream both ways")
+{
+    host_fleet fleet({"a"}, 1);
+    auto const tunnel = open_tunnel(fleet, proxy::encode_tunnel_request("i-1"));
+    CHECK(status_of(*tunnel) == proxy::tunnel_status::established);
+    tunnel->stream->write(relay_fixture::request("/view/", "t1"));
+    fleet.run_for(100ms);
+    CHECK(tunnel->received.find("HTTP/1.1 200") != std::string::npos);
+    CHECK(fleet.runs_of("t1") == 1);
+    CHECK(fleet.hosts[0]->context.open_tunnels == 1);
+    tunnel->stream->close();
+    fleet.run_for(50ms);
+    CHECK(fleet.hosts[0]->context.open_tunnels == 0);
+}
+
+// Guards against a peer port through which anyone reaches any address.
+TEST_CASE("a tunnel leads to known upstreams only")
+{
+    host_fleet fleet({"a"}, 1);
+    CHECK(status_of(*open_tunnel(fleet, proxy::encode_tunnel_request("i-7")))
+          == proxy::tunnel_status::refused);
+    for (std::string const& bytes : {std::string("\x08\0\0\0AAAAAAAA", 12),
+                                     std::string(4, '\xff'),
+                                     std::string("GET / HTTP/1.1\r\n\r\n")}) {
+        auto const tunnel = open_tunnel(fleet, bytes);
+        CHECK(status_of(*tunnel) == proxy::tunnel_status::refused);
+    }
+    CHECK(fleet.upstreams[0]->connections == 0);
+}
+
+// Guards against a host that passes requests on in a circle, and against one
+// that stops with work of others.
+TEST_CASE("a host without links, or about to stop, offers no tunnel")
+{
+    host_fleet fleet({"a"}, 3);
+    auto& context = fleet.hosts[0]->context;
+    for (std::string const id : {"i-1", "i-2", "i-3"}) {
+        context.reach.record_unreachable(id, 3, fleet.loop.now());
+    }
+    auto const request = proxy::encode_tunnel_request("i-1");
+    CHECK(status_of(*open_tunnel(fleet, request))
+          == proxy::tunnel_status::refused);
+    context.reach.record_connected(fleet.loop.now());
+    context.is_stopping = true;
+    CHECK(status_of(*open_tunnel(fleet, request))
+          == proxy::tunnel_status::refused);
+}
+
+TEST_CASE("a tunnel tells that its upstream can't be reached")
+{
+    host_fleet fleet({"a"}, 1);
+    fleet.set_upstream(0, path_state::resetting);
+    CHECK(status_of(*open_tunnel(fleet, proxy::encode_tunnel_request("i-1")))
+          == proxy::tunnel_status::unreachable);
+}
+
+// Guards against an answer that ends early and looks complete.
+TEST_CASE("a tunnel is reset when its upstream resets")
+{
+    host_fleet fleet({"a"}, 1);
+    auto const tunnel = open_tunnel(fleet, proxy::encode_tunnel_request("i-1"));
+    CHECK(status_of(*tunnel) == proxy::tunnel_status::established);
+    fleet.set_upstream(0, path_state::resetting);
+    fleet.run_for(100ms);
+    CHECK(tunnel->has_ended);
+    CHECK(tunnel->end == proxy::connection_end::reset);
+}
+
+// Guards against a request that leaves its home regions on the way.
+TEST_CASE("a request passes through hosts of its home regions only")
+{
+    host_fleet fleet({"a", "b"}, 3);
+    auto& context = fleet.hosts[0]->context;
+    context.settings.region = "west";
+    context.settings
+        .data_centres[fleet.hosts[1]->context.settings.data_centre] = {
+        routing::distance::other_region, "east"};
+    for (std::string const id : {"i-1", "i-2", "i-3"}) {
+        context.reach.record_unreachable(id, 3, fleet.loop.now());
+    }
+    CHECK(proxy::path_to_upstreams(context, {}, 0).peer.has_value());
+    routing::home_regions west;
+    west.restrict_to({"west"});
+    CHECK_FALSE(proxy::path_to_upstreams(context, west, 0).peer.has_value());
+    routing::home_regions east;
+    east.restrict_to({"east"});
+    CHECK(proxy::path_to_upstreams(context, east, 0).peer.has_value());
+}
+
+// Guards against requests that go the long way after the links are back.
+TEST_CASE("requests go directly again when a link works")
+{
+    host_fleet fleet({"a", "a"}, 5);
+    fleet.play(200ms, {"/book/"});
+    fleet.set_links(0, path_state::silent);
+    fleet.play(1'500ms, {"/book/"});
+    CHECK(fleet.hosts[0]->context.reach.is_lost());
+    CHECK(fleet.hosts[1]->context.open_tunnels > 0);
+    fleet.set_links(0, path_state::open);
+    fleet.play(1'500ms, {"/book/"});
+    CHECK_FALSE(fleet.hosts[0]->context.reach.is_lost());
+    CHECK(fleet.hosts[1]->context.open_tunnels == 0);
+}
+
+// Guards against bookings that run twice, or are said not to have run, when
+// the host in between fails.
+TEST_CASE("a booking runs at most once when the host in between vanishes")
+{
+    host_fleet fleet({"a", "a"}, 5);
+    fleet.set_links(0, path_state::silent);
+    fleet.play(1'500ms, {"/book/"});
+    fleet.hosts[1]->tunnels.reset();
+    fleet.play(300ms, {"/book/"});
+    fleet.run_for(1'600ms);
+    for (first_try const& item : fleet.tries) {
+        CAPTURE(item.id);
+        auto const runs = fleet.runs_of(item.id);
+        CHECK((item.says_not_run() ? runs == 0 : runs <= 1));
+    }
+}
+
+// Guards against a work stop of an upstream for a second being taken for a
+// failure: bookings would be given up and streams cut.
+TEST_CASE("an upstream that is silent for a second loses no request")
+{
+    host_fleet fleet({"a", "b"}, 2);
+    fleet.play(200ms, {"/book/", "/stream/"});
+    fleet.set_upstream(0, path_state::silent);
+    fleet.play(1'000ms, {"/book/", "/stream/"});
+    fleet.set_upstream(0, path_state::open);
+    fleet.run_for(1'500ms);
+    for (first_try const& item : fleet.tries) {
+        CAPTURE(item.id);
+        CAPTURE(item.caller->received_bytes);
+        CHECK(item.is_served());
+        CHECK(fleet.runs_of(item.id) == 1);
+    }
+}
