Bear two seconds of an upstream's silence

A sound upstream may be silent for a second or so. Sent bytes that stayed unacknowledged for 1.5 s ended the connection, which leaves little room where a host's packets wait as well: callers would get 502 or a stream that breaks off.

--- a/src/proxy/socket_options.cpp
+++ b/src/proxy/socket_options.cpp
@@ -11,9 +11,9 @@
 
 /// Time for which sent bytes may stay unacknowledged. A host that lost power
 /// never answers, and without the limit its connection hangs for minutes. A
-/// round trip takes some 20 ms, and a lost packet is retransmitted after some
-/// 200 ms.
-constexpr int unacknowledged_ms = 1'500;
+/// sound upstream may be silent for a second or two. If keep-alive probes are
+/// ever sent, this limit also ends them, whatever their count.
+constexpr int unacknowledged_ms = 3'000;
 
 void set_option(int socket, int level, int name, int value)
 {
