Soak: cut hosts from all upstreams, brittle engines, silent ones

Each host reads the store through a view of its own, with links of its own to upstreams; every second seed cuts one host, most, or a data centre from all of them for 5 to 7 s (silent, reset, new ones refused), the others make the engines of a service brittle; in all of them a sound engine falls silent for a second and is no excuse. Callers wait as Retry-After says, but for some. Also: bytes before a tunnel is established end it, a 421 is no rejection (tunnel_test, failed before the change), lint.

--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -160,7 +160,6 @@
         result.add_echo_held_us(
             static_cast<std::uint32_t>(frame.echo_held.count()));
     }
-
     if (frame.confirmed_age) {
         result.add_has_confirmed(true);
         result.add_confirmed_age_us(
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -78,12 +78,15 @@
         return;
     }
     record_limit(m_context, *m_upstream, head);
-    if (head.status != misdirected) {
+    bool const is_misdirected = head.status == misdirected;
+    if (!is_misdirected) {
         record_rejection_limit(m_context, *m_upstream, head);
     }
     if (says_not_run) {
         m_upstream->health.record_failure(m_context.loop.now());
-        m_upstream->rejections.record_rejection(m_context.loop.now());
+        if (!is_misdirected) {
+            m_upstream->rejections.record_rejection(m_context.loop.now());
+        }
         attempt_ended(attempt_end::not_run);
         return;
     }
--- a/src/proxy/tunnel.cpp
+++ b/src/proxy/tunnel.cpp
@@ -58,7 +58,7 @@
     auto const id = *size > max_tunnel_message
                         ? std::nullopt
                         : decode_tunnel_request(m_request.substr(0, *size));
-    if (!id || m_upstream) {
+    if (!id || m_upstream || m_request.size() > *size) {
         refuse(tunnel_status::refused);
         return;
     }
@@ -131,6 +131,9 @@
 void tunnel::end_upstream(connection_end reason)
 {
     auto const guard = shared_from_this();
+    if (m_upstream) {
+        m_upstream->close();
+    }
     if (!m_is_established && reason == connection_end::unreachable) {
         m_host->write(encode_tunnel_reply(tunnel_status::unreachable));
         reason = connection_end::closed;
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -51,7 +51,7 @@
     for (std::size_t index = connections.size(); index > 0; --index) {
         auto const at =
             connections.begin() + static_cast<std::ptrdiff_t>(index - 1);
-        auto const connection = *at;
+        auto connection = *at;
         if (!is_usable(*connection)) {
             connection->close();
             connections.erase(at);
@@ -74,7 +74,7 @@
 
 void upstream_pool::probe(routing::upstream_ptr const& upstream,
                           model::milliseconds connect_timeout,
-                          std::function<void(bool)> on_result)
+                          std::function<void(bool)> const& on_result)
 {
     auto const connection = connect(upstream);
     auto const* const key = connection.get();
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -45,7 +45,7 @@
     /// with whether that succeeded.
     void probe(routing::upstream_ptr const& upstream,
                model::milliseconds connect_timeout,
-               std::function<void(bool)> on_result);
+               std::function<void(bool)> const& on_result);
 
     /// Returns a connection to the pool after a complete answer.
     void release(routing::upstream_ptr const& upstream,
--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -24,7 +24,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(probe, reinterpret_cast<sockaddr*>(&address), size);
+    (void)bind(probe, reinterpret_cast<sockaddr*>(&address), size);
     getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
     close(probe);
     return ntohs(address.sin_port);
--- a/tests/proxy/relay_partition_test.cpp
+++ b/tests/proxy/relay_partition_test.cpp
@@ -10,36 +10,26 @@
 
 namespace {
 
-/// Cuts `cut` hosts of a fleet from all upstreams in the way of `state`, plays
-/// requests at all hosts, and checks what callers got at first tries from a
-/// second after the cut on.
-void check_partition(std::vector<std::string> const& data_centres,
-                     std::vector<std::size_t> const& cut,
-                     path_state state)
+/// Checks what callers got at first tries from `since` on.
+void check_first_tries(host_fleet const& fleet, model::time_point since)
 {
-    host_fleet fleet(data_centres, 5);
-    std::vector<std::string> const paths{"/book/", "/view/", "/stream/"};
-    fleet.play(300ms, paths);
-    for (std::size_t const host : cut) {
-        fleet.set_links(host, state);
-    }
-    fleet.play(1'000ms, paths);
-    auto const noticed = fleet.loop.now();
-    fleet.play(1'500ms, paths);
-    fleet.run_for(1'600ms);
-
     std::size_t sent = 0;
     std::size_t served = 0;
-    std::vector<double> shares;
-    for (std::size_t host = 0; host < data_centres.size(); ++host) {
-        sent += fleet.sent(host, noticed);
-        served += fleet.served(host, noticed);
-        shares.push_back(static_cast<double>(fleet.served(host, noticed))
-                         / static_cast<double>(fleet.sent(host, noticed)));
+    for (std::size_t host = 0; host < fleet.hosts.size(); ++host) {
+        auto const sent_here = fleet.sent(host, since);
+        auto const served_here = fleet.served(host, since);
         CAPTURE(host);
-        CHECK(shares.back() >= 2.0 / 3.0);
+        CHECK(served_here * 3 >= sent_here * 2);
+        sent += sent_here;
+        served += served_here;
     }
     CHECK(sent - served <= 10 + sent / 50);
+}
+
+/// Checks that no booking ran twice, and that what was said not to have run has
+/// not.
+void check_runs(host_fleet const& fleet)
+{
     for (first_try const& item : fleet.tries) {
         CAPTURE(item.id);
         auto const runs = fleet.runs_of(item.id);
@@ -54,6 +44,27 @@
     }
 }
 
+/// Cuts `cut` hosts of a fleet from all upstreams in the way of `state`, plays
+/// requests at all hosts, and checks what callers got from a second after the
+/// cut on.
+void check_partition(std::vector<std::string> const& data_centres,
+                     std::vector<std::size_t> const& cut,
+                     path_state state)
+{
+    host_fleet fleet(data_centres, 5);
+    std::vector<std::string> const paths{"/book/", "/view/", "/stream/"};
+    fleet.play(300ms, paths);
+    for (std::size_t const host : cut) {
+        fleet.set_links(host, state);
+    }
+    fleet.play(1'000ms, paths);
+    auto const noticed = fleet.loop.now();
+    fleet.play(1'500ms, paths);
+    fleet.run_for(1'600ms);
+    check_first_tries(fleet, noticed);
+    check_runs(fleet);
+}
+
 /// Plays the partition in each way.
 void check_partitions(std::vector<std::size_t> const& cut)
 {
--- a/tests/proxy/tunnel_test.cpp
+++ b/tests/proxy/tunnel_test.cpp
@@ -100,6 +100,19 @@
           == proxy::tunnel_status::refused);
 }
 
+// Guards against connections to upstreams that nobody owns any more.
+TEST_CASE("bytes before a tunnel is established end it on both sides")
+{
+    host_fleet fleet({"a"}, 1);
+    auto const request = proxy::encode_tunnel_request("i-1");
+    auto const tunnel = open_tunnel(fleet, request + request);
+    fleet.run_for(100ms);
+    CHECK(tunnel->has_ended);
+    CHECK(fleet.hosts[0]->context.open_tunnels == 0);
+    CHECK(fleet.upstreams[0]->connections
+          == fleet.upstreams[0]->connections_ended);
+}
+
 TEST_CASE("a tunnel tells that its upstream can't be reached")
 {
     host_fleet fleet({"a"}, 1);
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -31,7 +31,7 @@
 
 def site(requests, runs, **more):
     values = dict(requests=requests, runs=runs, revoked_keys={}, moves=[], stops=[], drained_at={}, engines=[],
-                  limits=[], reloads=[], configurations=[(0.0, 2.5)], had_fault=lambda begin, end: False,
+                  limits=[], partitions=[], brittle_times=[], had_other_fault=lambda begin, end: False, reloads=[], configurations=[(0.0, 2.5)], had_fault=lambda begin, end: False,
                   now=lambda: 200.0)
     values.update(more)
     return types.SimpleNamespace(**values)
@@ -49,6 +49,18 @@
         twice = [run(path="/view/x"), run(path="/view/x")]
         self.assertFalse(checks.runs_once(site([request(path="/view/x")], twice)))
 
+    def test_a_host_without_links_that_refuses(self):
+        refused = [request(f"c{n}", status=503, sent=104.0) for n in range(20)]
+        served = [request(f"o{n}", host="h1", sent=104.0) for n in range(20)]
+        cut = site(refused + served, [], partitions=[(["h0"], 100.0, 110.0)])
+        self.assertTrue(checks.hosts_without_links_serve(cut))
+        self.assertFalse(checks.hosts_without_links_serve(site(served, [], partitions=[(["h1"], 100.0, 110.0)])))
+
+    def test_brittle_engines_that_crash(self):
+        engines = [types.SimpleNamespace(crashes=[104.0]) for _ in range(3)]
+        self.assertTrue(checks.brittle_engines_stay_up(site([], [], brittle_times=[(engines, 100.0, 108.0)])))
+        self.assertFalse(checks.brittle_engines_stay_up(site([], [], brittle_times=[(engines[:2], 100.0, 108.0)])))
+
     def test_a_false_not_run(self):
         self.assertTrue(checks.not_run_is_true(site([request(status=503)], [run()])))
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -20,6 +20,7 @@
 from .site import Site
 
 LIMIT_SEED_OFFSET = 1_000_000
+LINK_SEED_OFFSET = 2_000_000
 # Wait after the start, until the hosts have read the store, and at the end,
 # so that late executions are still recorded.
 SETTLE_SECONDS = 1.5
@@ -39,6 +40,14 @@
         await faults.limit_engine(site, rng)
 
 
+async def inject_in_turn(site, seed, until, action):
+    """Plays one fault after the other, from a generator of its own."""
+    rng = random.Random(seed + LINK_SEED_OFFSET)
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
+        await action(site, rng)
+
+
 def handle_loop_exception(loop, context):
     """Ignores cancellations: requests still in progress at the end of a run are cancelled."""
     if not isinstance(context.get("exception"), asyncio.CancelledError):
@@ -56,8 +65,11 @@
         # Some seeds have long intervals between faults, because several checks apply only to fault-free
         # periods. Every third seed has planned operations only.
         interval, action = (1.0 + seed % 4, faults.random_action) if seed % 3 else (1.0, faults.random_planned_action)
+        # Every second seed cuts hosts from all upstreams; the others have upstreams that bear few rejections.
+        more = faults.partition_hosts if seed % 2 else faults.make_brittle
         await asyncio.gather(inject(site, until - 1.0, interval, action), inject_limits(site, seed, until - 1.0),
-                             *tasks)
+                             inject_in_turn(site, seed, until - 5.0, more),
+                             inject_in_turn(site, seed, until - 1.0, faults.silence_engine), *tasks)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -41,11 +41,16 @@
         self.idle_since, self.has_paused = 0.0, False
         self.connection = None
         self.host = None
+        # Some callers don't wait as they are told.
+        self.waits, self.retry_after = not uses_stopping_hosts, 0.0
 
     async def run(self, until):
         while time.monotonic() < until:
             is_idle = self.random.random() < 0.02
             await asyncio.sleep(self.random.uniform(0.5, 1.5) if is_idle else self.random.uniform(0.02, 0.12))
+            if self.waits:
+                await asyncio.sleep(min(self.retry_after, 1.0))
+            self.retry_after = 0.0
             try:
                 await self.one_request(until)
             except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
@@ -113,6 +118,7 @@
                 return
             record.status = int(head[0].split()[1])
             record.service = head[1].get("response-seal")
+            self.retry_after = float(head[1].get("retry-after", "0"))
             record.body = await read_body(reader, head[1], pause)
             record.complete = head[1].get("attempt-id") == record.id
             self.idle_since, self.has_paused = time.monotonic(), pause > 0
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -25,6 +25,8 @@
 # Time in which a restarted host receives the limit from its peers.
 LIMIT_PROPAGATION = 1.0
 STOP_LIMIT = 8.0
+# Time from the begin of a fault until hosts must cope with it, and in which it has effects after its end.
+CONTACT, RECOVERY = 3.0, 4.0
 # The host has read a request that was sent this long before its connection ended.
 READ_DELAY = 0.2
 # A caller that reuses a connection within this time finds it open: a stopping
@@ -241,6 +243,38 @@
     ]
 
 
+def first_tries(site, hosts, begin, end):
+    """How many requests at the hosts were sent in this time by callers that stayed, and how many were served."""
+    sent = [t for t in site.requests if t.host in hosts and begin <= t.sent < end and t.ended and not t.caller_left]
+    return len(sent), sum(t.status == 200 and t.complete for t in sent)
+
+
+def hosts_without_links_serve(site):
+    found = []
+    for hosts, begin, end in site.partitions:
+        begin, end = begin + CONTACT, end - RECOVERY
+        others = {t.host for t in site.requests} - set(hosts)
+        if site.had_other_fault(begin - CONTACT, end) or any(a < end and begin < b for _, a, b in site.stops):
+            continue
+        sent, served = first_tries(site, hosts, begin, end)
+        sent_elsewhere, served_elsewhere = first_tries(site, others, begin, end)
+        failed = sent + sent_elsewhere - served - served_elsewhere
+        is_worse = served * sent_elsewhere * 3 < served_elsewhere * sent * 2
+        if is_worse and failed > 10 + (sent + sent_elsewhere) / 50:
+            found.append(f"{sorted(hosts)} without links served {served} of {sent}, "
+                         f"the others {served_elsewhere} of {sent_elsewhere}")
+    return found
+
+
+def brittle_engines_stay_up(site):
+    found = []
+    for engines, begin, end in site.brittle_times:
+        crashes = sum(begin + CONTACT <= at < end for engine in engines for at in engine.crashes)
+        if crashes > 2 + len(engines) / 10 and not site.had_fault(begin, begin + CONTACT):
+            found.append(f"{crashes} crashes of {len(engines)} engines that bear few rejections")
+    return found
+
+
 def requests_are_answered(site):
     served = sum(t.status == 200 and t.complete for t in site.requests)
     return [] if served > len(site.requests) / 4 else [f"{served} of {len(site.requests)} were served"]
@@ -259,6 +293,8 @@
     planned_work_loses_nothing,
     kept_connections_are_kept,
     slow_readers_get_all,
+    hosts_without_links_serve,
+    brittle_engines_stay_up,
     requests_are_answered,
 )
 
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -8,6 +8,10 @@
 
 HEALTHY, FLAKY, HANG, FULL = "sound", "grey", "hang", "full"
 BIG_ANSWER_BYTES = 3_000_000
+# Slots of each engine. Only a brittle one turns requests beyond these and BRITTLE_QUEUE away.
+SLOTS, BRITTLE_QUEUE = 8, 2
+# Work of a brittle engine takes this long, so that callers fill it.
+BRITTLE_SECONDS = 0.15
 
 
 def event_count(path):
@@ -50,6 +54,11 @@
         self.arrivals = []
         # Advertised limit in requests per second; None: no limit.
         self.limit = None
+        # Rejections per second above which it crashes; None: any number.
+        self.rejection_limit = None
+        self.rejections, self.crashes, self.on_crash = [], [], None
+        self.running = 0
+        self.silent_until = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
@@ -81,23 +90,45 @@
         mark = [f"Attempt-Id: {request_id}"]
         if self.limit is not None:
             mark.append(f"Server-Limit: {self.limit}")
+        if self.rejection_limit is not None:
+            mark.append(f"Server-Brittle: {self.rejection_limit}")
+        await self.wait_for_silence()
         if headers.get("expect-instance") != self.name:
             writer.write(make_response(421, b"", mark + [f"Instance-Id: {self.name}"]))
             return True
         self.arrivals.append((time.monotonic(), request_id))
-        if self.mode == FULL:
+        if self.mode == FULL or self.is_full():
             writer.write(make_response(503, b"", mark + ["Not-Executed: 1"]))
             return True
         run = Run(request_id, path, self.name, self.service, headers.get("tenant"))
         self.runs.append(run)
         watcher = asyncio.ensure_future(self.watch_disconnect(reader, run))
+        self.running += 1
         try:
             return await self.execute(run, path, headers, mark, writer)
         finally:
+            self.running -= 1
             watcher.cancel()
             if run.ended is None:
                 run.ended = time.monotonic()
 
+    async def wait_for_silence(self):
+        """A sound engine may stop for a second and go on."""
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
+    def is_full(self):
+        """Whether a brittle engine rejects a request. It crashes if it rejects too many in a second."""
+        if self.rejection_limit is None or self.running < SLOTS + BRITTLE_QUEUE:
+            return False
+        now = time.monotonic()
+        self.rejections = [at for at in self.rejections if at > now - 1.0] + [now]
+        if len(self.rejections) > self.rejection_limit and self.server is not None:
+            self.rejections = []
+            self.crashes.append(now)
+            asyncio.ensure_future(self.on_crash(self))
+        return True
+
     async def watch_disconnect(self, reader, run):
         """Records when the host closes the connection during the execution."""
         while not reader.at_eof():
@@ -114,6 +145,8 @@
                 return False
             writer.write(make_response(500, b"oops", mark + ["Response-Seal: x"]))
             return True
+        if self.rejection_limit is not None:
+            await asyncio.sleep(BRITTLE_SECONDS)
         mark = mark + [f"Response-Seal: {self.name}"]
         if not path.startswith(("/stream/", "/resume/", "/long/")):
             # The path of a slow request contains its duration in milliseconds.
@@ -126,6 +159,7 @@
         run.resumed_after = int(headers.get("last-event-id", "0"))
         for number in range(run.resumed_after + 1, event_count(path) + 1):
             await asyncio.sleep(0.1 if path.startswith("/long/") else 0.03)
+            await self.wait_for_silence()
             if writer.transport.is_closing() or run.ended is not None:
                 return False
             event = f"id: {number}\ndata: {run.id} {number}\n\n".encode()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 
 from . import engine as engines
+from . import link as links
 from . import proxy as proxies
 from . import store as stores
 
@@ -50,15 +51,17 @@
     engine.mode = engines.HEALTHY
 
 
-async def crash_engine(site, seconds):
-    engine = site.random.choice(site.engines)
+async def crash_engine(site, seconds, engine=None):
+    engine = engine or site.random.choice(site.engines)
     if engine.server is None:
         return
     site.record_fault(seconds + RECOVERY_SECONDS)
     await engine.crash()
+    await asyncio.gather(*(host.links[engine.name].set_target_up(False) for host in site.hosts))
     await asyncio.sleep(seconds)
     engine.incarnation += 1
     await engine.start()
+    await asyncio.gather(*(host.links[engine.name].set_target_up(True) for host in site.hosts))
     site.register(engine)
 
 
@@ -85,6 +88,38 @@
     engine.limit = None
 
 
+async def partition_hosts(site, rng):
+    """Some hosts lose their links to all upstreams for some seconds: one, most, or those of a data centre."""
+    data_centre = rng.choice("abc")
+    hosts = rng.choice([[rng.choice(site.hosts)], rng.sample(site.hosts, len(site.hosts) - 1),
+                        [h for h in site.hosts if h.data_centre == data_centre]])
+    state, seconds = rng.choice(links.CUTS), rng.uniform(5.0, 7.0)
+    begin = site.now()
+    site.partitions.append(([h.name for h in hosts], begin, begin + seconds + RECOVERY_SECONDS))
+    await asyncio.gather(*(host.cut_links(state) for host in hosts))
+    await asyncio.sleep(seconds)
+    await asyncio.gather(*(host.cut_links(links.OPEN) for host in hosts))
+
+
+async def make_brittle(site, rng):
+    """The engines of the busy service crash for some seconds when they reject too many requests in one."""
+    engines_of_service = [e for e in site.engines if e.service == "s0"]
+    limit, seconds = rng.choice([1, 3, 6]), rng.uniform(5.0, 8.0)
+    begin = site.now()
+    site.brittle_times.append((engines_of_service, begin, begin + seconds))
+    for engine in engines_of_service:
+        engine.rejection_limit = limit
+        engine.on_crash = lambda crashed: crash_engine(site, 3.0, crashed)
+    await asyncio.sleep(seconds)
+    for engine in engines_of_service:
+        engine.rejection_limit = None
+
+
+async def silence_engine(site, rng):
+    """A sound engine stops for a second and goes on. That excuses nothing."""
+    rng.choice(site.engines).silent_until = site.now() + rng.uniform(0.5, 1.5)
+
+
 async def kill_host(site):
     host = site.random.choice(site.hosts)
     if host.is_stopping:
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -8,7 +8,8 @@
 import time
 
 from .caller import Caller
-from .engine import Engine
+from .engine import SLOTS, Engine
+from .link import Link
 from .ports import PortBlock
 from .proxy import FaultProxy
 from .store import Store
@@ -23,7 +24,9 @@
         self.settings_path = os.path.join(folder, f"{name}.flags")
         with open(self.settings_path, "w", encoding="utf-8") as settings:
             settings.write("--stop_limit=8s\n")
-        self.listen, self.admin, self.peer = ports.allocate(), ports.allocate(), ports.allocate()
+        self.listen, self.admin, self.peer, self.tunnels = (ports.allocate() for _ in range(4))
+        # Its links to upstreams, by their names.
+        self.links = {}
         self.front = FaultProxy(self.listen)
         self.store_path = None
         self.process = None
@@ -35,6 +38,7 @@
             self.program, "route", f"--host_name={self.name}", f"--region={self.data_centre}",
             f"--data_centre={self.data_centre}", f"--listen=127.0.0.1:{self.listen}",
             f"--admin_listen=127.0.0.1:{self.admin}", f"--peer_listen=127.0.0.1:{self.peer}",
+            f"--tunnel_listen=127.0.0.1:{self.tunnels}",
             f"--platform=127.0.0.1:{self.store_path.port}", f"--seeds={seeds}",
             f'--regions={json.dumps({"a": "west", "b": "west", "c": "east"})}',
             f"--config={self.settings_path}", *flags,
@@ -53,6 +57,15 @@
         if self.is_running():
             self.process.send_signal(number)
 
+    def rewrite(self, key, value):
+        """The address of an upstream as this host reads it from the store: that of its own link."""
+        name = key.removeprefix("servers/")
+        return {**value, "address": f"127.0.0.1:{self.links[name].port}"} if name in self.links else value
+
+    async def cut_links(self, state):
+        for link in self.links.values():
+            await link.set_state(state)
+
     async def ask_ready(self):
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.admin), 0.5)
@@ -77,6 +90,10 @@
         self.revoked_keys, self.drained_at, self.fault_periods = {}, {}, []
         # (engine, limit, begin, end) of each advertised limit.
         self.limits = []
+        # (hosts, begin, end) of each time in which hosts had no links to upstreams.
+        self.partitions = []
+        # [service, begin, end] of each time in which upstreams crashed from too many rejections; see Engine.crashes.
+        self.brittle_times = []
         self.engines = []
         self.paths = {}
         ports = PortBlock()
@@ -97,9 +114,14 @@
         """Records a fault that begins now and lasts `seconds`, including its after-effects."""
         self.fault_periods.append((self.now(), self.now() + seconds))
 
-    def had_fault(self, begin, end):
+    def had_other_fault(self, begin, end):
+        """Whether there was another fault than lost links."""
         return any(a < end and begin < b for a, b in self.fault_periods)
 
+    def had_fault(self, begin, end):
+        is_partitioned = any(a < end and begin < b for _, a, b in self.partitions)
+        return is_partitioned or self.had_other_fault(begin, end)
+
     def pick_key(self, rng):
         return rng.choice(self.keys)
 
@@ -126,7 +148,7 @@
     def register(self, engine, state="ready"):
         self.store.put(f"servers/{engine.name}", {
             "service": engine.service, "address": f"127.0.0.1:{self.paths[engine].port}",
-            "zone": "abc"[len(engine.name) % 3], "slots": 16, "state": state, "born": engine.incarnation,
+            "zone": "abc"[len(engine.name) % 3], "slots": SLOTS, "state": state, "born": engine.incarnation,
         })
 
     async def add_engine(self, service):
@@ -136,18 +158,21 @@
         await engine.start()
         self.paths[engine] = FaultProxy(engine.port)
         await self.paths[engine].start()
+        for host in self.hosts:
+            link = Link(self.paths[engine].port, self.ports.allocate())
+            host.links[engine.name] = link
+            await link.start()
         self.engines.append(engine)
         self.register(engine)
         return engine
 
     async def start(self):
-        await self.store.start()
         for number in range(self.engine_count):
             await self.add_engine("s0" if number % 2 == 0 else "s1")
         self.publish()
         for host in self.hosts:
             await host.front.start()
-            host.store_path = FaultProxy(self.store.port)
+            host.store_path = FaultProxy(await self.store.start_view(host.rewrite))
             await host.store_path.start()
             self.start_host(host)
         asyncio.ensure_future(self.poll_readiness())
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -19,14 +19,15 @@
         self.compacted_revision = 0
         self.mode = OK
         self.changed = asyncio.Event()
-        self.port = 0
 
-    async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+    async def start_view(self, rewrite):
+        """Starts a port at which the values of keys are read as `rewrite(key, value)`. Returns its number."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self.serve(reader, writer, rewrite), "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
 
     def put(self, key, value):
-        self._change({"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode()})
+        self._change({"key": key, "value": value})
 
     def remove(self, key):
         if key in self.items:
@@ -47,7 +48,14 @@
         self.compacted_revision = self.revision
         self.log.clear()
 
-    async def serve(self, reader, writer):
+    @staticmethod
+    def encode(item, rewrite):
+        if item.get("tombstone"):
+            return item
+        value = rewrite(item["key"], item["value"])
+        return {**item, "value": base64.b64encode(json.dumps(value).encode()).decode()}
+
+    async def serve(self, reader, writer, rewrite):
         try:
             while (head := await read_head(reader)) is not None:
                 if self.mode == SILENT:
@@ -59,25 +67,25 @@
                 if self.mode == BUSY:
                     writer.write(make_response(503))
                 elif url.path == "/kv-range":
-                    writer.write(self.read_range(query))
+                    writer.write(self.read_range(query, rewrite))
                 else:
-                    writer.write(await self.watch(query))
+                    writer.write(await self.watch(query, rewrite))
                 await writer.drain()
         except (ConnectionError, OSError):
             pass
 
-    def read_range(self, query):
+    def read_range(self, query, rewrite):
         keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-        body = {"items": [self.items[k] for k in keys], "more_pages": False, "store_revision": self.revision}
+        body = {"items": [self.encode(self.items[k], rewrite) for k in keys], "more_pages": False, "store_revision": self.revision}
         return make_response(200, json.dumps(body).encode())
 
-    async def watch(self, query):
+    async def watch(self, query, rewrite):
         after = int(query["after"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             if after < self.compacted_revision:
                 return make_response(410, b"{}")
-            events = [e for e in self.log if e["revision"] > after]
+            events = [self.encode(e, rewrite) for e in self.log if e["revision"] > after]
             remaining = until - time.monotonic()
             if events or remaining <= 0:
                 body = {"events": events, "store_revision": self.revision}
