Count the idle timeout from when a caller has read its answer

What callers saw: the next request on a kept connection was lost when they had paused for 1.6 to 3 s in a large answer and the idle timeout was 0.6 to 2 s.

Cause: the timeout counted from when the system had taken the answer. What the caller's system, a balancer or this system holds was not looked at. Ruled out: unsent bytes of this process (0 in the test), a shorter timeout of a new configuration.

Change: bytes that this system holds and that become fewer are reading; after an answer of more than one read the timeout counts from the request's deadline at the earliest. A planned stop closes no connection whose answer the system still holds.

Evidence: with the tests alone, "a caller that pauses in a large answer" got no second answer (closed, 1 report of 2), "the idle timeout starts when a slow caller has read the last byte" found the connection closed, and "a planned stop keeps the connection of a caller that still reads" too.

--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -39,6 +39,10 @@
     /// and at least `min_idle` has passed since the last answer.
     void close_if_idle(model::milliseconds min_idle);
 
+    /// Returns the bytes of the last answer that the caller's system has not
+    /// received.
+    std::size_t unread_bytes() const;
+
     /// Called shortly before the process exits. Sends a final answer to the
     /// current request and closes the connection.
     void stop();
@@ -75,6 +79,7 @@
     void report_end(close_report const& left);
     std::string_view activity() const;
     std::string_view request_id() const;
+    bool is_idle_for(model::milliseconds limit);
     bool keeps_alive() const;
     bool announce_keep_alive();
     bool is_connected();
@@ -101,6 +106,14 @@
     /// Time of the current request's first byte, or of the last answer's last
     /// byte.
     model::time_point m_phase_start{};
+    /// Bytes of the current or last answer.
+    std::size_t m_answer_bytes = 0;
+    /// Time until which the caller may still be reading the last answer
+    /// although no buffer of this host shows it.
+    model::time_point m_reading_until{};
+    /// Bytes of the last answer that were unread when the idle timeout was last
+    /// checked.
+    std::size_t m_last_unread_bytes = 0;
 };
 
 } // namespace caperjunction::proxy
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -4,9 +4,18 @@
 #include "proxy/message_text.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <limits>
 #include <utility>
 
 namespace caperjunction::proxy {
+namespace {
+
+/// A caller takes an answer up to this size from its system in one read. Of a
+/// larger one, buffers on the way may hold the rest while it pauses.
+constexpr std::size_t max_answer_of_one_read = 65'536;
+
+} // namespace
 
 void caller::end_exchange(bool complete)
 {
@@ -14,6 +23,9 @@
     if (!complete) {
         report_end({connection_end::own_close, m_stream->unsent_bytes(), 0});
     }
+    bool const is_large = m_answer_bytes > max_answer_of_one_read;
+    m_reading_until = is_large ? m_exchange->deadline() : model::time_point{};
+    m_last_unread_bytes = std::numeric_limits<std::size_t>::max();
     m_exchange.reset();
     release_body();
     m_phase_start = m_context.loop.now();
@@ -171,7 +183,10 @@
     }
     if (m_reader.is_between_messages()) {
         auto const limit = std::max(m_idle_timeout, limits().idle_timeout);
-        if (m_stream->unsent_bytes() > 0 && elapsed() > limit) {
+        if (!is_idle_for(limit)) {
+            return;
+        }
+        if (m_stream->unsent_bytes() > 0) {
             close_gracefully();
             return;
         }
@@ -181,6 +196,28 @@
     check_slow_request();
 }
 
+std::size_t caller::unread_bytes() const
+{
+    return m_stream->unsent_bytes() + m_stream->unacknowledged_bytes();
+}
+
+// A caller that still reads its answer is not idle. If its connection closes
+// meanwhile, its next request is lost.
+bool caller::is_idle_for(model::milliseconds limit)
+{
+    auto const now = m_context.loop.now();
+    if (now - std::max(m_phase_start, m_reading_until) < limit) {
+        return false;
+    }
+    std::size_t const unread = unread_bytes();
+    bool const is_reading = unread > 0 && unread < m_last_unread_bytes;
+    if (is_reading) {
+        m_last_unread_bytes = unread;
+        m_phase_start = now;
+    }
+    return !is_reading;
+}
+
 void caller::check_slow_request()
 {
     auto const limit =
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -54,6 +54,13 @@
     /// Called when all written bytes have been handed to the socket.
     void handle_drained();
 
+    /// Time after which the caller expects nothing more of this request; zero
+    /// if it was refused before its route was known.
+    model::time_point deadline() const
+    {
+        return m_deadline;
+    }
+
 private:
     using reason_code = routing::refusal_reason;
 
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -136,7 +136,9 @@
         return;
     }
     for (auto const& item : all_callers()) {
-        item->close_if_idle(min_idle_before_close);
+        if (item->unread_bytes() == 0) {
+            item->close_if_idle(min_idle_before_close);
+        }
     }
     if (m_callers.empty() && m_context.open_tunnels == 0) {
         notify_stopped();
--- a/src/proxy/tcp_stream.cpp
+++ b/src/proxy/tcp_stream.cpp
@@ -5,7 +5,9 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -222,4 +224,11 @@
     return evbuffer_get_length(m_unsent);
 }
 
+std::size_t tcp_stream::unacknowledged_bytes() const
+{
+    int bytes = 0;
+    bool const is_known = is_open() && ioctl(m_socket, SIOCOUTQ, &bytes) == 0;
+    return is_known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 } // namespace caperjunction::proxy
--- a/src/proxy/tcp_stream.hpp
+++ b/src/proxy/tcp_stream.hpp
@@ -75,6 +75,10 @@
     /// Returns the buffered bytes that the socket has not accepted.
     std::size_t unsent_bytes() const;
 
+    /// Returns the bytes that the system has taken and the peer has not
+    /// acknowledged; 0 if the system does not tell.
+    std::size_t unacknowledged_bytes() const;
+
     /// Closes the connection. No hook is called afterwards.
     void close();
 
--- a/tests/proxy/relay_unsent_test.cpp
+++ b/tests/proxy/relay_unsent_test.cpp
@@ -133,6 +133,116 @@
     }));
 }
 
+// A large answer leaves this host at once and waits in buffers on the way while
+// its caller pauses. The idle timeout then ran out before the caller had read
+// it, and its next request met a closed connection.
+TEST_CASE("a caller that pauses in a large answer sends its next request on it")
+{
+    relay_fixture fixture;
+    constexpr std::size_t size = 200'000;
+    fixture.add("i-1", "ledger", [](received const&) -> script {
+        return {valid_answer(std::string(size, 'x'))};
+    });
+    auto lists = fixture.context.table->config();
+    lists.limits.idle_timeout = 300ms;
+    lists.routes[1].timeout = 4s;
+    fixture.context.table = std::make_shared<routing::route_table const>(lists);
+    auto const caller = fixture.connect();
+    fixture.run_for(20ms);
+    caller->stream->enable_reading(false);
+    std::string const deadline = "Deadline-Ms: 4000\r\n";
+    caller->stream->write(relay_fixture::request("/view/", "a1", deadline));
+    REQUIRE(fixture.run_until([&fixture] {
+        return !fixture.reports.empty();
+    }));
+    fixture.run_for(2s);
+    caller->stream->enable_reading(true);
+    CHECK(fixture.run_until([&caller] {
+        return caller->received_bytes.size() > size || caller->closed;
+    }));
+    caller->stream->write(relay_fixture::request("/view/", "a2", deadline));
+    CHECK(fixture.run_until([&caller] {
+        return caller->received_bytes.size() > 2 * size || caller->closed;
+    }));
+    CHECK(!caller->closed);
+    CHECK(fixture.reports.size() == 2);
+}
+
+// The system of this host holds the rest of an answer whose caller reads it in
+// small parts.
+TEST_CASE("the idle timeout starts when a slow caller has read the last byte")
+{
+    relay_fixture fixture;
+    constexpr std::size_t size = 100'000;
+    fixture.add("i-1", "ledger", [](received const&) -> script {
+        return {valid_answer(std::string(size, 'x'))};
+    });
+    auto lists = fixture.context.table->config();
+    lists.limits.idle_timeout = 600ms;
+    fixture.context.table = std::make_shared<routing::route_table const>(lists);
+    auto const ends = make_socket_pair();
+    slow_reader caller(ends[1]);
+    fixture.relay.serve(ends[0]);
+    caller.send(relay_fixture::request("/short/"));
+    REQUIRE(fixture.run_until([&fixture] {
+        return !fixture.reports.empty();
+    }));
+    REQUIRE(fixture.reports.back().unsent_bytes == 0);
+    for (int part = 0; part < 16; ++part) {
+        fixture.run_for(100ms);
+        caller.read_some();
+    }
+    CHECK(caller.received_bytes().size() > size);
+    CHECK(fixture.connections.empty());
+    caller.send(relay_fixture::request("/short/", "a2"));
+    CHECK(fixture.run_until([&fixture] {
+        return fixture.reports.size() == 2;
+    }));
+}
+
+TEST_CASE("a caller that never reads its answer is closed after its deadline")
+{
+    relay_fixture fixture;
+    fixture.add("i-1", "ledger", [](received const&) -> script {
+        return {valid_answer(std::string(100'000, 'x'))};
+    });
+    auto lists = fixture.context.table->config();
+    lists.limits.idle_timeout = 100ms;
+    fixture.context.table = std::make_shared<routing::route_table const>(lists);
+    auto const ends = make_socket_pair();
+    slow_reader const caller(ends[1]);
+    fixture.relay.serve(ends[0]);
+    caller.send(relay_fixture::request("/short/"));
+    CHECK(fixture.run_until([&fixture] {
+        return !fixture.connections.empty();
+    }));
+    CHECK(fixture.connections.back().end == proxy::connection_end::own_close);
+}
+
+TEST_CASE("a planned stop keeps the connection of a caller that still reads")
+{
+    relay_fixture fixture;
+    fixture.add("i-1", "ledger", [](received const&) -> script {
+        return {valid_answer(std::string(100'000, 'x'))};
+    });
+    auto const ends = make_socket_pair();
+    slow_reader caller(ends[1]);
+    fixture.relay.serve(ends[0]);
+    caller.send(relay_fixture::request("/book/"));
+    REQUIRE(fixture.run_until([&fixture] {
+        return !fixture.reports.empty();
+    }));
+    REQUIRE(fixture.reports.back().unsent_bytes == 0);
+    fixture.relay.plan_stop(fixture.loop.now() - 3'500ms, [] {});
+    fixture.run_for(1'200ms);
+    CHECK(fixture.connections.empty());
+    CHECK(caller.received_bytes().size() > 100'000);
+    caller.send(relay_fixture::request("/book/", "a2"));
+    CHECK(fixture.run_until([&fixture] {
+        return fixture.reports.size() == 2;
+    }));
+}
+
 TEST_CASE("a caller that is aborted while it closes is freed")
 {
     relay_fixture fixture;
