Forward a stream that has begun until its deadline

What callers saw: streams that last until the timeout of their route, because an engine was silent for a second, were cut 20 ms before it (1.48 s old at a timeout of 1.5 s), though the engine would have gone on.

Cause: the time reserved for sending a final answer was taken off the deadline of every request, also of one whose answer had begun and that gets no other.

Change: the margin holds for requests without an answer. One that has begun is cut at its deadline, and engines of streams are told the deadline itself.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -8,10 +8,6 @@
 namespace caperjunction::proxy {
 namespace {
 
-/// Reserved for sending the answer, so that it arrives before the caller's
-/// deadline.
-constexpr model::milliseconds return_margin{20};
-
 /// A host that has just started receives its configuration and the upstreams
 /// within a few round trips. If it takes longer, other hosts serve the caller
 /// sooner.
@@ -107,15 +103,31 @@
     m_context.retry_budget_for(m_service).record_request();
     auto const timeout = std::min(
         m_metadata.deadline.value_or(m_route->timeout), m_route->timeout);
-    m_deadline = m_arrived + std::max(timeout - return_margin, return_margin);
+    m_deadline = m_arrived + std::max(timeout, 2 * return_margin);
+    arm_deadline_timer(m_deadline - return_margin);
+    place();
+}
+
+void exchange::arm_deadline_timer(model::time_point at)
+{
     auto const weak = weak_from_this();
     m_deadline_timer =
-        m_context.loop.after(since(m_context.loop.now(), m_deadline), [weak] {
+        m_context.loop.after(since(m_context.loop.now(), at), [weak] {
             if (auto const self = weak.lock()) {
-                self->abandon(reason_code::timed_out);
+                self->handle_deadline();
             }
         });
-    place();
+}
+
+// The margin is for an answer that has yet to be sent. One that has begun may
+// end in it.
+void exchange::handle_deadline()
+{
+    if (m_has_begun && m_context.loop.now() < m_deadline) {
+        arm_deadline_timer(m_deadline);
+        return;
+    }
+    abandon(reason_code::timed_out);
 }
 
 void exchange::abandon(routing::refusal_reason reason)
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -64,6 +64,9 @@
 private:
     using reason_code = routing::refusal_reason;
 
+    /// Reserved before the deadline for sending a final answer.
+    static constexpr model::milliseconds return_margin{20};
+
     // exchange_place.cpp
     void place();
     void refuse_unplaced();
@@ -109,6 +112,8 @@
     /// and upstreams soon.
     bool waits_for_lists() const;
     void admit();
+    void arm_deadline_timer(model::time_point at);
+    void handle_deadline();
     void fill_report();
     void abandon(routing::refusal_reason reason);
     void refuse(routing::refusal_reason reason,
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -25,8 +25,11 @@
 
 model::milliseconds exchange::time_left() const
 {
+    // A stream is forwarded until the deadline itself.
+    bool const is_stream = m_route->kind == routing::request_kind::stream;
+    auto const margin = is_stream ? model::milliseconds{0} : return_margin;
     return std::chrono::duration_cast<model::milliseconds>(
-        m_deadline - m_context.loop.now());
+        m_deadline - margin - m_context.loop.now());
 }
 
 // A key may have been revoked, or its regions changed, since the request
--- a/tests/proxy/relay_ending_test.cpp
+++ b/tests/proxy/relay_ending_test.cpp
@@ -195,3 +195,29 @@
     CHECK(fixture.outcomes == std::vector<std::string>{"served"});
     CHECK(caller->received_bytes.find(last_chunk) != std::string::npos);
 }
+
+// An engine was silent for a second, so that its stream lasts until the timeout
+// of its route. The time reserved for a final answer was cut off its end.
+TEST_CASE("a stream that has begun is forwarded until its timeout")
+{
+    relay_fixture fixture;
+    auto lists = fixture.context.table->config();
+    lists.routes[2].timeout = 400ms;
+    fixture.context.table = std::make_shared<routing::route_table const>(lists);
+    int deadline_ms = 0;
+    fixture.add("i-1", "ledger", [&deadline_ms](received const& got) -> script {
+        deadline_ms = std::stoi(*got.head.find("Deadline-Ms"));
+        return {stream_head() + chunk("data: 1\n\n")};
+    });
+    auto const caller = fixture.send(relay_fixture::request("/stream/"));
+    REQUIRE(fixture.run_until([&fixture] {
+        return !fixture.reports.empty();
+    }));
+    CHECK(fixture.reports.back().outcome == "cut");
+    CHECK(fixture.reports.back().total >= 400ms);
+    CHECK(fixture.run_until([&caller] {
+        return caller->closed;
+    }));
+    CHECK(caller->broken);
+    CHECK(deadline_ms > 0);
+}
