Credit tiers with what their callers got, without a factor

Cause: credit was charged by expected lengths and never corrected, cut at 1.5 requests while it was owed, and debt was remitted with time. A factor of 1.24 made that good on average.

Change: charges are corrected to what callers got, spread over time; shares hold over a window, debt up to the share of one, credit up to a third. `share_account` keeps the figures apart.

Why it works: what a tier accrues is its share of the tokens served, and now nothing is taken from it but what was delivered; credit and debt that a window can hold are kept.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -104,6 +104,7 @@
     void release(entry& running);
     void charge_overrun(entry& running);
     void set_expected_output(entry& running, std::uint32_t tokens);
+    void refund_undelivered(entry& ended);
     void end_complete(entry& running, attempt_ended const& input);
     void record_broken(entry& running, index upstream);
     void end_broken(entry& running, index upstream);
--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -62,6 +62,9 @@
     }
     release(*running);
     running->relayed = std::max(running->relayed, input.relayed_tokens);
+    if (input.end != attempt_end::complete) {
+        refund_undelivered(*running);
+    }
     switch (input.end) {
     case attempt_end::complete:
         end_complete(*running, input);
@@ -124,6 +127,7 @@
                                                   : m_engines.at(upstream).name,
                                        "caller_left"});
     release(*cancelled);
+    refund_undelivered(*cancelled);
     finish(*cancelled);
     if (!is_service) {
         dispatch_for_engine(upstream);
@@ -171,8 +175,24 @@
 {
     double const before = token_cost(running);
     running.expected_output = tokens;
-    m_engines.groups()[running.group].queue.adjust_charge(
-        running.tier, running.team, token_cost(running) - before);
+    if (running.is_charged) {
+        m_engines.groups()[running.group].queue.adjust_charge(
+            running.tier, running.team, token_cost(running) - before);
+    }
+}
+
+void core::refund_undelivered(entry& ended)
+{
+    if (!ended.is_charged) {
+        return;
+    }
+    ended.is_charged = false;
+    double const expected = ended.expected_output;
+    double const undelivered_output = std::max(0.0, expected - ended.relayed);
+    double const undelivered_prompt =
+        ended.attempt_tokens == 0 ? token_cost(ended) - expected : 0.0;
+    m_engines.groups()[ended.group].queue.adjust_charge(
+        ended.tier, ended.team, -undelivered_output - undelivered_prompt);
 }
 
 void core::end_complete(entry& running, attempt_ended const& input)
--- a/src/decide/core_place.cpp
+++ b/src/decide/core_place.cpp
@@ -151,8 +151,11 @@
     m_placer.charge_link(chosen, m_now);
     dequeue(waiting);
     model_group& group = m_engines.groups()[waiting.group];
-    if (!waiting.suspect) {
-        group.queue.record_served(waiting, token_cost(waiting), m_now);
+    waiting.is_charged = !waiting.suspect;
+    if (waiting.is_charged) {
+        // What the caller already has was charged with an earlier attempt.
+        group.queue.record_served(
+            waiting, token_cost(waiting) - waiting.relayed, m_now);
     }
     group.waits.record_start();
     group.kv_forecast.add(waiting);
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -75,6 +75,8 @@
     crash_evidence evidence = crash_evidence::none;
     /// May pass higher tiers because its tier is below its guaranteed share.
     bool below_share = false;
+    /// Its current attempt is charged to its team and tier.
+    bool is_charged = false;
     /// Counted against its team's limits.
     bool counts_in_limits = false;
     /// The answer exceeded the length predicted on arrival.
--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -10,12 +10,17 @@
 // Engines compute prompt tokens in parallel and output tokens one step each; on
 // current engines a prompt token costs about one eighth of an output token.
 constexpr double prompt_weight = 0.13;
-// Credit limit in requests: enough for each tier's next request, too little for
-// a block that makes a higher tier miss its target.
-constexpr double max_credit_requests = 1.5;
+// Time over which the guaranteed shares hold.
 constexpr double window_seconds = 20.0;
-// Compensates for credit spent on answers whose caller has gone.
-constexpr double share_factor = 1.24;
+// Part of a window's share that a tier may carry over as credit. In any window
+// it then gets at most so much more than its share.
+constexpr double max_carried_part = 1.0 / 3.0;
+// Credit that a tier may always have, in requests: the carried part can be less
+// than its next request.
+constexpr double min_credit_limit_requests = 1.5;
+// Adjustments arrive when answers end, those of many at a time. They are spread
+// over the run time of long answers.
+constexpr double adjustment_seconds = 60.0;
 
 } // namespace
 
@@ -91,33 +96,51 @@
     accrue_credit(tokens, now);
     tier_state& tier = m_tiers[served.tier];
     tier.credit -= tokens;
+    tier.account.charged += tokens;
     tier.queue.charge(served.team, tokens);
 }
 
 void fair_queue::adjust_charge(index tier, index team, double tokens)
 {
-    if (tier < m_tiers.size()) {
-        m_tiers[tier].queue.charge(team, tokens);
+    if (tier >= m_tiers.size()) {
+        return;
+    }
+    m_tiers[tier].queue.charge(team, tokens);
+    m_tiers[tier].account.adjusted += tokens;
+    m_tiers[tier].pending_adjustment -= tokens;
+    for (tier_state& any : m_tiers) {
+        any.pending_adjustment += tokens * any.share;
     }
 }
 
 void fair_queue::accrue_credit(double tokens, model::time_point now)
 {
-    // Tokens served beyond a tier's share while there was capacity count
-    // against it for a while. The share then holds over a window and not only
-    // from the moment at which a higher tier starts to wait.
-    double const age = model::seconds(now - m_updated).count();
-    double const decay = std::exp(-std::max(0.0, age) / window_seconds);
+    double const age = std::max(0.0, model::seconds(now - m_updated).count());
     m_updated = now;
+    m_recent_tokens =
+        m_recent_tokens * std::exp(-age / window_seconds) + tokens;
+    double const applied_part = 1.0 - std::exp(-age / adjustment_seconds);
     for (tier_state& tier : m_tiers) {
-        double const max_credit =
-            max_credit_requests * tier.expected_cost.value_or(0.0);
-        if (tier.credit < 0.0) {
-            tier.credit *= decay;
-        }
-        double const share_tokens = tokens * tier.share * share_factor;
-        tier.credit = std::min(tier.credit + share_tokens, max_credit);
+        accrue_credit(tier, tokens, applied_part);
     }
 }
 
+void fair_queue::accrue_credit(tier_state& tier,
+                               double tokens,
+                               double applied_part)
+{
+    double const adjustment = tier.pending_adjustment * applied_part;
+    tier.pending_adjustment -= adjustment;
+    tier.account.accrued += tokens * tier.share;
+    double const credit = tier.credit + tokens * tier.share + adjustment;
+
+    double const max_debt = m_recent_tokens * tier.share;
+    double const max_credit =
+        std::max(max_carried_part * max_debt,
+                 min_credit_limit_requests * tier.expected_cost.value_or(0.0));
+    tier.credit = std::clamp(credit, -max_debt, max_credit);
+    tier.account.expired_credit += std::max(0.0, credit - max_credit);
+    tier.account.remitted_debt += std::max(0.0, -max_debt - credit);
+}
+
 } // namespace caperjunction::decide
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -3,6 +3,7 @@
 
 #include "decide/entry.hpp"
 #include "decide/moving_average.hpp"
+#include "decide/share_account.hpp"
 #include "decide/tier_queue.hpp"
 #include "model/limits.hpp"
 
@@ -18,9 +19,13 @@
 /// Under full saturation, strict priority would let a higher tier's burst
 /// starve the smallest team for as long as it lasts. Each tier accrues credit
 /// in proportion to its share of every token served, and goes first once the
-/// credit covers its next request. Credit is capped at a few requests, so that
-/// a tier returning from idle does not delay the higher tiers with one large
-/// block.
+/// credit covers its next request. What a tier gets is charged when it is
+/// dispatched, by its expected length, and corrected to what its caller got.
+///
+/// Shares hold over a window. A tier owes at most what its share yields in one,
+/// so that it does not wait longer after it has used idle capacity. It is owed
+/// at most a part of that, so that a tier returning from idle delays the higher
+/// tiers for a short time only.
 ///
 /// Thread safety: none; owned by one task.
 class fair_queue
@@ -50,11 +55,18 @@
     /// Charges `tokens` of `served` (already removed) to its team and tier.
     void record_served(entry& served, double tokens, model::time_point now);
 
-    /// Adjusts a team's charge once the output length is known. The tier's
-    /// charge is not adjusted: short answers end first, and crediting them back
-    /// would at first give a tier of long answers twice its share.
+    /// Adds `tokens`, which may be negative, to an earlier charge once more is
+    /// known of what the caller got. The team's charge changes at once, the
+    /// tier's in the course of time: short answers end first, and credited back
+    /// at once they would at first give a tier of long answers twice its share.
     void adjust_charge(index tier, index team, double tokens);
 
+    /// \pre `tier` is less than `tiers()`.
+    share_account const& account(index tier) const
+    {
+        return m_tiers[tier].account;
+    }
+
     std::size_t size() const
     {
         return m_size;
@@ -80,15 +92,22 @@
     {
         tier_queue queue;
         double share = 0.0;
-        /// Tokens accrued by the guaranteed share and not yet served.
+        /// Tokens accrued by the guaranteed share and not yet served; negative
+        /// if the tier got more than its share.
         double credit = 0.0;
+        /// Part of the adjustments that is not yet in the credit.
+        double pending_adjustment = 0.0;
         moving_average expected_cost;
+        share_account account;
     };
 
     void accrue_credit(double tokens, model::time_point now);
+    void accrue_credit(tier_state& tier, double tokens, double applied_part);
 
     std::vector<tier_state> m_tiers{1};
     std::size_t m_size = 0;
+    /// Tokens served to all tiers in the window, older ones weighing less.
+    double m_recent_tokens = 0.0;
     model::time_point m_updated{};
 };
 
--- a/tests/bench/simulation_test.cpp
+++ b/tests/bench/simulation_test.cpp
@@ -1,3 +1,4 @@
+#include "bench/policy_bench/reach.hpp"
 #include "bench/policy_bench/report.hpp"
 #include "bench/policy_bench/run_plan.hpp"
 #include "bench/policy_bench/simulation.hpp"
@@ -72,3 +73,17 @@
         CHECK_FALSE(failure.remedy().empty());
     }
 }
+
+// The lowest tier got a thousandth less than its share on one of these seeds,
+// and had a higher one refused beside its queue on the others.
+TEST_CASE("tiers get their shares under saturation, and no more")
+{
+    for (char const* const seed : {"6", "60"}) {
+        auto const results = bench::run(bench::parse_plan(
+            "kitanomine", "saturation", "caperjunction", seed));
+        CHECK(bench::to_reach(results) == "1 of 1 runs within reach\n");
+    }
+    auto const results = bench::run(
+        bench::parse_plan("gangasagar", "saturation", "caperjunction", "2"));
+    CHECK(bench::to_reach(results) == "1 of 1 runs within reach\n");
+}
