serve: hand requests to a host that reaches the engines

What callers saw: at a host without links to a model's engines requests waited until they were refused, though nothing had run and other hosts served the same engines.

Cause: hand-overs were made against overload only: never after an attempt, never for lost engines, and only to hosts that queue lower tiers. Evidence: a test with one and with eight requests, 0 hand-overs.

Change: while all engines of a model are lost here, requests that have not run go to a host whose digest shows requests on one of them; on arrival, after an attempt, from the queue. One hop; refused there, they wait here as before.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -73,6 +73,11 @@
     bool refuse_over_limit(entry& waiting);
     bool refuse_early(entry& waiting);
     bool try_hand_over(entry& waiting, std::string const& reason);
+    bool reaches_any_engine(model_group const& group) const;
+    bool hand_over_unreachable(entry& waiting);
+    void hand_over_queued_unreachable(model_group& group);
+    void
+    hand_over_to(peer const& target, entry& waiting, std::string const& reason);
     overload_gate& gate(entry const& waiting);
     void refuse_late(entry& waiting);
     bool is_higher_tier_refused(entry const& waiting);
--- a/src/decide/core_engine.cpp
+++ b/src/decide/core_engine.cpp
@@ -97,6 +97,9 @@
     // The prefix cache is lost with the process.
     engine.cache_trust = 0.0;
     m_engines.refresh(engine_index, m_now);
+    for (index const group : engine.groups) {
+        hand_over_queued_unreachable(m_engines.groups()[group]);
+    }
 }
 
 void core::attribute_crash(index engine_index)
--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -83,6 +83,14 @@
     }
     m_expiries.erase({request->expires, request->id});
     request->phase = phase::queued;
+    auto const expires =
+        request->arrived + m_policy.rules(request->class_id).max_wait;
+    if (request->returns_to_queue && expires > m_now) {
+        request->expires = expires;
+        enqueue(*request);
+        dispatch_queued(request->group);
+        return;
+    }
     refuse_request(*request,
                    model::error_kind::refused,
                    expected_wait(*request),
--- a/src/decide/core_retry.cpp
+++ b/src/decide/core_retry.cpp
@@ -118,6 +118,9 @@
         dispatch_service_call(waiting);
         return;
     }
+    if (hand_over_unreachable(waiting)) {
+        return;
+    }
     class_rules const& rules = m_policy.rules(waiting.class_id);
     // The caller has already waited and may hold part of the answer: the
     // request keeps its deadline order and gets the full maximum wait again.
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -66,6 +66,10 @@
     bool repeatable = true;
     /// Handed over by another host; not handed over again.
     bool from_peer = false;
+    /// Was handed over to another host before.
+    bool was_handed_over = false;
+    /// Is queued again if the host that it was handed over to refuses it.
+    bool returns_to_queue = false;
     /// A byte of it may have reached an upstream that did not refuse it.
     bool may_have_run = false;
     /// Was in flight during a crash; never shares an engine with other
--- a/tests/decide/router_test.cpp
+++ b/tests/decide/router_test.cpp
@@ -168,3 +168,88 @@
     fixture.send_request(1, "counter");
     CHECK(fixture.decisions_of<decide::dispatch>().size() == 1);
 }
+
+namespace {
+
+/// A host with two engines, and the digest of another one that runs a request
+/// on the first of them.
+struct cut_host : router_fixture
+{
+    cut_host()
+    {
+        add_engines(2, 1);
+        router_fixture peer;
+        peer.add_engines(2, 1);
+        peer.send_request(1, "counter");
+        handle(decide::digest_received{"host-2", peer.router.digest(peer.now)});
+    }
+
+    /// Ends the attempts of all decisions so far that found their engine gone.
+    void lose_engines()
+    {
+        std::size_t ended = 0;
+        auto sent = decisions_of<decide::dispatch>();
+        while (ended < sent.size()) {
+            auto const item = sent[ended++];
+            end_attempt(
+                item.id, item.upstream, decide::attempt_end::unreachable);
+            sent = decisions_of<decide::dispatch>();
+        }
+    }
+};
+
+} // namespace
+
+// A host has lost its links to all engines that another host still reaches. Its
+// callers waited until they were refused, though nothing had run.
+TEST_CASE("a request whose engines can't be reached here goes to another host")
+{
+    cut_host host;
+    host.send_request(1, "counter");
+    host.lose_engines();
+    auto const moved = host.decisions_of<decide::hand_over>();
+    REQUIRE(moved.size() == 1);
+    CHECK(moved[0].host == "host-2");
+    CHECK(moved[0].reason == "engines_unreachable");
+    host.send_request(2, "office");
+    CHECK(host.decisions_of<decide::hand_over>().size() == 2);
+    CHECK(host.decisions_of<decide::refuse>().empty());
+}
+
+TEST_CASE("requests that wait when the last engine is lost go to another host")
+{
+    cut_host host;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        host.send_request(id, "counter");
+    }
+    host.lose_engines();
+    CHECK(host.decisions_of<decide::hand_over>().size() == 8);
+    CHECK(host.decisions_of<decide::refuse>().empty());
+}
+
+TEST_CASE("a request that the other host refuses waits for the engines here")
+{
+    cut_host host;
+    host.send_request(1, "counter");
+    host.lose_engines();
+    REQUIRE(host.decisions_of<decide::hand_over>().size() == 1);
+    host.handle(decide::hand_over_refused{{1}, "host-2"});
+    CHECK(host.decisions_of<decide::refuse>().empty());
+    std::size_t const sent = host.decisions_of<decide::dispatch>().size();
+    host.advance_time(std::chrono::milliseconds{3'000});
+    CHECK(host.decisions_of<decide::dispatch>().size() == sent + 1);
+    CHECK(host.decisions_of<decide::hand_over>().size() == 1);
+}
+
+TEST_CASE("a request that may have run, or no host can reach, stays here")
+{
+    cut_host host;
+    host.send_request(1, "counter");
+    auto const first = host.decisions_of<decide::dispatch>().at(0);
+    host.end_attempt({1}, first.upstream, decide::attempt_end::broken);
+    host.lose_engines();
+    CHECK(host.decisions_of<decide::hand_over>().empty());
+    host.handle(decide::host_lost{"host-2"});
+    host.send_request(2, "counter");
+    CHECK(host.decisions_of<decide::hand_over>().empty());
+}
