Soak: outlast links that are added during a cut; silences in all seeds

A run ended by itself: cut_links walked the links and awaited in between, while an engine that was added added one ("dictionary changed size during iteration"). Beside it, found by the new test: overlapping changes of a link listened on its port twice (OSError, address already in use). Faults are tasks whose errors nobody read, so that a fault could be left out unnoticed.

Now a link that is added during a cut is cut too, changes of a link follow each other, an error in a fault is a finding, and a seed that ends by an error of the soak counts as failed, keeps its logs and lets the next seeds play.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -1,5 +1,6 @@
 """Each check of the soak detects the fault it is meant for."""
 
+import asyncio
 import os
 import random
 import sys
@@ -11,6 +12,7 @@
 
 from tools.soak import checks  # noqa: E402
 from tools.soak.engine import Engine  # noqa: E402
+from tools.soak.link import OPEN, REFUSING_NEW, Link  # noqa: E402
 from tools.soak.site import Site  # noqa: E402
 
 
@@ -37,6 +39,41 @@
     return types.SimpleNamespace(**values)
 
 
+class Links(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.site = Site(random.Random(1), "none", self.folder.name, 1, 1)
+        self.host = self.site.hosts[0]
+
+    def tearDown(self):
+        self.site.end()
+        self.folder.cleanup()
+
+    async def test_a_link_added_during_a_cut_is_cut(self):
+        for name in ("i-0", "i-1"):
+            await self.host.add_link(name, Link(1, self.site.ports.allocate()))
+        await asyncio.gather(self.host.cut_links(REFUSING_NEW),
+                             self.host.add_link("i-2", Link(1, self.site.ports.allocate())))
+        self.assertEqual([None] * 3, [link.server for link in self.host.links.values()])
+
+    async def test_changes_of_a_link_that_overlap(self):
+        link = Link(1, self.site.ports.allocate())
+        await link.start()
+        await asyncio.gather(*(link.set_state(state) for state in (REFUSING_NEW, OPEN, REFUSING_NEW, OPEN)))
+        await link.set_state(REFUSING_NEW)
+        with self.assertRaises(OSError):
+            await asyncio.open_connection("127.0.0.1", link.port)
+
+    async def test_an_error_of_the_soak_is_a_finding(self):
+        async def fail():
+            raise RuntimeError("changed size")
+
+        self.site.actions.append(asyncio.ensure_future(fail()))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertEqual(1, len(self.site.failed_actions()))
+
+
 class Checks(unittest.TestCase):
     def test_a_correct_run_has_no_findings(self):
         correct = site([request()], [run()])
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 from . import checks, faults
 from .site import Site
@@ -30,7 +31,7 @@
 async def inject(site, until, interval, start_action):
     while time.monotonic() < until:
         await asyncio.sleep(site.random.uniform(0.1, 0.8 * interval))
-        asyncio.ensure_future(start_action(site))
+        site.actions.append(asyncio.ensure_future(start_action(site)))
 
 
 async def inject_limits(site, seed, until):
@@ -61,9 +62,6 @@
     # them, since limits apply too.
     more_faults = faults.partition_hosts if seed % 2 else faults.make_brittle
     engines = options.engines + (0 if seed % 2 else BRITTLE_SEED_ENGINES)
-    # Streams that last until their timeout because of it are cut too early: see KNOWN-RED.txt.
-    plays_silence = seed % 3 or checks.KNOWN_RED[0] in options.checks
-    silence = faults.silence_engine if plays_silence else faults.no_fault
     site = Site(random.Random(seed), options.program, folder, options.hosts, engines, options.flag)
     try:
         await site.start()
@@ -75,13 +73,13 @@
         interval, action = (1.0 + seed % 4, faults.random_action) if seed % 3 else (1.0, faults.random_planned_action)
         await asyncio.gather(inject(site, until - 1.0, interval, action), inject_limits(site, seed, until - 1.0),
                              inject_in_turn(site, seed, until - 5.0, more_faults),
-                             inject_in_turn(site, seed, until - 1.0, silence),
+                             inject_in_turn(site, seed, until - 1.0, faults.silence_engine),
                              inject_in_turn(site, seed + 1, until - 6.0, faults.leave_unheard),
                              inject_in_turn(site, seed + 2, until - 2.0, faults.ask_for_pause), *tasks)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
-    found = [f"{check.__name__}: {line}" for check in options.checks for line in check(site)]
+    found = [f"{check.__name__}: {line}" for check in options.checks for line in check(site)] + site.failed_actions()
     served = sum(t.status == 200 and t.complete for t in site.requests)
     print(f"soak: seed={seed} requests={len(site.requests)} served={served} runs={len(site.runs)} "
           f"harms={len(site.fault_periods)} stops={len(site.stops)} findings={len(found)}", flush=True)
@@ -90,6 +88,16 @@
     return found
 
 
+def play_seed(seed, options, folder):
+    """Returns whether the seed has findings. One that an error of the soak itself has ended has judged nothing."""
+    try:
+        return asyncio.run(run_seed(seed, options, folder))
+    except Exception as error:
+        traceback.print_exc()
+        print(f"soak: seed={seed} ended_by={error!r}", flush=True)
+        return True
+
+
 def parse_seeds(text):
     first, _, last = text.partition("..")
     return range(int(first), int(last or first) + 1)
@@ -114,7 +122,7 @@
     failed = []
     for seed in options.seeds:
         folder = tempfile.mkdtemp(prefix="caperjunction-soak-")
-        if asyncio.run(run_seed(seed, options, folder)):
+        if play_seed(seed, options, folder):
             failed.append(seed)
             shutil.copytree(folder, os.path.join(options.keep, f"seed-{seed}"), dirs_exist_ok=True)
         shutil.rmtree(folder)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -149,10 +149,6 @@
     engine.retry_after = None
 
 
-async def no_fault(site, rng):
-    pass
-
-
 async def kill_host(site):
     host = site.random.choice(site.hosts)
     if host.is_stopping:
--- a/tools/soak/link.py
+++ b/tools/soak/link.py
@@ -18,6 +18,8 @@
         self.port = port
         self.state, self.is_target_up = OPEN, True
         self.fillers = []
+        # Changes of state overlap; two at a time would both listen on the port.
+        self.changing = asyncio.Lock()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, reuse_address=True)
@@ -29,6 +31,11 @@
 
     async def set_state(self, state):
         self.state = state
+        async with self.changing:
+            await self.apply_state()
+
+    async def apply_state(self):
+        state = self.state
         for filler in self.fillers:
             filler.close()
         self.fillers = []
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -9,7 +9,7 @@
 
 from .caller import Caller
 from .engine import SLOTS, Engine
-from .link import Link
+from .link import OPEN, Link
 from .ports import PortBlock
 from .proxy import FaultProxy
 from .store import Store
@@ -25,8 +25,8 @@
         with open(self.settings_path, "w", encoding="utf-8") as settings:
             settings.write("--stop_limit=8s\n")
         self.listen, self.admin, self.peer, self.tunnels = (ports.allocate() for _ in range(4))
-        # Its links to upstreams, by their names.
-        self.links = {}
+        # Its links to upstreams, by their names, and the state that they are put in together.
+        self.links, self.link_state = {}, OPEN
         self.front = FaultProxy(self.listen)
         self.store_path = None
         self.process = None
@@ -63,9 +63,17 @@
         return {**value, "address": f"127.0.0.1:{self.links[name].port}"} if name in self.links else value
 
     async def cut_links(self, state):
-        for link in self.links.values():
+        self.link_state = state
+        # An engine that is added meanwhile adds a link.
+        for link in list(self.links.values()):
             await link.set_state(state)
 
+    async def add_link(self, name, link):
+        await link.start()
+        self.links[name] = link
+        if self.link_state != OPEN:
+            await link.set_state(self.link_state)
+
     async def ask_ready(self):
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.admin), 0.5)
@@ -95,6 +103,8 @@
         # [service, begin, end] of each time in which upstreams crashed from too many rejections; see Engine.crashes.
         self.brittle_times = []
         self.engines = []
+        # Faults that were started, as tasks.
+        self.actions = []
         self.paths = {}
         ports = PortBlock()
         self.ports = ports
@@ -158,9 +168,7 @@
         self.paths[engine] = FaultProxy(engine.port)
         await self.paths[engine].start()
         for host in self.hosts:
-            link = Link(self.paths[engine].port, self.ports.allocate())
-            host.links[engine.name] = link
-            await link.start()
+            await host.add_link(engine.name, Link(self.paths[engine].port, self.ports.allocate()))
         self.engines.append(engine)
         self.register(engine)
         return engine
@@ -205,6 +213,11 @@
         stop[2] = self.now()
         self.start_host(host)
 
+    def failed_actions(self):
+        """Faults that were not played because of an error of the soak itself."""
+        ended = [action for action in self.actions if action.done() and not action.cancelled()]
+        return [f"soak_failed: {action.exception()!r}" for action in ended if action.exception()]
+
     def end(self):
         self.has_ended = True
         self.ports.lock.close()
