Keep connections of callers that pause in a small answer, too

Cause: the first form took only answers of more than 64 KiB for ones that a caller may still be reading.

Change: the idle timeout counts from the request's deadline for each answer, or from 10 s after its end; a request that is refused before its route is known has the deadline that its caller stated.

--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -171,7 +171,6 @@
 {
     m_has_head = false;
     m_keep_alive_announced = false;
-    m_answer_bytes = 0;
     if (m_closing) {
         return;
     }
@@ -179,7 +178,6 @@
     answer_sink sink;
     sink.write = [weak](std::string_view bytes) {
         if (auto const self = weak.lock()) {
-            self->m_answer_bytes += bytes.size();
             self->m_stream->write(bytes);
         }
     };
--- a/src/proxy/caller.hpp
+++ b/src/proxy/caller.hpp
@@ -106,8 +106,6 @@
     /// Time of the current request's first byte, or of the last answer's last
     /// byte.
     model::time_point m_phase_start{};
-    /// Bytes of the current or last answer.
-    std::size_t m_answer_bytes = 0;
     /// Time until which the caller may still be reading the last answer
     /// although no buffer of this host shows it.
     model::time_point m_reading_until{};
--- a/src/proxy/caller_end.cpp
+++ b/src/proxy/caller_end.cpp
@@ -11,9 +11,9 @@
 namespace caperjunction::proxy {
 namespace {
 
-/// A caller takes an answer up to this size from its system in one read. Of a
-/// larger one, buffers on the way may hold the rest while it pauses.
-constexpr std::size_t max_answer_of_one_read = 65'536;
+/// Time after which a caller has read an answer of which this host has nothing
+/// left to send, whatever its deadline.
+constexpr model::milliseconds max_reading_time{10'000};
 
 } // namespace
 
@@ -23,12 +23,12 @@
     if (!complete) {
         report_end({connection_end::own_close, m_stream->unsent_bytes(), 0});
     }
-    bool const is_large = m_answer_bytes > max_answer_of_one_read;
-    m_reading_until = is_large ? m_exchange->deadline() : model::time_point{};
+    m_phase_start = m_context.loop.now();
+    m_reading_until =
+        std::min(m_exchange->deadline(), m_phase_start + max_reading_time);
     m_last_unread_bytes = std::numeric_limits<std::size_t>::max();
     m_exchange.reset();
     release_body();
-    m_phase_start = m_context.loop.now();
     m_idle_timeout = limits().idle_timeout;
     if (!complete) {
         // A normal close could be mistaken for the end of a body without a
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -35,6 +35,9 @@
     , m_arrived_boot(arrived_boot)
     , m_since_stop(context.since_stop())
 {
+    if (m_metadata.deadline) {
+        m_deadline = m_arrived + *m_metadata.deadline;
+    }
 }
 
 exchange::~exchange()
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -55,7 +55,7 @@
     void handle_drained();
 
     /// Time after which the caller expects nothing more of this request; zero
-    /// if it was refused before its route was known.
+    /// if it has stated none and was refused before its route was known.
     model::time_point deadline() const
     {
         return m_deadline;
--- a/tests/proxy/relay_unsent_test.cpp
+++ b/tests/proxy/relay_unsent_test.cpp
@@ -168,6 +168,36 @@
     CHECK(fixture.reports.size() == 2);
 }
 
+// A caller that is refused pauses before it reads why.
+TEST_CASE("a caller that pauses in a refusal sends its next request on it")
+{
+    relay_fixture fixture;
+    fixture.add("i-1", "ledger", [](received const&) -> script {
+        return {valid_answer("done")};
+    });
+    auto lists = fixture.context.table->config();
+    lists.limits.idle_timeout = 300ms;
+    fixture.context.table = std::make_shared<routing::route_table const>(lists);
+    auto const caller = fixture.send("POST /book/ HTTP/1.1\r\n"
+                                     "Host: desk.example\r\n"
+                                     "Attempt-Id: a1\r\n"
+                                     "Deadline-Ms: 4000\r\n"
+                                     "Authorization: Bearer other\r\n"
+                                     "Content-Length: 0\r\n\r\n");
+    REQUIRE(fixture.run_until([&fixture] {
+        return !fixture.reports.empty();
+    }));
+    REQUIRE(fixture.reports.back().status == 401);
+    fixture.run_for(2s);
+    CHECK(!caller->closed);
+    caller->stream->write(relay_fixture::request("/book/", "a2"));
+    CHECK(fixture.run_until([&caller] {
+        return caller->received_bytes.find("done") != std::string::npos
+               || caller->closed;
+    }));
+    CHECK(fixture.reports.size() == 2);
+}
+
 // The system of this host holds the rest of an answer whose caller reads it in
 // small parts.
 TEST_CASE("the idle timeout starts when a slow caller has read the last byte")
