serve: ask the holder of a claim for its answer before saying "unknown"

What callers saw: a booking that was resent right after its answer got 503 "unknown" (another copy holds the claim) in place of that answer.

Cause: witnesses learn that a call is done after its caller has the answer; until then a resend was taken for one that meets a running call. Evidence: in the new test no message about the end is sent, and both a resend elsewhere and one to the same host were "unknown".

Change: the host whose attempt holds the claim is asked for the answer, for 500 ms at most; if it has none, the caller is told what it was told before.

resent_booking_test: "a booking resent right after its answer gets the same answer" failed before at both hosts, passes; that one that still runs is unknown passed before, too. test_fleet, test_program and test_fleet_processes pass.

--- a/src/fleet/claim_decision.hpp
+++ b/src/fleet/claim_decision.hpp
@@ -36,6 +36,11 @@
     std::uint64_t ticket = 0;
     model::milliseconds retry_after{0};
     std::string reason;
+    /// Host of the attempt that holds the claim. It may have answered its
+    /// caller before the witnesses learned that the call is done. Empty: none.
+    std::string holder_host;
+    claim_key key;
+    claim_attempt holder;
 };
 
 /// Answer the caller with the first run's answer, which `host` may still
--- a/src/fleet/claimant.cpp
+++ b/src/fleet/claimant.cpp
@@ -84,8 +84,12 @@
     if (fingerprint != event.fingerprint) {
         out.push_back(claim_mismatch{event.ticket});
     } else if (is_active) {
-        out.push_back(claim_unknown{
-            event.ticket, retry_running, "the first copy is still running"});
+        out.push_back(claim_unknown{event.ticket,
+                                    retry_running,
+                                    "the first copy is still running",
+                                    m_host,
+                                    event.key,
+                                    attempt_of(call->second)});
     } else {
         claim_attempt const attempt{
             m_host, m_generation, finished->second.number};
--- a/src/fleet/claimant_calls.cpp
+++ b/src/fleet/claimant_calls.cpp
@@ -122,8 +122,12 @@
     } else {
         out.push_back(
             claim_send{holder->holder.host, claim_query{key, holder->holder}});
-        out.push_back(claim_unknown{
-            call.ticket, retry_running, "another copy holds the claim"});
+        out.push_back(claim_unknown{call.ticket,
+                                    retry_running,
+                                    "another copy holds the claim",
+                                    holder->holder.host,
+                                    key,
+                                    holder->holder});
     }
 }
 
--- a/src/program/bookings.cpp
+++ b/src/program/bookings.cpp
@@ -134,7 +134,7 @@
     for (auto const& [id, call] : m_pending) {
         if (call.fetch_until != model::time_point{} && call.fetch_until < now) {
             refuse_unknown(id.value,
-                           fetch_retry_after,
+                           call.no_answer_retry_after,
                            "the first run's host doesn't answer");
         }
     }
@@ -211,7 +211,7 @@
                model::outcome::not_run);
     } else if (auto const* unknown =
                    std::get_if<fleet::claim_unknown>(&decision)) {
-        refuse_unknown(unknown->ticket, unknown->retry_after, unknown->reason);
+        resolve_unknown(*unknown, now);
     } else if (auto const* wanted =
                    std::get_if<fleet::claim_fetch_answer>(&decision)) {
         fetch(*wanted, now);
--- a/src/program/bookings.hpp
+++ b/src/program/bookings.hpp
@@ -103,10 +103,15 @@
         /// Deadline for the requested answer of the first run; zero if none
         /// was requested.
         model::time_point fetch_until{};
+        /// What the caller is told if the host of the first run has no answer.
+        std::string no_answer_reason;
+        model::milliseconds no_answer_retry_after{0};
     };
 
     /// Time within which the host of the first run has to send its answer.
     static constexpr model::milliseconds fetch_timeout{2'000};
+    /// The same if the first run is not known to have ended.
+    static constexpr model::milliseconds running_fetch_timeout{500};
     static constexpr model::milliseconds fetch_retry_after{5'000};
 
     void handle_claimant_event(fleet::claimant_event const& event,
@@ -115,6 +120,10 @@
                               model::time_point now);
     void execute(fleet::claim_decision const& decision, model::time_point now);
     void fetch(fleet::claim_fetch_answer const& wanted, model::time_point now);
+    /// Answers `unknown`, unless the attempt that holds the claim has its
+    /// answer by now.
+    void resolve_unknown(fleet::claim_unknown const& unknown,
+                         model::time_point now);
     void send_answer(std::string const& to,
                      fleet::answer_query const& query,
                      model::time_point now);
--- a/src/program/bookings_answer.cpp
+++ b/src/program/bookings_answer.cpp
@@ -12,11 +12,29 @@
         return;
     }
     found->second.fetch_until = now + fetch_timeout;
+    found->second.no_answer_reason = "the first run's answer is not kept";
+    found->second.no_answer_retry_after = fetch_retry_after;
     deliver(wanted.host,
             fleet::answer_query{wanted.key, wanted.attempt, wanted.ticket},
             now);
 }
 
+void bookings::resolve_unknown(fleet::claim_unknown const& unknown,
+                               model::time_point now)
+{
+    auto const found = m_pending.find({unknown.ticket});
+    if (found == m_pending.end() || unknown.holder_host.empty()) {
+        refuse_unknown(unknown.ticket, unknown.retry_after, unknown.reason);
+        return;
+    }
+    found->second.fetch_until = now + running_fetch_timeout;
+    found->second.no_answer_reason = unknown.reason;
+    found->second.no_answer_retry_after = unknown.retry_after;
+    deliver(unknown.holder_host,
+            fleet::answer_query{unknown.key, unknown.holder, unknown.ticket},
+            now);
+}
+
 void bookings::send_answer(std::string const& to,
                            fleet::answer_query const& query,
                            model::time_point now)
@@ -36,16 +54,16 @@
 
 void bookings::handle_answer(fleet::answer_reply const& reply)
 {
-    if (!reply.found) {
-        refuse_unknown(reply.ticket,
-                       fetch_retry_after,
-                       "the first run's answer is not kept");
-        return;
-    }
     auto const found = m_pending.find({reply.ticket});
     if (found == m_pending.end()) {
         return;
     }
+    if (!reply.found) {
+        refuse_unknown(reply.ticket,
+                       found->second.no_answer_retry_after,
+                       found->second.no_answer_reason);
+        return;
+    }
     found->second.fetch_until = {};
     runtime::log_line("booking_answered_again")
         .field("request", net::to_string({reply.ticket}));
