Hand queued requests over without queueing them anew; a file of its own

Read as a newcomer: requests that no other host could take were taken out of the queue and put back when the last engine was lost, which made them look newly queued. Now the host to hand over to is found first.

--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -34,8 +34,8 @@
 /// resulting decisions are appended to `m_out`.
 ///
 /// Split over several files: core.cpp (events), core_admit.cpp,
-/// core_refuse.cpp, core_place.cpp, core_attempt.cpp, core_engine.cpp,
-/// core_peer.cpp.
+/// core_hand_over.cpp, core_refuse.cpp, core_place.cpp, core_attempt.cpp,
+/// core_engine.cpp, core_peer.cpp.
 ///
 /// Thread safety: none; owned by one task.
 class core
@@ -74,6 +74,9 @@
     bool refuse_early(entry& waiting);
     bool try_hand_over(entry& waiting, std::string const& reason);
     bool reaches_any_engine(model_group const& group) const;
+    /// Returns a host that may get the request because this one reaches none of
+    /// its engines, or null.
+    peer const* find_host_that_reaches(entry const& waiting) const;
     bool hand_over_unreachable(entry& waiting);
     void hand_over_queued_unreachable(model_group& group);
     void
