--- a/tests/decide/fair_queue_test.cpp
+++ b/tests/decide/fair_queue_test.cpp
@@ -25,12 +25,12 @@
 
     void add(index tier)
     {
-        entry& added = entries.emplace_back();
-        added.id = {entries.size()};
+        entry& added = m_entries.emplace_back();
+        added.id = {m_entries.size()};
         added.tier = tier;
         added.team = tier;
         added.expected_output = expected_output;
-        queue.push(added, remote_tokens);
+        queue.push(added, m_remote_tokens);
     }
 
     /// Serves for `span`. Answers of the lower tier have `lower_length` times
@@ -38,8 +38,8 @@
     void run(model::seconds span, bool lower_waits, double lower_length = 1.0)
     {
         model::time_point const end =
-            now + std::chrono::duration_cast<model::milliseconds>(span);
-        while (now < end) {
+            m_now + std::chrono::duration_cast<model::milliseconds>(span);
+        while (m_now < end) {
             while (queue.size(0) < 2) {
                 add(0);
             }
@@ -54,8 +54,8 @@
     void run_lower_alone(model::seconds span)
     {
         model::time_point const end =
-            now + std::chrono::duration_cast<model::milliseconds>(span);
-        while (now < end) {
+            m_now + std::chrono::duration_cast<model::milliseconds>(span);
+        while (m_now < end) {
             add(1);
             serve(1.0);
         }
@@ -83,28 +83,28 @@
 
     void serve(double lower_length)
     {
-        entry& served = *queue.dispatch_order(remote_tokens)[0];
+        entry& served = *queue.dispatch_order(m_remote_tokens)[0];
         queue.remove(served);
         double const charged = token_cost(served);
-        queue.record_served(served, charged, now);
+        queue.record_served(served, charged, m_now);
         double const got = served.tier == 1 ? charged * lower_length : charged;
         delivered[served.tier] += got;
-        now += std::chrono::duration_cast<model::milliseconds>(
+        m_now += std::chrono::duration_cast<model::milliseconds>(
             model::seconds(got / tokens_per_second));
         if (got != charged) {
-            adjustments.push_back({now + answer_time, got - charged});
+            m_adjustments.push_back({m_now + answer_time, got - charged});
         }
-        while (!adjustments.empty() && adjustments.front().due <= now) {
-            queue.adjust_charge(1, 1, adjustments.front().tokens);
-            adjustments.pop_front();
+        while (!m_adjustments.empty() && m_adjustments.front().due <= m_now) {
+            queue.adjust_charge(1, 1, m_adjustments.front().tokens);
+            m_adjustments.pop_front();
         }
     }
 
     static constexpr model::milliseconds answer_time{10'000};
-    model::time_point now{std::chrono::hours{1}};
-    std::deque<entry> entries;
-    std::deque<adjustment> adjustments;
-    std::vector<double> remote_tokens = std::vector<double>(2, 0.0);
+    model::time_point m_now{std::chrono::hours{1}};
+    std::deque<entry> m_entries;
+    std::deque<adjustment> m_adjustments;
+    std::vector<double> m_remote_tokens = std::vector<double>(2, 0.0);
 };
 
 } // namespace
