Log the software versions of engines and the streams that callers take up

The log told neither the version of an engine nor whether an answer was resumed by its host or taken up by its caller, so that the hypotheses of docs/incidents/2026-12-versions.md could be told apart by joining it with the operator's log alone.

test_platform: the version of an entry is decoded.

--- a/src/program/store_replica.cpp
+++ b/src/program/store_replica.cpp
@@ -285,6 +285,7 @@
             .field("at", described.at.address)
             .field("data_centre", described.data_centre)
             .field("state", described.draining ? "draining" : "ready")
+            .field("version", described.software_version)
             .field("revision", revision);
     }
 }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -212,6 +212,12 @@
     m_report.since_stop = m_since_stop;
     m_report.unsent_bytes = m_sink.unsent_bytes();
     m_report.events = m_events;
+    m_report.resumed_id = m_metadata.resumed_id;
+    m_report.resumed = m_resumed;
+    m_report.first_version = m_first_version;
+    m_report.last_version =
+        m_upstream ? std::string_view(m_upstream->description.software_version)
+                   : std::string_view();
     m_report.framing = m_answer.status == 0 ? std::string_view()
                                             : to_string(framing_of(m_answer));
     m_report.partial_event_bytes = m_framer.partial_event().size();
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -180,6 +180,9 @@
     bool m_keep_alive = true;
     std::string m_last_event_id;
     std::uint64_t m_events = 0;
+    std::uint32_t m_resumed = 0;
+    /// Software version of the upstream of the first event.
+    std::string m_first_version;
     event_gap_meter m_event_gaps;
     bool m_ended = false;
     exchange_report m_report;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -182,6 +182,9 @@
         std::uint64_t const before = m_framer.events();
         std::string_view const complete = m_framer.feed(bytes);
         if (m_framer.events() > before) {
+            if (m_events == 0) {
+                m_first_version = m_upstream->description.software_version;
+            }
             m_events += m_framer.events() - before;
             auto const gap = m_event_gaps.record(m_upstream->received_at);
             // The gap before the first event of a resumed attempt includes time
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -62,6 +62,15 @@
     model::milliseconds upstream_wait{-1};
     model::milliseconds total{0};
     std::uint64_t events = 0;
+    /// Attempt that began the stream that the caller takes up; empty if it
+    /// takes up none.
+    std::string_view resumed_id;
+    /// Attempts that went on after the first event within this answer.
+    std::uint32_t resumed = 0;
+    /// Software version of the upstream that began the stream in this answer,
+    /// and of the last attempt's; empty if there was none.
+    std::string_view first_version;
+    std::string_view last_version;
     /// How the last attempt's answer was delimited, as a name of
     /// `body_framing`; empty if there was none.
     std::string_view framing;
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -62,6 +62,7 @@
             *m_upstream,
             XXH3_64bits(m_metadata.id.data(), m_metadata.id.size())));
     m_through = is_direct() ? std::string() : m_connection->peer()->address;
+    m_resumed += m_events > 0 ? 1 : 0;
     m_sent_at = m_context.loop.now();
     if (is_direct()) {
         m_context.reach.record_sent(m_sent_at);
--- a/src/proxy/request_metadata.cpp
+++ b/src/proxy/request_metadata.cpp
@@ -69,6 +69,10 @@
     for (header_line const& line : head.headers) {
         if (header_names_equal(line.name, names.request_id)) {
             metadata.id = line.value;
+        } else if (header_names_equal(line.name, names.resumed_request_id)) {
+            metadata.resumed_id = trimmed(line.value);
+        } else if (header_names_equal(line.name, names.last_event_id)) {
+            metadata.last_event_id = trimmed(line.value);
         } else if (header_names_equal(line.name, "Host")) {
             metadata.authority = line.value;
         } else if (header_names_equal(line.name, "Authorization")) {
--- a/src/proxy/request_metadata.hpp
+++ b/src/proxy/request_metadata.hpp
@@ -16,6 +16,11 @@
 struct request_metadata
 {
     std::string id;
+    /// Id of the attempt that brought the first event of the stream that the
+    /// caller takes up; empty if it names none.
+    std::string resumed_id;
+    /// Id of the last event that the caller has; empty if it states none.
+    std::string last_event_id;
     std::string_view authority;
     /// Target without the query.
     std::string_view path;
--- a/src/proxy/wire_names.hpp
+++ b/src/proxy/wire_names.hpp
@@ -19,6 +19,9 @@
     std::string token_counts;
     /// Id of the last complete event that the receiver of a stream has.
     std::string last_event_id;
+    /// Id of the attempt that brought a caller the first event of the stream
+    /// that it takes up.
+    std::string resumed_request_id;
     /// Present on an answer that the upstream itself generated.
     std::string seal;
     /// Team that owns the caller's key; set by hosts only.
--- a/src/routing/upstream.hpp
+++ b/src/routing/upstream.hpp
@@ -23,6 +23,8 @@
     model::milliseconds cold_remaining{0};
     /// Distinguishes restarts under the same id; 0 if not reported.
     std::uint64_t started = 0;
+    /// Version of its software, not of a model's weights; belongs to a start.
+    std::string software_version;
 };
 
 } // namespace caperjunction::routing
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -13,6 +13,7 @@
 
 char const* const sound_upstream =
     R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4,)"
+    R"("version":"1.4",)"
     R"("state":"ready","born":1700000000000})";
 
 } // namespace
@@ -82,6 +83,7 @@
     CHECK(read->at == model::endpoint{"10.0.0.9", 8080});
     CHECK(read->data_centre == "z");
     CHECK(read->started == 1'700'000'000'000);
+    CHECK(read->software_version == "1.4");
     CHECK(!read->draining);
     CHECK(read->cold_remaining == 0ms);
     auto const cold = platform::decode_upstream(
