--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -127,10 +127,60 @@
 void host_fleet::set_upstream(std::size_t upstream, path_state state)
 {
     for (auto const& item : hosts) {
-        item->links[upstream]->set(state);
+        if (item) {
+            item->links[upstream]->set(state);
+        }
+    }
+}
+
+void host_fleet::set_version(std::size_t upstream, std::string const& version)
+{
+    ++m_starts;
+    for (auto const& item : hosts) {
+        if (item) {
+            auto described = item->context.directory
+                                 .find("i-" + std::to_string(upstream + 1))
+                                 ->description;
+            described.software_version = version;
+            described.started = m_starts;
+            item->context.directory.put(described);
+        }
     }
 }
 
+first_try host_fleet::send(std::size_t host,
+                           std::string const& path,
+                           std::string const& id,
+                           std::string const& more)
+{
+    hosts[host]->context.keys.renew(loop.now());
+    first_try made;
+    made.id = id;
+    made.host = host;
+    made.sent_at = loop.now();
+    made.caller = std::make_shared<plain_client>();
+    auto* const raw = made.caller.get();
+    raw->stream =
+        proxy::tcp_stream::connect(loop,
+                                   {"127.0.0.1", hosts[host]->relay.port()},
+                                   1'000ms,
+                                   {nullptr,
+                                    [raw](std::string_view bytes) {
+                                        raw->received_bytes.append(bytes);
+                                    },
+                                    [raw](proxy::connection_end) {
+                                        raw->closed = true;
+                                    },
+                                    nullptr});
+    raw->stream->write(relay_fixture::request(path, made.id, more));
+    return made;
+}
+
+void host_fleet::kill(std::size_t host)
+{
+    hosts[host].reset();
+}
+
 void host_fleet::run_for(model::milliseconds time)
 {
     bool over = false;
@@ -148,29 +198,12 @@
     auto const until = loop.now() + time;
     while (loop.now() < until) {
         for (std::size_t index = 0; index < hosts.size(); ++index) {
-            hosts[index]->context.keys.renew(loop.now());
-            first_try made;
-            made.id = "r" + std::to_string(++m_next_id);
-            made.host = index;
-            made.sent_at = loop.now();
-            made.caller = std::make_shared<plain_client>();
-            auto* const raw = made.caller.get();
-            raw->stream = proxy::tcp_stream::connect(
-                loop,
-                {"127.0.0.1", hosts[index]->relay.port()},
-                1'000ms,
-                {nullptr,
-                 [raw](std::string_view bytes) {
-                     raw->received_bytes.append(bytes);
-                 },
-                 [raw](proxy::connection_end) {
-                     raw->closed = true;
-                 },
-                 nullptr});
+            if (!hosts[index]) {
+                continue;
+            }
+            std::string const id = "r" + std::to_string(++m_next_id);
             auto const number = static_cast<std::size_t>(m_next_id);
-            std::string const& path = paths[number % paths.size()];
-            raw->stream->write(relay_fixture::request(path, made.id));
-            tries.push_back(std::move(made));
+            tries.push_back(send(index, paths[number % paths.size()], id));
         }
         run_for(20ms);
     }
--- a/tests/proxy/host_fleet.hpp
+++ b/tests/proxy/host_fleet.hpp
@@ -60,6 +60,20 @@
     /// Sets the links of all hosts to an upstream.
     void set_upstream(std::size_t upstream, path_state state);
 
+    /// Publishes the software version of an upstream to all hosts, as of a new
+    /// start of it.
+    void set_version(std::size_t upstream, std::string const& version);
+
+    /// Sends a request to a host, on a connection of its own. `more`: further
+    /// headers.
+    first_try send(std::size_t host,
+                   std::string const& path,
+                   std::string const& id,
+                   std::string const& more = "");
+
+    /// Ends a host as a kill would: its connections break, and it tells nobody.
+    void kill(std::size_t host);
+
     /// Sends a request to each host every 20 ms for `time`, in turn to the
     /// paths, each on a connection of its own.
     void play(model::milliseconds time, std::vector<std::string> const& paths);
@@ -95,11 +109,13 @@
     /// How upstreams answer; that of sound ones at first.
     std::function<script(received const&)> answer;
     std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    /// Null: it was killed.
     std::vector<std::unique_ptr<host>> hosts;
     std::vector<first_try> tries;
 
 private:
     int m_next_id = 0;
+    std::uint64_t m_starts = 0;
 };
 
 } // namespace caperjunction::test
