Cut a stream that no other engine can take over, without a refusal's text in it

What callers saw: the head and the JSON body of a 502 in the middle of a stream that had begun, and the end of their connection without an error.

Cause: exchange::place() refuses when the picker finds no engine. That path is also taken by a stream that breaks after its first event, and wrote the refusal into the answer.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -138,11 +138,6 @@
     if (m_ended) {
         return;
     }
-    release_connection();
-    if (m_has_begun) {
-        end("cut", false);
-        return;
-    }
     refuse(reason);
 }
 
@@ -176,6 +171,12 @@
                       std::optional<model::milliseconds> retry_after)
 {
     release_connection();
+    if (m_has_begun) {
+        // Its text would become part of the answer that has begun.
+        m_report.reason = routing::to_string(reason);
+        end("cut", false);
+        return;
+    }
     routing::refusal const refused =
         routing::refuse(reason, may_have_run(), retry_after);
     m_report.status = refused.status;
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -197,10 +197,6 @@
         place();
         return;
     }
-    if (m_has_begun) {
-        end("cut", false);
-        return;
-    }
     refuse(result == attempt_end::not_run ? reason_code::upstream_full
                                           : reason_code::upstream_failed);
 }
--- a/tests/proxy/relay_ending_test.cpp
+++ b/tests/proxy/relay_ending_test.cpp
@@ -221,3 +221,14 @@
     CHECK(caller->broken);
     CHECK(deadline_ms > 0);
 }
+
+// Guards against a refusal's text inside a stream that has begun.
+TEST_CASE("a broken stream that no other engine can take over is cut")
+{
+    relay_fixture fixture;
+    script broken{stream_head() + chunk(sse_event(1))};
+    broken.resets = true;
+    auto const caller = ask(fixture, broken, "/resume/");
+    check_is_cut(fixture, *caller);
+    CHECK(caller->received_bytes.find("502") == std::string::npos);
+}
