Go on with streams that callers take up at the version that began them

Cause: 'Resumes' was read nowhere, and a request with 'Last-Event-Id' was placed like a new one; no host but the first knew at which version a stream had begun, and that one may be dead.

Each host now remembers which software began the streams of resumable routes, under the id of the attempt that brought the first event, for twice the longest timeout of such a route and up to 16,384 streams. Unless one version alone has served all that time, it tells two hosts of its data centre and one of another, in batches of 5 ms. A host that takes a stream up asks all that it reaches, 200 ms at most. What nobody knows is refused (version_unknown, with Retry-After); a version that has gone for good as well (version_gone, without). Streams that began before a second version served are told when it appears, and all that a host knows when it stops. An entry counts only while the list is current and no connection to the upstream has broken since it was confirmed: an engine may start again under its id with other software.

Further tests: a rollout that starts in the middle of streams, a version that has gone, one that is unknown, old lists.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -189,6 +189,9 @@
                std::chrono::duration_cast<model::milliseconds>(m_loop.now()
                                                                - signalled)
                    .count());
+    if (m_peers) {
+        m_peers->hand_over_origins();
+    }
     m_relay.plan_stop(signalled, [this] {
         m_loop.stop();
     });
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -108,6 +108,10 @@
         m_metadata.deadline.value_or(m_route->timeout), m_route->timeout);
     m_deadline = m_arrived + std::max(timeout, 2 * return_margin);
     arm_deadline_timer(m_deadline - return_margin);
+    if (takes_up_stream()) {
+        find_software();
+        return;
+    }
     place();
 }
 
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -75,7 +75,6 @@
     routing::pick_request pick_request();
     routing::pick choose();
     bool has_alternative();
-    bool knows_software() const;
     std::uint64_t fingerprint();
     bool is_quarantined();
 
@@ -115,6 +114,15 @@
     /// and upstreams soon.
     bool waits_for_lists() const;
     void admit();
+
+    // exchange_take_up.cpp
+    bool takes_up_stream() const;
+    void find_software();
+    void take_up(std::optional<routing::software> const& found);
+    bool continues_stream() const;
+    bool has_expected_software() const;
+    bool knows_software() const;
+    void record_first_event();
     void arm_deadline_timer(model::time_point at);
     void handle_deadline();
     void fill_report();
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -182,6 +182,10 @@
         std::uint64_t const before = m_framer.events();
         std::string_view const complete = m_framer.feed(bytes);
         if (m_framer.events() > before) {
+            if (before == 0 && !has_expected_software()) {
+                attempt_ended(attempt_end::broken);
+                return;
+            }
             handle_events(m_framer.events() - before);
         }
         if (!m_framer.last_id().empty()) {
@@ -204,9 +208,8 @@
 void exchange::handle_events(std::uint64_t count)
 {
     bool const is_first_of_attempt = m_framer.events() == count;
-    if (!m_software) {
-        m_software = m_upstream->software;
-        m_first_version = m_upstream->description.software_version;
+    if (m_events == 0) {
+        record_first_event();
     }
     m_events += count;
     auto const gap = m_event_gaps.record(m_upstream->received_at);
--- a/src/proxy/exchange_end.cpp
+++ b/src/proxy/exchange_end.cpp
@@ -92,6 +92,7 @@
         m_attempted.pop_back();
         return;
     }
+    m_upstream->broken_at = m_context.boot_now();
     if (fault == answer_fault::broken && !is_direct()) {
         // Either the upstream or the host in between has broken it.
         m_upstream->health.record_failure(now);
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -1,5 +1,6 @@
 #include "proxy/exchange.hpp"
 
+#include "proxy/stream_software.hpp"
 #include "proxy/tunnel_candidates.hpp"
 #include "proxy/upstream_paths.hpp"
 
@@ -19,6 +20,9 @@
     request.attempted = &m_attempted;
     request.homes = &m_homes;
     request.software = m_software;
+    request.is_software_certain = [this](routing::upstream_state const& state) {
+        return is_software_certain(m_context, state);
+    };
     if (!m_context.lost_services.empty()) {
         request.is_paused_on_way =
             [this](routing::upstream_state const& state) {
@@ -42,15 +46,6 @@
     return other.to && other.to != m_upstream && other.forecast < time_left();
 }
 
-// An upstream may have started again, with other software, before this host has
-// read so. Then the events came from the new start, if the connection was new
-// as well.
-bool exchange::knows_software() const
-{
-    auto const listed = m_context.directory.find(m_upstream->description.id);
-    return listed == nullptr || listed->software == m_upstream->software;
-}
-
 routing::pick exchange::choose()
 {
     auto const request = pick_request();
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -41,6 +41,10 @@
     , m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     , m_generation(std::random_device{}())
     , m_random(static_cast<std::minstd_rand::result_type>(m_generation))
+    , m_origins(context,
+                [this](model::endpoint const& to, std::string const& bytes) {
+                    send_bytes(to, bytes);
+                })
 {
     sockaddr_in const address = to_socket(listen);
     if (m_socket < 0
@@ -150,15 +154,21 @@
             frame.stamp - last_echo->second.received_at);
     }
     std::string const bytes = encode_digest(frame);
+    send_bytes(to, bytes);
+    return bytes.size();
+}
+
+// A digest that could not be sent is compensated by the next one.
+void peer_gossip::send_bytes(model::endpoint const& to,
+                             std::string const& bytes)
+{
     sockaddr_in const address = to_socket(to);
-    // A digest that could not be sent is compensated by the next one.
     sendto(m_socket,
            bytes.data(),
            bytes.size(),
            0,
            reinterpret_cast<sockaddr const*>(&address),
            sizeof address);
-    return bytes.size();
 }
 
 void peer_gossip::receive()
@@ -187,6 +197,10 @@
 void peer_gossip::handle_digest(std::string_view bytes,
                                 model::endpoint const& from)
 {
+    if (is_origin_message(bytes)) {
+        m_origins.receive(bytes, from);
+        return;
+    }
     auto frame = decode_digest(bytes);
     if (!frame) {
         return;
--- a/src/proxy/peer_gossip.hpp
+++ b/src/proxy/peer_gossip.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_PROXY_PEER_GOSSIP_HPP
 
 #include "proxy/digest_codec.hpp"
+#include "proxy/origin_exchange.hpp"
 #include "proxy/relay_context.hpp"
 #include "routing/digest_queue.hpp"
 #include "routing/load_change_detector.hpp"
@@ -45,6 +46,12 @@
         m_on_newer_revision = std::move(callback);
     }
 
+    /// Tells other hosts what this one knows of streams, before it stops.
+    void hand_over_origins()
+    {
+        m_origins.hand_over();
+    }
+
     /// Sends a digest at the end of this loop iteration to the hosts that wait
     /// for this change.
     void broadcast_change();
@@ -61,6 +68,7 @@
     void send_batch();
     /// Returns the bytes that were sent.
     std::size_t send_to(model::endpoint const& to, digest_frame& frame);
+    void send_bytes(model::endpoint const& to, std::string const& bytes);
     void receive();
     void handle_digest(std::string_view bytes, model::endpoint const& from);
     void apply_confirmation(routing::peer_digest const& received,
@@ -79,6 +87,7 @@
     std::minstd_rand m_random;
     std::map<std::string, echo> m_echoes;
     routing::digest_queue m_queue;
+    origin_exchange m_origins;
     routing::load_change_detector m_load_changes;
     std::size_t m_alive = 0;
     std::function<void(std::size_t)> m_on_changed;
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -1,5 +1,6 @@
 #include "proxy/relay.hpp"
 
+#include "proxy/stream_software.hpp"
 #include "proxy/tcp_listener.hpp"
 #include "proxy/upstream_paths.hpp"
 
@@ -102,6 +103,7 @@
     }
     sweep_paths(m_context);
     m_context.directory.drop_missing(m_context.loop.now());
+    sweep_stream_software(m_context);
     if (m_context.is_stopping) {
         check_stop();
     }
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -4,6 +4,7 @@
 #include "model/time.hpp"
 #include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
+#include "proxy/origin_codec.hpp"
 #include "proxy/reach_report.hpp"
 #include "proxy/relay_settings.hpp"
 #include "proxy/upstream_pool.hpp"
@@ -15,7 +16,9 @@
 #include "routing/picker.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/route_table.hpp"
+#include "routing/software_history.hpp"
 #include "routing/stop_rule.hpp"
+#include "routing/stream_origins.hpp"
 #include "routing/upstream_directory.hpp"
 #include "routing/upstream_reach.hpp"
 #include "runtime/event_loop.hpp"
@@ -23,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace caperjunction::proxy {
@@ -56,6 +60,18 @@
     /// Connections of other hosts to upstreams that lead through this host.
     std::size_t open_tunnels = 0;
     routing::crash_suspects suspects;
+    routing::software_history software;
+    routing::stream_origins origins;
+    /// Since when another host has a newer list of upstreams.
+    std::optional<model::time_point> list_behind_since;
+    /// Tells other hosts which software began a stream; null: there are none.
+    std::function<void(routing::stream_origin const&)> tell_origin;
+    /// Asks other hosts for a stream, given what is known here, and calls back
+    /// with its software or with nothing; null: there are none.
+    std::function<void(origin_question const&,
+                       routing::origin_claims const&,
+                       std::function<void(std::optional<routing::software>)>)>
+        ask_origin;
     std::map<std::string, routing::retry_budget> retry_budgets;
     /// Streams of the most urgent rank over all hosts, by service.
     std::map<std::string, routing::demand_trend> urgent_demand;
--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -4,6 +4,7 @@
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
 #include "routing/digest_set.hpp"
+#include "routing/origin_peer.hpp"
 #include "routing/tunnel_peer.hpp"
 
 #include <cstddef>
@@ -180,6 +181,11 @@
     /// `assumed_port`: a host exchanges digests with its own data centre only.
     std::vector<tunnel_peer> tunnel_peers(std::uint16_t assumed_port) const;
 
+    /// Returns the hosts that can be told or asked which software began a
+    /// stream: the near ones, and in a large fleet gateways of other data
+    /// centres.
+    std::vector<origin_peer> origin_peers() const;
+
     /// Returns until when upstreams want no request from the host whose tunnels
     /// are at `own`, as told to other hosts through these; by their keys from
     /// `upstream_load_key`.
--- a/src/routing/peer_tunnels.cpp
+++ b/src/routing/peer_tunnels.cpp
@@ -45,6 +45,20 @@
     return list;
 }
 
+std::vector<origin_peer> peer_table::origin_peers() const
+{
+    std::vector<origin_peer> list;
+    for (auto const& [address, known] : m_peers) {
+        bool const is_remote_gateway =
+            known.digest.is_gateway && known.has_known_data_centre
+            && !is_in_data_centre(known) && has_been_large();
+        if (is_near(known) || is_remote_gateway) {
+            list.push_back({address, is_in_data_centre(known)});
+        }
+    }
+    return list;
+}
+
 std::unordered_map<std::uint32_t, model::time_point>
 peer_table::pauses_through(model::endpoint const& own) const
 {
--- a/src/routing/pick.hpp
+++ b/src/routing/pick.hpp
@@ -29,6 +29,9 @@
     /// The only software that may go on with a stream that has begun; no value:
     /// any.
     std::optional<routing::software> software;
+    /// Returns whether the software of an upstream is what its entry says;
+    /// called if `software` is set. Null: it always is.
+    std::function<bool(upstream_state const&)> is_software_certain;
     /// Regions that may serve the request; null: all.
     home_regions const* homes = nullptr;
     /// Returns whether each host that could connect this one to an upstream was
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -24,7 +24,10 @@
 bool is_allowed(pick_request const& request, upstream_state const& candidate)
 {
     bool const has_software =
-        !request.software || *request.software == candidate.software;
+        !request.software
+        || (*request.software == candidate.software
+            && (!request.is_software_certain
+                || request.is_software_certain(candidate)));
     return has_software
            && (request.homes == nullptr
                || request.homes->allows(candidate.where.region));
--- a/src/routing/software.hpp
+++ b/src/routing/software.hpp
@@ -5,7 +5,9 @@
 
 #include <xxhash.h>
 
+#include <compare>
 #include <cstdint>
+#include <string_view>
 
 namespace caperjunction::routing {
 
@@ -13,23 +15,28 @@
 /// all hosts. Events of two versions don't form one stream.
 struct software
 {
-    /// Hash of the names of the service and the version.
-    std::uint64_t key = 0;
+    /// Hashes of the names.
+    std::uint64_t service = 0;
+    std::uint64_t version = 0;
 
     friend bool operator==(software const&, software const&) = default;
     friend auto operator<=>(software const&, software const&) = default;
 };
 
+/// Returns the key of a service in `software`. Thread safety: any thread.
+inline std::uint64_t software_service_key(std::string_view service)
+{
+    return XXH3_64bits(service.data(), service.size());
+}
+
 /// Returns the software of an upstream, as its entry describes it.
 ///
 /// Thread safety: any thread.
 inline software software_of(upstream const& described)
 {
-    std::uint64_t const service =
-        XXH3_64bits(described.service.data(), described.service.size());
-    return {XXH3_64bits_withSeed(described.software_version.data(),
-                                 described.software_version.size(),
-                                 service)};
+    return {software_service_key(described.service),
+            XXH3_64bits(described.software_version.data(),
+                        described.software_version.size())};
 }
 
 } // namespace caperjunction::routing
--- a/src/routing/upstream_state.hpp
+++ b/src/routing/upstream_state.hpp
@@ -71,6 +71,9 @@
     model::time_point paused_until{};
     /// Tunnels of the host through which it has said so; no value: directly.
     std::optional<model::endpoint> paused_through;
+    /// When a connection of this host to it last broke or failed, on the clock
+    /// of the key lease; no value: never.
+    std::optional<model::time_point> broken_at;
     /// When this host last received data from it.
     model::time_point received_at{};
     /// Position among the engines of its service in the order of reservation;
--- a/tests/proxy/relay_ending_test.cpp
+++ b/tests/proxy/relay_ending_test.cpp
@@ -151,6 +151,7 @@
     fixture.add("i-1", "ledger", [](received const&) {
         return unframed("");
     });
+    fixture.age_history(1min);
     auto const caller = fixture.send(
         relay_fixture::request("/resume/", "a1", "Last-Event-Id: 7\r\n"));
     REQUIRE(fixture.run_until([&fixture] {
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -96,6 +96,12 @@
     return *m_upstreams.back();
 }
 
+void relay_fixture::age_history(model::milliseconds time)
+{
+    context.software = {};
+    context.software.observe(context.directory, loop.now() - time);
+}
+
 void relay_fixture::set_idle_timeout(model::milliseconds timeout)
 {
     auto lists = context.table->config();
--- a/tests/proxy/relay_fixture.hpp
+++ b/tests/proxy/relay_fixture.hpp
@@ -47,6 +47,9 @@
     /// Opens a connection and sends `text`.
     std::shared_ptr<plain_client> send(std::string const& text);
 
+    /// Makes the upstreams of now have served alone for `time`.
+    void age_history(model::milliseconds time);
+
     /// Changes the configuration; only the idle timeout differs.
     void set_idle_timeout(model::milliseconds timeout);
 
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -69,6 +69,7 @@
     std::size_t const ended = fixture.outcomes.size() + 1;
     // Other bodies, so that none counts as the one that crashes engines.
     auto caller = fixture.send(relay_fixture::request("/resume/", id, "", id));
+    fixture.context.keys.renew(fixture.loop.now());
     CHECK(fixture.run_until([&fixture, ended] {
         return fixture.outcomes.size() >= ended;
     }));
@@ -153,53 +154,225 @@
     CHECK(two.requests.empty());
 }
 
-// Guards against a caller whose stream goes on at another software version
-// because the host that it asks is not the one that began the stream.
-TEST_CASE("a stream that callers take up goes on at its software version"
-          * doctest::should_fail())
-{
-    host_fleet fleet({"a", "a", "b", "b"}, 4);
-    for (std::size_t upstream = 0; upstream < 4; ++upstream) {
-        fleet.set_version(upstream, upstream % 2 == 0 ? "v1" : "v2");
-    }
-    fleet.answer = [](received const& request) -> script {
-        std::string const& engine = *request.head.find("Expect-Instance");
-        std::string const version =
-            engine == "i-1" || engine == "i-3" ? "v1" : "v2";
-        if (goes_on(request)) {
-            return {stream_head() + event_of(version, 2) + answer_end};
-        }
-        return {stream_head() + event_of(version, 1)};
+// Guards against a caller who waits for an engine that can't come back.
+TEST_CASE("a stream of a version that has gone is refused for good")
+{
+    relay_fixture fixture;
+    auto const sound = [](received const&) {
+        return script{stream_head() + event_of("v2", 2) + answer_end};
+    };
+    add_version(fixture, "i-1", "v1", sound);
+    auto& two = add_version(fixture, "i-2", "v2", sound);
+    auto const one = fixture.context.directory.find("i-1");
+    fixture.context.origins.record({routing::stream_key("s1"), one->software},
+                                   fixture.loop.now());
+    SUBCASE("it leaves")
+    {
+        fixture.context.directory.record_leaving(*one);
+    }
+    SUBCASE("its entry is gone")
+    {
+        fixture.context.directory.remove("i-1", fixture.loop.now());
+    }
+    auto const caller = fixture.send(relay_fixture::request(
+        "/resume/", "t1", "Resumes: s1\r\nLast-Event-Id: 1\r\n"));
+    REQUIRE(fixture.run_until([&fixture] {
+        return !fixture.outcomes.empty();
+    }));
+    fixture.run_for(20ms);
+    CHECK(caller->received_bytes.rfind("HTTP/1.1 503", 0) == 0);
+    CHECK(caller->received_bytes.find("version_gone") != std::string::npos);
+    CHECK(caller->received_bytes.find("Retry-After") == std::string::npos);
+    CHECK(two.requests.empty());
+}
+
+// Guards against a host that guesses the version of a stream that it can't
+// know.
+TEST_CASE("a stream whose version is unknown is refused with Retry-After")
+{
+    struct variant
+    {
+        std::string second_version;
+        std::string headers;
+        model::milliseconds history;
+        bool is_served;
     };
-    fleet.run_for(100ms);
+
+    std::string const event_id = "Last-Event-Id: 1\r\n";
+    std::string const names_stream = "Resumes: s1\r\n" + event_id;
+    for (variant const& item : {variant{"v2", names_stream, 1min, false},
+                                variant{"v2", event_id, 1min, false},
+                                variant{"v1", names_stream, 0ms, false},
+                                variant{"v1", names_stream, 1min, true},
+                                variant{"v1", event_id, 1min, true}}) {
+        CAPTURE(item.second_version);
+        CAPTURE(item.headers);
+        relay_fixture fixture;
+        for (std::string const& version :
+             {std::string("v1"), item.second_version}) {
+            add_version(fixture,
+                        "i-" + std::to_string(fixture.context.directory.size()),
+                        version,
+                        [version](received const&) {
+                            return script{stream_head() + event_of(version, 2)
+                                          + answer_end};
+                        });
+        }
+        fixture.age_history(item.history);
+        auto const caller = fixture.send(
+            relay_fixture::request("/resume/", "t1", item.headers));
+        REQUIRE(fixture.run_until([&fixture] {
+            return !fixture.outcomes.empty();
+        }));
+        fixture.run_for(20ms);
+        std::string const& got = caller->received_bytes;
+        CHECK(has_whole_answer(*caller) == item.is_served);
+        CHECK((got.rfind("HTTP/1.1 503", 0) == 0) == !item.is_served);
+        CHECK((got.find("Retry-After") != std::string::npos)
+              == !item.is_served);
+        CHECK((got.find("version_unknown") != std::string::npos)
+              == !item.is_served);
+    }
+}
+
+namespace {
+
+/// Hosts with engines of two versions, each of which sends one event and waits,
+/// and goes on where it is asked to.
+class version_fleet
+{
+public:
+    explicit version_fleet(std::vector<std::string> const& data_centres)
+        : fleet(data_centres, 4)
+    {
+        for (std::size_t upstream = 0; upstream < 4; ++upstream) {
+            versions.push_back("");
+            set_version(upstream, upstream % 2 == 0 ? "v1" : "v2");
+        }
+        fleet.answer = [this](received const& request) -> script {
+            std::string const& engine = *request.head.find("Expect-Instance");
+            std::string const& version =
+                versions[std::stoul(engine.substr(2)) - 1];
+            if (goes_on(request)) {
+                return {stream_head() + event_of(version, 2) + answer_end};
+            }
+            return {stream_head() + event_of(version, 1)};
+        };
+        fleet.run_for(300ms);
+    }
+
+    void set_version(std::size_t upstream, std::string const& version)
+    {
+        versions[upstream] = version;
+        fleet.set_version(upstream, version);
+    }
+
+    void begin(std::size_t host, int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            std::string const id = "s" + std::to_string(begun.size());
+            begun.push_back(fleet.send(host, "/resume/", id));
+        }
+        fleet.run_for(200ms);
+        for (first_try const& item : begun) {
+            plain_client const& caller = *item.caller;
+            REQUIRE(has_event_of(caller, "v1") != has_event_of(caller, "v2"));
+        }
+    }
+
+    /// Takes all streams up, in turn at these hosts.
+    void take_up(std::vector<std::size_t> const& at)
+    {
+        std::vector<first_try> taken_up;
+        for (std::size_t number = 0; number < begun.size(); ++number) {
+            std::string const& id = begun[number].id;
+            taken_up.push_back(
+                fleet.send(at[number % at.size()],
+                           "/resume/",
+                           "t" + std::to_string(++m_takeovers),
+                           "Resumes: " + id + "\r\nLast-Event-Id: 1\r\n"));
+        }
+        fleet.run_for(500ms);
+        mixed = 0;
+        went_on = 0;
+        for (std::size_t number = 0; number < begun.size(); ++number) {
+            plain_client const& caller = *taken_up[number].caller;
+            bool const is_first = has_event_of(*begun[number].caller, "v1");
+            mixed += has_event_of(caller, is_first ? "v2" : "v1") ? 1 : 0;
+            went_on += has_event_of(caller, is_first ? "v1" : "v2") ? 1 : 0;
+        }
+    }
+
+    host_fleet fleet;
+    std::vector<std::string> versions;
     std::vector<first_try> begun;
-    for (int number = 0; number < streams; ++number) {
-        begun.push_back(
-            fleet.send(0, "/resume/", "s" + std::to_string(number)));
-    }
-    fleet.run_for(200ms);
-    fleet.kill(0);
-    fleet.run_for(20ms);
-    std::vector<first_try> taken_up;
-    for (std::size_t number = 0; number < begun.size(); ++number) {
-        taken_up.push_back(fleet.send(1 + number % 3,
-                                      "/resume/",
-                                      "t" + std::to_string(number),
-                                      "Resumes: " + begun[number].id
-                                          + "\r\nLast-Event-Id: 1\r\n"));
-    }
-    fleet.run_for(500ms);
     int mixed = 0;
     int went_on = 0;
-    for (std::size_t number = 0; number < begun.size(); ++number) {
-        plain_client const& first = *begun[number].caller;
-        plain_client const& second = *taken_up[number].caller;
-        REQUIRE(has_event_of(first, "v1") != has_event_of(first, "v2"));
-        std::string const began = has_event_of(first, "v1") ? "v1" : "v2";
-        std::string const other = began == "v1" ? "v2" : "v1";
-        mixed += has_event_of(second, other) ? 1 : 0;
-        went_on += has_event_of(second, began) ? 1 : 0;
+
+private:
+    int m_takeovers = 0;
+};
+
+} // namespace
+
+// Guards against a caller whose stream goes on at another software version
+// because the host that it asks is not the one that began the stream.
+TEST_CASE("a stream that callers take up goes on at its software version")
+{
+    version_fleet test({"a", "a", "b", "b"});
+    test.begin(0, streams);
+    SUBCASE("its host lives")
+    {
     }
-    CHECK(mixed == 0);
-    CHECK(went_on >= streams * 9 / 10);
+    SUBCASE("its host is killed")
+    {
+        test.fleet.kill(0);
+    }
+    test.fleet.run_for(20ms);
+    test.take_up({1, 2, 3});
+    CHECK(test.mixed == 0);
+    CHECK(test.went_on >= streams * 9 / 10);
+    // Once more, by the id of the first attempt.
+    test.take_up({3, 1, 2});
+    CHECK(test.mixed == 0);
+    CHECK(test.went_on >= streams * 9 / 10);
+}
+
+// Guards against streams that nobody remembers because they began before a
+// second version served.
+TEST_CASE("a stream that began before a rollout goes on at its version")
+{
+    version_fleet test({"a", "a", "b", "b"});
+    test.set_version(1, "v1");
+    test.set_version(3, "v1");
+    for (auto const& host : test.fleet.hosts) {
+        host->context.software = {};
+        host->context.software.observe(host->context.directory,
+                                       test.fleet.loop.now() - 1min);
+    }
+    test.begin(0, streams);
+    for (std::size_t host = 1; host < 4; ++host) {
+        CHECK(test.fleet.hosts[host]->context.origins.size() == 0);
+    }
+    test.set_version(1, "v2");
+    test.set_version(3, "v2");
+    test.fleet.run_for(400ms);
+    test.fleet.kill(0);
+    test.take_up({1, 2, 3});
+    CHECK(test.mixed == 0);
+    CHECK(test.went_on >= streams * 9 / 10);
+}
+
+// Guards against a host that goes by an old list: an engine may have started
+// again under its id since, with other software.
+TEST_CASE("hosts whose lists are old take no stream up")
+{
+    version_fleet test({"a", "a", "b", "b"});
+    test.begin(0, streams);
+    for (auto const& host : test.fleet.hosts) {
+        host->context.settings.key_lifetime = 0ms;
+    }
+    test.take_up({1, 2, 3});
+    CHECK(test.mixed == 0);
+    CHECK(test.went_on == 0);
 }
