--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -89,7 +89,7 @@
     auto const cold = platform::decode_upstream(
         "i-1",
         R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4,)"
-        R"("state":"ready","cold_remaining_ms":2150.5})");
+        R"("version":"1.4","state":"ready","cold_remaining_ms":2150.5})");
     REQUIRE(cold);
     CHECK(cold->cold_remaining == 2'150ms);
 }
@@ -116,15 +116,18 @@
          "\xff\xfe",
          "[]",
          R"({"service":"s"})",
-         R"({"service":3,"address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready"})",
-         R"({"service":"s","address":"1.1.1.1","zone":"z","slots":4,"state":"ready"})",
-         R"({"service":"s","address":"1.1.1.1:x","zone":"z","slots":4,"state":"ready"})",
-         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":"4","state":"ready"})",
+         R"({"service":3,"address":"1.1.1.1:1","zone":"z","version":"1.4","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1","zone":"z","version":"1.4","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:x","zone":"z","version":"1.4","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"1.4","slots":"4","state":"ready"})",
          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"lost"})",
-         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","cold_remaining_ms":"1"})",
-         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","cold_remaining_ms":-1})",
-         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","cold_remaining_ms":1e300})",
-         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready","born":1.5})"}) {
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"1.4","slots":4,"state":"ready","cold_remaining_ms":"1"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"1.4","slots":4,"state":"ready","cold_remaining_ms":-1})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"1.4","slots":4,"state":"ready","cold_remaining_ms":1e300})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"1.4","slots":4,"state":"ready","born":1.5})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":"","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","version":2,"slots":4,"state":"ready"})"}) {
         CAPTURE(bad);
         CHECK(!platform::decode_upstream("i-1", bad));
     }
--- a/tests/program/store_replica_test.cpp
+++ b/tests/program/store_replica_test.cpp
@@ -26,7 +26,7 @@
 {
     return {"servers/" + id,
             R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":4,)"
-            R"("state":"ready","born":1700000000000})",
+            R"("version":"v1","state":"ready","born":1700000000000})",
             revision,
             false};
 }
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -53,6 +53,8 @@
         self.runs = runs
         self.mode = HEALTHY
         self.incarnation = 1
+        # Of its software; belongs to a start.
+        self.version = "v1"
         self.random = random.Random(seed)
         # Of its own: another draw would change all other faults of a seed.
         self.framing_random = random.Random(seed)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -158,7 +158,7 @@
     def register(self, engine, state="ready"):
         self.store.put(f"servers/{engine.name}", {
             "service": engine.service, "address": f"127.0.0.1:{self.paths[engine].port}",
-            "zone": "abc"[len(engine.name) % 3], "slots": SLOTS, "state": state, "born": engine.incarnation,
+            "zone": "abc"[len(engine.name) % 3], "version": engine.version, "slots": SLOTS, "state": state, "born": engine.incarnation,
         })
 
     async def add_engine(self, service, seed=None):
