Lead tunnels to the start of an upstream that is meant

A host that reaches an upstream through another one names it by its id alone, and the host in between connects to whatever its own list has under that id. Where an upstream has started again under its id, with other software, and one of the two lists is older, a stream would go on at a version that the first host doesn't believe in.

The request for a tunnel states the start (a field at the end of its table, 0 from hosts of earlier versions), and a host that has read another one refuses, so that the attempt is made in another way and uncounted.

--- a/src/proxy/tunnel.cpp
+++ b/src/proxy/tunnel.cpp
@@ -66,14 +66,19 @@
         return;
     }
     m_has_frames = request->reads_frames;
-    connect(request->upstream);
+    connect(*request);
 }
 
-void tunnel::connect(std::string const& upstream_id)
+void tunnel::connect(tunnel_request const& request)
 {
     m_context.loop.cancel(m_request_timer);
-    auto const known = m_context.directory.find(upstream_id);
-    if (m_context.is_stopping || known == nullptr) {
+    auto const known = m_context.directory.find(request.upstream);
+    // The other host has read an older or a newer entry: the upstream may have
+    // other software than it believes.
+    bool const is_other_start =
+        known && request.started != 0
+        && known->description.started != request.started;
+    if (m_context.is_stopping || known == nullptr || is_other_start) {
         refuse(tunnel_status::refused);
         return;
     }
--- a/src/proxy/tunnel.hpp
+++ b/src/proxy/tunnel.hpp
@@ -33,7 +33,7 @@
 
 private:
     void handle_request(std::string_view bytes);
-    void connect(std::string const& upstream_id);
+    void connect(tunnel_request const& request);
     void refuse(tunnel_status status);
     void forward(std::shared_ptr<tcp_stream> const& from,
                  std::shared_ptr<tcp_stream> const& to,
--- a/src/proxy/tunnel_codec.cpp
+++ b/src/proxy/tunnel_codec.cpp
@@ -23,8 +23,8 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     auto const upstream = builder.CreateString(request.upstream);
-    builder.Finish(
-        wire::CreateTunnelRequest(builder, upstream, request.reads_frames));
+    builder.Finish(wire::CreateTunnelRequest(
+        builder, upstream, request.reads_frames, request.started));
     return with_size(builder);
 }
 
@@ -55,7 +55,8 @@
     if (request == nullptr || request->upstream() == nullptr) {
         return std::nullopt;
     }
-    return tunnel_request{request->upstream()->str(), request->frames()};
+    return tunnel_request{
+        request->upstream()->str(), request->frames(), request->started()};
 }
 
 std::optional<tunnel_reply> decode_tunnel_reply(std::string_view message)
--- a/src/proxy/tunnel_codec.hpp
+++ b/src/proxy/tunnel_codec.hpp
@@ -26,6 +26,8 @@
     std::string upstream;
     /// Whether the sender can read `tunnel_frames`.
     bool reads_frames = true;
+    /// Start of the upstream that the sender means; 0: any.
+    std::uint64_t started = 0;
 };
 
 struct tunnel_reply
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -46,11 +46,11 @@
 
 upstream_connection::upstream_connection(runtime::event_loop& loop,
                                          model::endpoint peer,
-                                         std::string id)
+                                         tunnel_request request)
     : upstream_connection(loop, peer)
 {
     m_peer = std::move(peer);
-    m_upstream_id = std::move(id);
+    m_tunnel = std::move(request);
 }
 
 upstream_connection::~upstream_connection()
@@ -112,7 +112,7 @@
     if (!m_peer) {
         return;
     }
-    m_stream->write(encode_tunnel_request({m_upstream_id, true}));
+    m_stream->write(encode_tunnel_request(m_tunnel));
     // The other host needs as long to connect to the upstream.
     m_tunnel_timer = m_loop.after(timeout * 2, [this] {
         fail(answer_fault::peer_unreachable);
--- a/src/proxy/upstream_connection.hpp
+++ b/src/proxy/upstream_connection.hpp
@@ -5,6 +5,7 @@
 #include "proxy/http_reader.hpp"
 #include "proxy/message_head.hpp"
 #include "proxy/tcp_stream.hpp"
+#include "proxy/tunnel_codec.hpp"
 #include "proxy/tunnel_frames.hpp"
 #include "runtime/event_loop.hpp"
 
@@ -53,10 +54,11 @@
 public:
     upstream_connection(runtime::event_loop& loop, model::endpoint at);
 
-    /// Leads to the upstream `id` through the host whose tunnels are at `peer`.
+    /// Leads to the upstream of `request` through the host whose tunnels are at
+    /// `peer`.
     upstream_connection(runtime::event_loop& loop,
                         model::endpoint peer,
-                        std::string id);
+                        tunnel_request request);
 
     ~upstream_connection();
     upstream_connection(upstream_connection const&) = delete;
@@ -132,7 +134,7 @@
     runtime::event_loop& m_loop;
     model::endpoint m_at;
     std::optional<model::endpoint> m_peer;
-    std::string m_upstream_id;
+    tunnel_request m_tunnel;
     std::shared_ptr<tcp_stream> m_stream;
     /// Until a tunnel is established: what its peer has replied so far, and the
     /// request that waits for it.
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -32,8 +32,10 @@
 {
     ++m_opened;
     if (peer) {
-        return std::make_shared<upstream_connection>(
-            m_loop, *peer, upstream->description.id);
+        tunnel_request request;
+        request.upstream = upstream->description.id;
+        request.started = upstream->description.started;
+        return std::make_shared<upstream_connection>(m_loop, *peer, request);
     }
     return std::make_shared<upstream_connection>(m_loop,
                                                  upstream->description.at);
--- a/src/proxy/wire/tunnel_generated.h
+++ b/src/proxy/wire/tunnel_generated.h
@@ -60,7 +60,8 @@
   typedef TunnelRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_UPSTREAM = 4,
-    VT_FRAMES = 6
+    VT_FRAMES = 6,
+    VT_STARTED = 8
   };
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
@@ -68,11 +69,15 @@
   bool frames() const {
     return GetField<uint8_t>(VT_FRAMES, 0) != 0;
   }
+  uint64_t started() const {
+    return GetField<uint64_t>(VT_STARTED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
            VerifyField<uint8_t>(verifier, VT_FRAMES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED, 8) &&
            verifier.EndTable();
   }
 };
@@ -87,6 +92,9 @@
   void add_frames(bool frames) {
     fbb_.AddElement<uint8_t>(TunnelRequest::VT_FRAMES, static_cast<uint8_t>(frames), 0);
   }
+  void add_started(uint64_t started) {
+    fbb_.AddElement<uint64_t>(TunnelRequest::VT_STARTED, started, 0);
+  }
   explicit TunnelRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -101,8 +109,10 @@
 inline flatbuffers::Offset<TunnelRequest> CreateTunnelRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    bool frames = false) {
+    bool frames = false,
+    uint64_t started = 0) {
   TunnelRequestBuilder builder_(_fbb);
+  builder_.add_started(started);
   builder_.add_upstream(upstream);
   builder_.add_frames(frames);
   return builder_.Finish();
@@ -111,12 +121,14 @@
 inline flatbuffers::Offset<TunnelRequest> CreateTunnelRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *upstream = nullptr,
-    bool frames = false) {
+    bool frames = false,
+    uint64_t started = 0) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return caperjunction::proxy::wire::CreateTunnelRequest(
       _fbb,
       upstream__,
-      frames);
+      frames,
+      started);
 }
 
 struct TunnelReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/proxy/tunnel_test.cpp
+++ b/tests/proxy/tunnel_test.cpp
@@ -289,3 +289,21 @@
     CHECK(fleet.sent(0, since) > 0);
     CHECK(fleet.served(0, since) == fleet.sent(0, since));
 }
+
+// Guards against a stream of two versions where the host in between has read a
+// later start of the upstream.
+TEST_CASE("a tunnel leads to the start of the upstream that is meant")
+{
+    host_fleet fleet({"a"}, 1);
+    fleet.set_version(0, "v2");
+    std::uint64_t const started =
+        fleet.hosts[0]->context.directory.find("i-1")->description.started;
+    auto const ask = [&fleet](std::uint64_t meant) {
+        return status_of(*open_tunnel(
+            fleet, proxy::encode_tunnel_request({"i-1", true, meant})));
+    };
+    CHECK(ask(started) == proxy::tunnel_status::established);
+    CHECK(ask(started + 1) == proxy::tunnel_status::refused);
+    // Hosts of earlier versions state no start.
+    CHECK(ask(0) == proxy::tunnel_status::established);
+}
