Count streams that are resumed, and take up streams of routes with several services

A route with several services was refused for each stream that was not recorded, even if each service had one version alone.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -244,6 +244,8 @@
     });
     m_metrics.set_paths(lost_links,
                         static_cast<double>(m_context.open_tunnels));
+    m_metrics.set_streams(static_cast<double>(m_context.origins.size()),
+                          static_cast<double>(m_context.origins.evicted()));
     return m_metrics.text();
 }
 
--- a/src/program/routed_metrics.cpp
+++ b/src/program/routed_metrics.cpp
@@ -33,6 +33,10 @@
                   .Name("caperjunction_routed_sends_total")
                   .Help("Sends to upstreams, first ones and second ones")
                   .Register(*m_registry))
+    , m_resumed(prometheus::BuildCounter()
+                    .Name("caperjunction_routed_resumed_streams_total")
+                    .Help("Streams resumed here or by callers, by outcome")
+                    .Register(*m_registry))
     , m_first_byte(prometheus::BuildHistogram()
                        .Name("caperjunction_routed_first_byte_seconds")
                        .Help("From arrival to the first byte, by service")
@@ -91,6 +95,12 @@
         m_sends.Add({{"service", service}, {"send", "second"}})
             .Increment(ended.sent - 1);
     }
+    if (ended.takes_up || ended.resumed > 0) {
+        m_resumed
+            .Add({{"by", ended.takes_up ? "caller" : "host"},
+                  {"outcome", std::string(ended.outcome)}})
+            .Increment();
+    }
     if (ended.first_byte.count() >= 0) {
         m_first_byte.Add({{"service", service}}, seconds_buckets())
             .Observe(model::seconds(ended.first_byte).count());
@@ -161,6 +171,12 @@
     m_gauges.Add({{"part", "tunnels"}}).Set(tunnels);
 }
 
+void routed_metrics::set_streams(double remembered, double evicted)
+{
+    m_gauges.Add({{"part", "streams_remembered"}}).Set(remembered);
+    m_gauges.Add({{"part", "streams_evicted"}}).Set(evicted);
+}
+
 std::string routed_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -37,6 +37,9 @@
     void set_work(double callers, double connections, double dropped_lines);
     /// `tunnels`: connections of other hosts that lead through this one.
     void set_paths(double lost_links, double tunnels);
+    /// `remembered`: streams whose software is known here; `evicted`: those
+    /// that were forgotten because there were too many.
+    void set_streams(double remembered, double evicted);
 
     /// Returns the metrics in the Prometheus text format.
     std::string text() const;
@@ -45,6 +48,7 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_sends;
+    prometheus::Family<prometheus::Counter>& m_resumed;
     prometheus::Family<prometheus::Histogram>& m_first_byte;
     prometheus::Family<prometheus::Histogram>& m_forecast_ratio;
     prometheus::Family<prometheus::Histogram>& m_pause;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -217,6 +217,7 @@
     m_report.since_stop = m_since_stop;
     m_report.unsent_bytes = m_sink.unsent_bytes();
     m_report.events = m_events;
+    m_report.takes_up = m_route != nullptr && takes_up_stream();
     m_report.resumed_id = m_metadata.resumed_id;
     m_report.resumed = m_resumed;
     m_report.first_version = m_first_version;
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -62,8 +62,9 @@
     model::milliseconds upstream_wait{-1};
     model::milliseconds total{0};
     std::uint64_t events = 0;
-    /// Attempt that began the stream that the caller takes up; empty if it
-    /// takes up none.
+    /// Whether the caller takes a stream up, and the attempt that began it;
+    /// empty if the caller doesn't name it.
+    bool takes_up = false;
     std::string_view resumed_id;
     /// Attempts that went on after the first event within this answer.
     std::uint32_t resumed = 0;
--- a/src/proxy/exchange_take_up.cpp
+++ b/src/proxy/exchange_take_up.cpp
@@ -19,7 +19,7 @@
     if (!m_metadata.resumed_id.empty()) {
         asked.stream = routing::stream_key(m_metadata.resumed_id);
     }
-    if (m_route->split.size() == 1) {
+    if (serves_one_version_each(m_context, *m_route)) {
         asked.service = routing::software_service_key(m_service);
     }
     auto const weak = weak_from_this();
--- a/src/proxy/stream_software.cpp
+++ b/src/proxy/stream_software.cpp
@@ -62,6 +62,21 @@
            && (!state.broken_at || *state.broken_at < *context.keys.as_of());
 }
 
+bool serves_one_version_each(relay_context const& context,
+                             routing::route const& route)
+{
+    return route.split.size() == 1
+           || std::none_of(
+               route.split.begin(),
+               route.split.end(),
+               [&context](routing::weighted_service const& item) {
+                   return served_lately(
+                              context,
+                              routing::software_service_key(item.service))
+                          == served_software::several;
+               });
+}
+
 void record_begun(relay_context& context,
                   routing::stream_origin const& begun,
                   bool has_several_services)
--- a/src/proxy/stream_software.hpp
+++ b/src/proxy/stream_software.hpp
@@ -18,6 +18,12 @@
 bool is_software_certain(relay_context const& context,
                          routing::upstream_state const& state);
 
+/// Returns whether none of the services of a route is known to have served
+/// several versions lately. True if there is one service alone: it is asked
+/// for.
+bool serves_one_version_each(relay_context const& context,
+                             routing::route const& route);
+
 /// Records which software began a stream of this host, and tells others unless
 /// they can know it without. `has_several_services`: the route's streams may
 /// begin at several.
