serve: resume a broken answer at the software version that began it

The list of upstreams may state software_version for each engine. The first relayed tokens fix it for the answer, the placer leaves out engines of another one, and an answer whose version no engine that stays has ends at once (version_gone). Engines without a version count as one version of their own, as before.

--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -31,6 +31,9 @@
     charge_overrun(*running);
     forecast.add(*running);
     engine_state& engine = m_engines.at(running->upstream);
+    if (running->software == no_index) {
+        running->software = engine.software;
+    }
     if (running->first_token == model::time_point{}) {
         running->first_token = m_now;
         engine.record_first_token(running->pending_prefill_tokens);
--- a/src/decide/core_retry.cpp
+++ b/src/decide/core_retry.cpp
@@ -118,6 +118,16 @@
         dispatch_service_call(waiting);
         return;
     }
+    if (waiting.software != no_index
+        && !m_engines.has_software(waiting.group, waiting.software)) {
+        refuse_request(waiting,
+                       model::error_kind::upstream_failed,
+                       model::milliseconds{0},
+                       "version_gone",
+                       "send it anew: no engine of the version that began the "
+                       "answer is left");
+        return;
+    }
     if (hand_over_unreachable(waiting)) {
         return;
     }
--- a/src/decide/engine_state.hpp
+++ b/src/decide/engine_state.hpp
@@ -81,6 +81,8 @@
     std::vector<index> groups;
     bool own_region = true;
     std::uint32_t slots = 0;
+    /// Number of its software version in the engine table.
+    index software = no_index;
     engine_health health = engine_health::good;
     model::time_point probe_at{};
     /// Duration of the latest ejection; doubles on each further failure.
--- a/src/decide/engine_table.cpp
+++ b/src/decide/engine_table.cpp
@@ -58,6 +58,7 @@
             leave_groups(engine_index);
         }
         state.update_listing(source, own_region);
+        state.software = m_software.intern(source.software_version);
         serve_models(engine_index, source.models, shares, now);
     }
     rank_engines();
@@ -233,6 +234,16 @@
     return found == m_model_hashes.end() ? no_index : found->second;
 }
 
+bool engine_table::has_software(index group, index software) const
+{
+    auto const& members = m_groups[group].engines;
+    return std::any_of(members.begin(), members.end(), [&](index member) {
+        engine_state const& state = m_engines[member];
+        return state.software == software
+               && state.health != engine_health::leaving;
+    });
+}
+
 index engine_table::group(std::string const& model,
                           std::vector<double> const& shares)
 {
--- a/src/decide/engine_table.hpp
+++ b/src/decide/engine_table.hpp
@@ -91,6 +91,9 @@
 
     index find_model_hash(std::uint32_t hash) const;
 
+    /// Whether an engine of the group that stays has this software.
+    bool has_software(index group, index software) const;
+
     std::vector<model_group>& groups()
     {
         return m_groups;
@@ -111,6 +114,7 @@
     std::string m_region;
     name_table m_names;
     name_table m_models;
+    name_table m_software;
     std::vector<engine_state> m_engines;
     std::vector<model_group> m_groups;
     std::unordered_map<std::uint32_t, index> m_hashes;
--- a/src/decide/entry.hpp
+++ b/src/decide/entry.hpp
@@ -46,6 +46,9 @@
     /// Index of its model group, or of its service.
     index group = 0;
     index upstream = no_index;
+    /// Software that generated the tokens that the caller has; `no_index`: it
+    /// has none.
+    index software = no_index;
     /// Upstream of the failed attempt; the next attempt avoids it.
     index avoided_upstream = no_index;
     std::uint32_t prompt_tokens = 0;
--- a/src/decide/placer.cpp
+++ b/src/decide/placer.cpp
@@ -132,6 +132,9 @@
         == groups.end()) {
         return false;
     }
+    if (waiting.software != no_index && waiting.software != engine.software) {
+        return false;
+    }
     // The reserve is for the highest tier, and for suspects that were running
     // and have lost their slot.
     engine_capacity const capacity =
--- a/src/lists/parse_upstreams.cpp
+++ b/src/lists/parse_upstreams.cpp
@@ -46,6 +46,7 @@
     from.read_names("models", item.models);
     read_role(from, item.role);
     from.read_count("slots", item.slots, 0);
+    from.read_name("software_version", item.software_version);
     from.read_boolean("checks_fencing", item.checks_fencing);
     from.read_boolean("leaving", item.leaving);
     check_unique_name(from, seen_names, item.name);
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -28,6 +28,9 @@
     engine_role role = engine_role::mixed;
     /// Maximum number of concurrently decoded requests; 0 if unknown.
     std::uint32_t slots = 0;
+    /// Version of its software, not of a model's weights; empty if the platform
+    /// doesn't publish it.
+    std::string software_version;
     /// The engine rejects orders with an outdated fencing number.
     bool checks_fencing = false;
     bool leaving = false;
