Soak: rollouts of versions beside killed hosts, callers that take streams up, a limit for a seed

Engines have a version, which the text of their events names; every fifth seed starts engines of the next version, lets older ones leave or start again in place, and kills hosts in series. Callers take up /resume/ streams that broke off, at other hosts, with Resumes. Two checks: no stream holds events of two versions, whatever else fails (streams_keep_their_version), and of 12 or more streams that are taken up while two engines of their version serve at least half as many go on as new ones begin (taken_up_streams_go_on; not within 3 s of the loss of a host's links).

A break of any connection since the last confirmation of the list, 60 to 800 ms old, made each entry uncertain, and cut links break all. A list that was confirmed within a second counts now; a new test plays the ages.

A seed that takes 45 s longer than it should now counts as a failure, with the stacks of its tasks (a soak that waited without end was seen once on and is not traced).

--- a/src/proxy/stream_software.cpp
+++ b/src/proxy/stream_software.cpp
@@ -9,8 +9,9 @@
 using routing::origin_knowledge;
 using routing::served_software;
 
-/// Time for which this host may lack changes of the list that others have read:
-/// several times what they take to arrive.
+/// Time in which a change of the list arrives, several times over. This host
+/// may lack changes that others have read for so long, and a connection that
+/// breaks says nothing of a list that was confirmed within it.
 constexpr model::milliseconds max_list_lag{1'000};
 
 bool has_current_list(relay_context const& context)
@@ -58,8 +59,13 @@
     auto const listed = context.directory.find(state.description.id);
     bool const is_listed =
         listed == nullptr || listed->software == state.software;
-    return is_listed && has_current_list(context)
-           && (!state.broken_at || *state.broken_at < *context.keys.as_of());
+    if (!is_listed || !has_current_list(context)) {
+        return false;
+    }
+    bool const may_have_started_again =
+        state.broken_at && *state.broken_at >= *context.keys.as_of()
+        && context.keys.age(context.boot_now()) > max_list_lag;
+    return !may_have_started_again;
 }
 
 bool serves_one_version_each(relay_context const& context,
--- a/src/proxy/stream_software.hpp
+++ b/src/proxy/stream_software.hpp
@@ -13,8 +13,9 @@
 model::milliseconds takeover_window(relay_context const& context);
 
 /// Returns whether the software of an upstream is known from its entry: the
-/// entry is current, and no connection to the upstream has broken since, as it
-/// does when an upstream starts again under its id.
+/// list is current, and if it was not confirmed a moment ago, no connection to
+/// the upstream has broken since, as it does when one starts again under its
+/// id.
 bool is_software_certain(relay_context const& context,
                          routing::upstream_state const& state);
 
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -1,4 +1,5 @@
 #include "proxy/host_fleet.hpp"
+#include "proxy/stream_software.hpp"
 
 #include <doctest/doctest.h>
 
@@ -376,3 +377,29 @@
     CHECK(test.mixed == 0);
     CHECK(test.went_on == 0);
 }
+
+// Guards against an engine that starts again, with other software, while a host
+// has silently lost the store.
+TEST_CASE("a stream isn't taken to an engine that may have started again")
+{
+    using proxy::is_software_certain;
+    relay_fixture fixture;
+    add_version(fixture, "i-1", "v1", [](received const&) {
+        return script{};
+    });
+    auto const engine = fixture.context.directory.find("i-1");
+    auto const begin = fixture.context.boot_now();
+    fixture.context.keys.renew(begin);
+    CHECK(is_software_certain(fixture.context, *engine));
+    engine->broken_at = begin + 500ms;
+    CHECK(is_software_certain(fixture.context, *engine));
+    fixture.boot_offset = 2s;
+    CHECK_FALSE(is_software_certain(fixture.context, *engine));
+    fixture.context.keys.renew(begin + 1s);
+    CHECK(is_software_certain(fixture.context, *engine));
+    fixture.boot_offset = 7s;
+    CHECK_FALSE(is_software_certain(fixture.context, *engine));
+    fixture.context.keys.renew(begin + 7s);
+    fixture.context.list_behind_since = fixture.loop.now() - 2s;
+    CHECK_FALSE(is_software_certain(fixture.context, *engine));
+}
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import faulthandler
 import os
 import random
 import shutil
@@ -26,6 +27,8 @@
 # Wait after the start, until the hosts have read the store, and at the end,
 # so that late executions are still recorded.
 SETTLE_SECONDS = 1.5
+# How much longer than its time a seed may take.
+MAX_SECONDS_BEYOND = 45.0
 
 
 async def inject(site, until, interval, start_action):
@@ -56,6 +59,31 @@
         loop.default_exception_handler(context)
 
 
+def rollouts(site, seed, until):
+    """Every fifth seed rolls out versions of the engines' software while hosts are killed."""
+    if seed % 5:
+        return []
+    return [inject_in_turn(site, seed + 3, until - 3.0, faults.roll_out),
+            inject_in_turn(site, seed + 4, until - 2.0, faults.kill_hosts)]
+
+
+async def run_seed_in_time(seed, options, folder):
+    """A seed that doesn't end is a failure of the soak: prints where its tasks wait."""
+    run = asyncio.ensure_future(run_seed(seed, options, folder))
+    limit = options.seconds + MAX_SECONDS_BEYOND
+    # For a loop that hangs itself.
+    faulthandler.dump_traceback_later(limit + MAX_SECONDS_BEYOND)
+    await asyncio.wait({run}, timeout=limit)
+    faulthandler.cancel_dump_traceback_later()
+    if run.done():
+        return run.result()
+    for task in asyncio.all_tasks():
+        task.print_stack(file=sys.stdout)
+    run.cancel()
+    await asyncio.wait({run}, timeout=MAX_SECONDS_BEYOND)
+    raise TimeoutError(f"seed {seed} took more than {limit} s")
+
+
 async def run_seed(seed, options, folder):
     asyncio.get_running_loop().set_exception_handler(handle_loop_exception)
     # Every second seed cuts hosts from all upstreams; the others have upstreams that bear few rejections, and more of
@@ -75,14 +103,17 @@
                              inject_in_turn(site, seed, until - 5.0, more_faults),
                              inject_in_turn(site, seed, until - 1.0, faults.silence_engine),
                              inject_in_turn(site, seed + 1, until - 6.0, faults.leave_unheard),
-                             inject_in_turn(site, seed + 2, until - 2.0, faults.ask_for_pause), *tasks)
+                             inject_in_turn(site, seed + 2, until - 2.0, faults.ask_for_pause),
+                             *rollouts(site, seed, until), *tasks)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
     found = [f"{check.__name__}: {line}" for check in options.checks for line in check(site)] + site.failed_actions()
+    taken, went_on = checks.takeovers(site)
     served = sum(t.status == 200 and t.complete for t in site.requests)
     print(f"soak: seed={seed} requests={len(site.requests)} served={served} runs={len(site.runs)} "
-          f"harms={len(site.fault_periods)} stops={len(site.stops)} findings={len(found)}", flush=True)
+          f"harms={len(site.fault_periods)} stops={len(site.stops)} taken_up={taken} went_on={went_on} "
+          f"findings={len(found)}", flush=True)
     for line in found[:10]:
         print(f"  {line}", flush=True)
     return found
@@ -91,7 +122,7 @@
 def play_seed(seed, options, folder):
     """Returns whether the seed has findings. One that an error of the soak itself has ended has judged nothing."""
     try:
-        return asyncio.run(run_seed(seed, options, folder))
+        return asyncio.run(run_seed_in_time(seed, options, folder))
     except Exception as error:
         traceback.print_exc()
         print(f"soak: seed={seed} ended_by={error!r}", flush=True)
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -5,6 +5,10 @@
 import time
 
 from .http import read_body, read_head
+from .streams import last_event_id
+
+# Attempts with which a caller takes up a stream that broke off.
+MAX_TAKEOVERS = 3
 
 
 class RequestRecord:
@@ -26,6 +30,9 @@
         # False if the connection ended before the answer was complete.
         self.complete = False
         self.caller_left = False
+        # Of a stream that is taken up: its first id, the last event that the caller had, and whether two engines of
+        # its version served.
+        self.resumes, self.resumed_after, self.could_go_on = "", 0, False
 
 
 class Caller:
@@ -43,6 +50,8 @@
         self.host = None
         # Some callers don't wait as they are told.
         self.waits, self.retry_after = waits, 0.0
+        # The record of the last request.
+        self.last = None
 
     async def run(self, until):
         while time.monotonic() < until:
@@ -55,8 +64,30 @@
                 await self.one_request(until)
             except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
                 self.close_connection()
+            await self.take_up(until)
         self.close_connection()
 
+    async def take_up(self, until):
+        """Takes up the last stream if it broke off, at other hosts."""
+        first = self.last
+        body, attempt = first.body if first is not None else b"", first
+        for _ in range(MAX_TAKEOVERS):
+            is_broken = (attempt is not None and attempt.path.startswith("/resume/") and not attempt.complete
+                         and not attempt.caller_left)
+            has_events = last_event_id(body) > 0
+            if not is_broken or not has_events or time.monotonic() > until:
+                return
+            self.close_connection()
+            self.last = None
+            try:
+                await self.one_request(until, first, last_event_id(body))
+            except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+                self.close_connection()
+            if self.last is not None:
+                attempt = self.last
+                body = attempt.body if last_event_id(attempt.body) > 0 else body
+            await asyncio.sleep(min(self.retry_after, 0.3))
+
     def close_connection(self):
         if self.connection is not None:
             self.connection[1].transport.abort()
@@ -69,7 +100,9 @@
         # Half of the slow requests take nearly their whole deadline.
         return prefix + (str(self.random.choice([self.random.randint(300, 2000), 2300])) if prefix == "/slow/" else "x")
 
-    async def one_request(self, until):
+    async def one_request(self, until, resumed=None, last_event=0):
+        """Sends a request, or takes up the stream of the record `resumed` after its event `last_event`."""
+        self.last = None
         if self.connection is None:
             ready = [h for h in self.site.hosts if h.is_ready]
             stopping = [h for h in self.site.hosts if self.uses_stopping_hosts and h.is_stopping and h.is_running()]
@@ -81,18 +114,23 @@
             )
             self.idle_since, self.has_paused = time.monotonic(), False
         reader, writer = self.connection
-        path = self.pick_path()
+        path = self.pick_path() if resumed is None else resumed.path
         deadline = 12.0 if path.startswith(("/long/", "/big/")) else 2.5
         record = RequestRecord(f"r{next(self.counter)}", path, self.site.pick_key(self.random), self.host.name,
                                deadline)
         record.idle_time, record.after_paused_read = record.sent - self.idle_since, self.has_paused
+        if resumed is not None:
+            record.resumes, record.resumed_after = resumed.id, last_event
+            record.could_go_on = self.site.has_two_engines_of(resumed.body)
         self.site.requests.append(record)
+        self.last = record
         header_lines = [
             f"POST {record.path} HTTP/1.1",
             "Host: desk.example",
             f"Attempt-Id: {record.id}",
             f"Authorization: Bearer {record.key}",
             f"Deadline-Ms: {deadline * 1000:.0f}",
+            *([f"Resumes: {record.resumes}", f"Last-Event-Id: {last_event}"] if resumed is not None else []),
             "Content-Length: 4",
             "",
             "body",
@@ -119,7 +157,11 @@
             record.status = int(head[0].split()[1])
             record.service = head[1].get("response-seal")
             self.retry_after = float(head[1].get("retry-after", "0"))
-            record.body = await read_body(reader, head[1], pause)
+            received = bytearray()
+            try:
+                record.body = await read_body(reader, head[1], pause, received.extend)
+            finally:
+                record.body = record.body or bytes(received)
             record.complete = head[1].get("attempt-id") == record.id
             self.idle_since, self.has_paused = time.monotonic(), pause > 0
             if head[1].get("connection", "").lower() == "close":
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -4,7 +4,8 @@
 
 import collections
 
-from .engine import event_count, make_event, plain_answer
+from .engine import event_count, plain_answer
+from .streams import expected_text, versions, without_versions
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Prefixes of routes whose requests run at most once.
@@ -67,10 +68,11 @@
         if t.status != 200 or not t.complete:
             continue
         if t.path.startswith(("/stream/", "/resume/", "/long/")):
-            want = "".join(make_event(t, n).decode() for n in range(1, event_count(t.path) + 1))
+            got = without_versions(t.body.decode())
+            want = expected_text(t.id, range(t.resumed_after + 1, event_count(t.path) + 1))
         else:
-            want = plain_answer(t.path, t.id)
-        if t.body.decode() != want:
+            got, want = t.body.decode(), plain_answer(t.path, t.id)
+        if got != want:
             found.append(f"{t.id} ({t.path}) got {t.body[:80]!r}")
         if not t.service:
             found.append(f"{t.id} got 200 without a Response-Seal")
@@ -312,6 +314,48 @@
     return found
 
 
+def streams_by_first_id(site):
+    """The attempts of each stream that began, in order, by the id of the one that brought its first event."""
+    streams = collections.defaultdict(list)
+    for t in site.requests:
+        if t.path.startswith("/resume/") and (t.resumes or versions(t.body)):
+            streams[t.resumes or t.id].append(t)
+    return streams
+
+
+def streams_keep_their_version(site):
+    """In one answer and over a caller's attempts. No fault excuses two versions."""
+    found = []
+    for first, attempts in streams_by_first_id(site).items():
+        seen = set().union(*(versions(t.body) for t in attempts))
+        if len(seen) > 1:
+            found.append(f"{first} holds events of {sorted(seen)}, at {[t.host for t in attempts]}")
+    return found
+
+
+def has_just_lost_links(site, t):
+    """Whether the host was cut from the upstreams so shortly before that it need not cope yet."""
+    return any(t.host in hosts and begin - 1.0 <= t.sent < begin + CONTACT for hosts, begin, _ in site.partitions)
+
+
+def takeovers(site):
+    """(attempts that take streams up while two engines of their version serve, how many of them go on)."""
+    taken = [t for t in site.requests if t.resumes and t.could_go_on and t.ended and not t.caller_left
+             and not has_just_lost_links(site, t)]
+    return len(taken), sum(t.status == 200 for t in taken)
+
+
+def taken_up_streams_go_on(site):
+    """At least half as often as new ones begin."""
+    taken, went_on = takeovers(site)
+    new = [t for t in site.requests if t.path.startswith("/resume/") and not t.resumes and t.ended
+           and not t.caller_left and not has_just_lost_links(site, t)]
+    began = sum(t.status == 200 for t in new)
+    if taken >= 12 and went_on * len(new) * 2 < began * taken:
+        return [f"{went_on} of {taken} streams that were taken up went on, {began} of {len(new)} new ones began"]
+    return []
+
+
 def requests_are_answered(site):
     served = sum(t.status == 200 and t.complete for t in site.requests)
     return [] if served > len(site.requests) / 4 else [f"{served} of {len(site.requests)} were served"]
@@ -335,6 +379,8 @@
     slow_readers_get_all,
     hosts_without_links_serve,
     brittle_engines_stay_up,
+    streams_keep_their_version,
+    taken_up_streams_go_on,
     requests_are_answered,
 )
 
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -5,6 +5,7 @@
 import time
 
 from .http import ignore_errors, make_response, read_body, read_head, reset
+from .streams import make_event
 
 HEALTHY, FLAKY, HANG, FULL = "sound", "grey", "hang", "full"
 BIG_ANSWER_BYTES = 3_000_000
@@ -21,10 +22,6 @@
     return int(path.rpartition("/")[2]) if path.startswith("/long/") else 20
 
 
-def make_event(run, number):
-    return f"id: {number}\ndata: {run.id} {number}\n\n".encode()
-
-
 def plain_answer(path, request_id):
     text = f"{path} by {request_id}"
     return (text + " ") * (BIG_ANSWER_BYTES // len(text)) if path.startswith("/big/") else text
@@ -33,12 +30,13 @@
 class Run:
     """One execution of a request by an upstream."""
 
-    def __init__(self, request_id, path, engine, service, key_team):
+    def __init__(self, request_id, path, engine, service, key_team, version="v1"):
         self.id = request_id
         self.path = path
         self.engine = engine
         self.service = service
         self.team = key_team
+        self.version = version
         self.started = time.monotonic()
         self.ended = None
         # The upstream closed the connection before the answer was complete.
@@ -128,7 +126,7 @@
         if self.mode == FULL or self.is_full():
             writer.write(make_response(503, b"", mark + ["Not-Executed: 1"]))
             return True
-        run = Run(request_id, path, self.name, self.service, headers.get("tenant"))
+        run = Run(request_id, path, self.name, self.service, headers.get("tenant"), self.version)
         self.runs.append(run)
         watcher = asyncio.ensure_future(self.watch_disconnect(reader, run))
         self.running += 1
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -13,6 +13,8 @@
 RECOVERY_SECONDS = 4.0
 # Time for which upstreams say that they are brittle before they are.
 CONTACT_SECONDS = 3.0
+# Time after which engines of the next version start.
+ROLLOUT_SECONDS = 5.0
 # Engines that leave in one run, so that enough stay.
 MAX_LEAVING = 3
 
@@ -141,6 +143,39 @@
     site.store.remove(f"servers/{engine.name}")
 
 
+async def roll_out(site, rng):
+    """An engine of another version starts, and after some time an older one leaves; some start again in place."""
+    staying = [e for e in site.engines if e.service == "s0" and not e.is_leaving and e.server is not None]
+    version = f"v{1 + int((site.now() - site.started) // ROLLOUT_SECONDS)}"
+    older = [e for e in staying if e.version != version]
+    if not older:
+        return
+    engine = rng.choice(older)
+    if rng.random() < 0.3:
+        engine.version = version
+        await crash_engine(site, rng.uniform(0.3, 1.5), engine)
+        return
+    await site.add_engine(engine.service, rng.random(), version)
+    await asyncio.sleep(rng.uniform(0.2, 1.0))
+    engine.is_leaving = True
+    site.register(engine, "draining")
+    site.drained_at[engine] = site.now()
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    site.store.remove(f"servers/{engine.name}")
+
+
+async def kill_hosts(site, rng):
+    """One or two hosts are killed in the middle of streams and start again at once."""
+    hosts = [h for h in rng.sample(site.hosts, rng.choice([1, 1, 2])) if h.is_running() and not h.is_stopping]
+    site.record_fault(RECOVERY_SECONDS)
+    for host in hosts:
+        host.send_signal(signal.SIGKILL)
+        host.process.wait()
+    await asyncio.sleep(rng.uniform(0.1, 0.5))
+    for host in hosts:
+        site.start_host(host)
+
+
 async def ask_for_pause(site, rng):
     """A sound engine is overloaded for seconds, and asks each host for a pause."""
     engine = rng.choice([e for e in site.engines if e.service == "s0"])
--- a/tools/soak/http.py
+++ b/tools/soak/http.py
@@ -21,13 +21,16 @@
         headers[name.strip().lower()] = value.strip()
 
 
-async def read_body(reader, headers, pause=0):
+async def read_body(reader, headers, pause=0, on_chunk=None):
     """The body as bytes, with a pause in the middle; raises IncompleteReadError if the connection ends early."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
             size = int((await reader.readuntil(b"\n")).strip() or b"0", 16)
-            body += await reader.readexactly(size)
+            chunk = await reader.readexactly(size)
+            body += chunk
+            if on_chunk is not None:
+                on_chunk(chunk)
             await reader.readexactly(2)
             if size == 0:
                 return body
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -13,6 +13,7 @@
 from .ports import PortBlock
 from .proxy import FaultProxy
 from .store import Store
+from .streams import versions
 
 
 class Host:
@@ -161,9 +162,15 @@
             "zone": "abc"[len(engine.name) % 3], "version": engine.version, "slots": SLOTS, "state": state, "born": engine.incarnation,
         })
 
-    async def add_engine(self, service, seed=None):
+    def has_two_engines_of(self, body):
+        """Whether two engines of the version of these events serve."""
+        serving = [e for e in self.engines if e.service == "s0" and e.server is not None and not e.is_leaving]
+        return sum(e.version in versions(body) for e in serving) >= 2
+
+    async def add_engine(self, service, seed=None, version="v1"):
         engine_seed = self.random.random() if seed is None else seed
         engine = Engine(f"i-{len(self.engines)}", service, self.runs, engine_seed, self.ports.allocate())
+        engine.version = version
         await engine.start()
         self.paths[engine] = FaultProxy(engine.port)
         await self.paths[engine].start()
