Begin streams that may be resumed where a second engine of the version could go on

The picker adds 0.1 of a request's value to the only usable upstream of a software version, for streams that may be resumed; more than a second region costs, less than lateness. The new picker_test: of 50 streams none begins at the lone engine of four (more than 5 do where the route can't be resumed, and did before), and more than 25 do while the others have 80,000 prompt tokens to read. test_routing: 133 cases pass.

--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace caperjunction::routing {
@@ -87,6 +88,22 @@
     return sum / std::max(1.0, static_cast<double>(all.size()));
 }
 
+/// Returns the software that one upstream alone has.
+std::vector<software> lone_software(std::vector<upstream_ptr> const& usable)
+{
+    std::map<software, std::size_t> counts;
+    for (upstream_ptr const& item : usable) {
+        ++counts[item->software];
+    }
+    std::vector<software> lone;
+    for (auto const& [item, count] : counts) {
+        if (count == 1) {
+            lone.push_back(item);
+        }
+    }
+    return lone;
+}
+
 } // namespace
 
 picker::picker(upstream_directory const& directory,
@@ -142,6 +159,9 @@
                   std::vector<upstream_ptr> const& usable) const
 {
     engine_partition groups;
+    if (request.route->resumable && !request.software) {
+        groups.lone_software = lone_software(usable);
+    }
     if (request.prompt->tokens == 0) {
         return groups;
     }
@@ -204,6 +224,10 @@
         nominal_ms = added.nominal_ms;
         wait = added.slot_wait_ms;
     }
+    auto const& lone = groups.lone_software;
+    if (std::find(lone.begin(), lone.end(), candidate.software) != lone.end()) {
+        cost += m_weights.cost_of_lone_version;
+    }
     if (candidate.link.is_lost()) {
         cost += m_weights.detour.cost;
         wait += m_weights.detour.ms;
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -44,6 +44,9 @@
         /// one that takes requests that the first has no capacity for.
         upstream_state const* affinity_engine = nullptr;
         upstream_state const* overflow_engine = nullptr;
+        /// Software of one usable upstream alone, if the request is a stream
+        /// that may be resumed.
+        std::vector<software> lone_software;
         /// As a fraction of the value of a request.
         double cost_of_uncached_token = 0.0;
     };
--- a/src/routing/picker_settings.hpp
+++ b/src/routing/picker_settings.hpp
@@ -49,6 +49,10 @@
     /// A failing upstream is worse than a late one: the caller gets no answer.
     double cost_of_failure = 2.0;
 
+    /// Cost of beginning a stream that may be resumed at the only upstream of
+    /// its software version: it could go on nowhere.
+    double cost_of_lone_version = 0.1;
+
     /// Cost of a wait for a slot that takes a whole latency target, in addition
     /// to the cost of lateness: it is more than the prefix that a nearly full
     /// engine has in its cache.
--- a/tests/routing/picker_test.cpp
+++ b/tests/routing/picker_test.cpp
@@ -356,3 +356,42 @@
     affinity->others.urgent = 2;
     CHECK(calm.place(calm.bulk, 10, 4'000, 2'000).to == affinity);
 }
+
+// Guards against streams that can go on nowhere when their engine fails,
+// although engines of another version have capacity.
+TEST_CASE(
+    "a stream that may be resumed begins where a second engine could go on")
+{
+    struct outcome
+    {
+        int at_lone = 0;
+        int total = 0;
+    };
+
+    auto const begin = [](bool resumable, bool are_others_busy) {
+        site test(4);
+        for (int number = 0; number < 4; ++number) {
+            auto described =
+                test.directory.find("e" + std::to_string(number))->description;
+            described.software_version = number == 0 ? "v1" : "v2";
+            test.directory.put(described);
+            auto const state = test.directory.find(described.id);
+            if (number > 0 && are_others_busy) {
+                state->others.pending_prefill_tokens = 80'000;
+            }
+        }
+        test.bulk.resumable = resumable;
+        outcome result;
+        for (std::uint64_t subject = 10; subject < 60; ++subject) {
+            auto const chosen = test.place(test.bulk, subject, 400, 200);
+            REQUIRE(chosen.to);
+            result.at_lone += chosen.to->description.id == "e0" ? 1 : 0;
+            ++result.total;
+        }
+        return result;
+    };
+    CHECK(begin(false, false).at_lone > 5);
+    CHECK(begin(true, false).at_lone == 0);
+    // Load counts for more.
+    CHECK(begin(true, true).at_lone > 25);
+}
