--- a/src/routing/peer_table.hpp
+++ b/src/routing/peer_table.hpp
@@ -3,6 +3,7 @@
 
 #include "model/endpoint.hpp"
 #include "model/time.hpp"
+#include "routing/by_address.hpp"
 #include "routing/digest_set.hpp"
 #include "routing/origin_peer.hpp"
 #include "routing/tunnel_peer.hpp"
@@ -242,16 +243,6 @@
         bool reply_requested = false;
     };
 
-    struct by_address
-    {
-        bool operator()(model::endpoint const& a,
-                        model::endpoint const& b) const
-        {
-            return a.address != b.address ? a.address < b.address
-                                          : a.port < b.port;
-        }
-    };
-
     peer* find_or_add(model::endpoint const& address);
     void add_neighbour(neighbour const& other, model::time_point now);
     void recount();
