--- a/src/routing/software.hpp
+++ b/src/routing/software.hpp
@@ -5,9 +5,9 @@
 
 #include <xxhash.h>
 
-#include <compare>
 #include <cstdint>
 #include <string_view>
+#include <tuple>
 
 namespace caperjunction::routing {
 
@@ -20,7 +20,11 @@
     std::uint64_t version = 0;
 
     friend bool operator==(software const&, software const&) = default;
-    friend auto operator<=>(software const&, software const&) = default;
+
+    friend bool operator<(software const& a, software const& b)
+    {
+        return std::tie(a.service, a.version) < std::tie(b.service, b.version);
+    }
 };
 
 /// Returns the key of a service in `software`. Thread safety: any thread.
