Claim one version alone only for a time without a gap

A host that was suspended, or cut off from the store, for longer than streams may be taken up claimed one version alone afterwards, although another one could have come and gone unseen.

The history of versions is forgotten after 2 s without an observation, and while the list isn't current; such a host asks the others instead.

--- a/src/proxy/stream_software.cpp
+++ b/src/proxy/stream_software.cpp
@@ -145,6 +145,9 @@
     } else if (!context.list_behind_since) {
         context.list_behind_since = now;
     }
+    if (!has_current_list(context)) {
+        context.software.reset();
+    }
     observe(context);
     context.origins.expire(takeover_window(context), now);
     if (!context.origins.has_untold() || !context.tell_origin) {
--- a/src/routing/software_history.cpp
+++ b/src/routing/software_history.cpp
@@ -8,11 +8,19 @@
 /// Longer than any stream may be taken up.
 constexpr model::milliseconds max_age{3'600'000};
 
+/// Several times the interval between two observations. A host that lets it
+/// pass was suspended, or lacked processor time.
+constexpr model::milliseconds max_gap{2'000};
+
 } // namespace
 
 void software_history::observe(upstream_directory const& directory,
                                model::time_point now)
 {
+    if (now - m_observed_at > max_gap) {
+        reset();
+    }
+    m_observed_at = now;
     directory.each([&](upstream_state const& state) {
         auto const found = m_services.try_emplace(state.software.service).first;
         service_history& history = found->second;
--- a/src/routing/software_history.hpp
+++ b/src/routing/software_history.hpp
@@ -30,9 +30,17 @@
 {
 public:
     /// Records what the directory holds now; leaving upstreams serve, too. Must
-    /// be called at least once between two changes of the directory.
+    /// be called at least once between two changes of the directory. After a
+    /// pause of seconds everything before it is forgotten: what has come and
+    /// gone meanwhile is unknown.
     void observe(upstream_directory const& directory, model::time_point now);
 
+    /// Forgets everything: the directory isn't current.
+    void reset()
+    {
+        m_services.clear();
+    }
+
     /// Returns what served within `window` before `now`.
     served_software served(std::uint64_t service,
                            model::milliseconds window,
@@ -50,6 +58,7 @@
     };
 
     std::map<std::uint64_t, service_history> m_services;
+    model::time_point m_observed_at{};
 };
 
 } // namespace caperjunction::routing
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -96,10 +96,17 @@
     return *m_upstreams.back();
 }
 
-void relay_fixture::age_history(model::milliseconds time)
+void make_history(proxy::relay_context& context, model::milliseconds time)
 {
     context.software = {};
-    context.software.observe(context.directory, loop.now() - time);
+    for (auto age = time; age > 0ms; age -= 1s) {
+        context.software.observe(context.directory, context.loop.now() - age);
+    }
+}
+
+void relay_fixture::age_history(model::milliseconds time)
+{
+    make_history(context, time);
 }
 
 void relay_fixture::set_idle_timeout(model::milliseconds timeout)
--- a/tests/proxy/relay_fixture.hpp
+++ b/tests/proxy/relay_fixture.hpp
@@ -31,6 +31,10 @@
 /// service `other` at /other/, and the key of one team.
 routing::configuration test_configuration();
 
+/// Makes the upstreams of now have served alone for `time`, as far as a host
+/// knows.
+void make_history(proxy::relay_context& context, model::milliseconds time);
+
 /// A relay on loopback with routes, keys and scripted upstreams.
 class relay_fixture
 {
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -347,9 +347,7 @@
     test.set_version(1, "v1");
     test.set_version(3, "v1");
     for (auto const& host : test.fleet.hosts) {
-        host->context.software = {};
-        host->context.software.observe(host->context.directory,
-                                       test.fleet.loop.now() - 1min);
+        make_history(host->context, 1min);
     }
     test.begin(0, streams);
     for (std::size_t host = 1; host < 4; ++host) {
--- a/tests/routing/stream_origins_test.cpp
+++ b/tests/routing/stream_origins_test.cpp
@@ -104,25 +104,49 @@
 {
     upstream_directory directory = empty_directory();
     software_history history;
+    auto const observe = [&](std::chrono::seconds from,
+                             std::chrono::seconds to) {
+        for (auto at = from; at <= to; at += 1s) {
+            history.observe(directory, start + at);
+        }
+        return history.served(ledger, 8s, start + to);
+    };
     CHECK(history.served(ledger, 8s, start) == served_software::unknown);
     directory.put(engine_of("i-1", "v1"));
-    history.observe(directory, start);
-    CHECK(history.served(ledger, 8s, start + 7s) == served_software::unknown);
-    history.observe(directory, start + 8s);
-    CHECK(history.served(ledger, 8s, start + 8s) == served_software::one);
+    CHECK(observe(0s, 7s) == served_software::unknown);
+    CHECK(observe(8s, 8s) == served_software::one);
 
     directory.put(engine_of("i-2", "v2"));
-    history.observe(directory, start + 9s);
-    CHECK(history.served(ledger, 8s, start + 9s) == served_software::several);
+    CHECK(observe(9s, 9s) == served_software::several);
     // Streams of the first version may be taken up until the window is over.
     directory.remove("i-1", start + 10s);
-    history.observe(directory, start + 17s);
-    CHECK(history.served(ledger, 8s, start + 17s) == served_software::several);
-    history.observe(directory, start + 18s);
-    CHECK(history.served(ledger, 8s, start + 18s) == served_software::one);
+    CHECK(observe(10s, 17s) == served_software::several);
+    CHECK(observe(18s, 18s) == served_software::one);
     CHECK(history.newest(ledger) == software_of(engine_of("", "v2")));
 }
 
+// Guards against a host that was suspended, or cut off, while another version
+// came and went.
+TEST_CASE("what served while a host couldn't observe it is unknown")
+{
+    upstream_directory directory = empty_directory();
+    directory.put(engine_of("i-1", "v1"));
+    software_history history;
+    for (auto at = 0s; at <= 20s; at += 1s) {
+        history.observe(directory, start + at);
+    }
+    CHECK(history.served(ledger, 8s, start + 20s) == served_software::one);
+    history.observe(directory, start + 25s);
+    CHECK(history.served(ledger, 8s, start + 25s) == served_software::unknown);
+    for (auto at = 26s; at <= 33s; at += 1s) {
+        history.observe(directory, start + at);
+    }
+    CHECK(history.served(ledger, 8s, start + 33s) == served_software::one);
+    history.reset();
+    history.observe(directory, start + 34s);
+    CHECK(history.served(ledger, 8s, start + 34s) == served_software::unknown);
+}
+
 TEST_CASE("an engine that leaves still counts as serving")
 {
     upstream_directory directory = empty_directory();
