--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -1,9 +1,46 @@
 #include "program/routed_host.hpp"
 #include "runtime/log_line.hpp"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace caperjunction::program {
+namespace {
+
+/// Parts of a prompt in one line.
+constexpr std::size_t max_logged_parts = 32;
+
+std::string text_of(std::vector<routing::prompt_part> const& parts)
+{
+    std::string text;
+    for (std::size_t place = 0;
+         place < std::min(parts.size(), max_logged_parts);
+         ++place) {
+        text += fmt::format("{}{:x}", place == 0 ? "" : ",", parts[place].id);
+    }
+    return text;
+}
+
+void log_broken_attempt(proxy::broken_attempt_report const& broken)
+{
+    runtime::log_line("attempt_broken")
+        .field("id", broken.id)
+        .field("route", broken.route)
+        .field("service", broken.service)
+        .field("upstream", broken.upstream)
+        .field("started", broken.upstream_started)
+        .field("through", broken.through)
+        .field("parts", text_of(broken.prompt->parts))
+        .field("events", broken.events)
+        .field("since_head_ms", broken.since_head.count());
+}
+
+} // namespace
 
 void routed_host::report_requests()
 {
@@ -56,6 +93,10 @@
             .field("header", header)
             .field("text", value);
     };
+    m_context.on_attempt_broken =
+        [](proxy::broken_attempt_report const& broken) {
+            log_broken_attempt(broken);
+        };
     m_context.on_retried = [this](proxy::exchange_report const& tried) {
         log_retried(tried);
     };
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -109,6 +109,10 @@
     bool is_stream_broken_off() const;
     void handle_fault(answer_fault fault);
     void record_fault(answer_fault fault);
+    void report_broken_attempt() const;
+    /// Time since the head of the current attempt's answer; negative if there
+    /// was none.
+    model::milliseconds since_head() const;
 
     /// Returns whether the host has just started and may have its configuration
     /// and upstreams soon.
@@ -174,6 +178,7 @@
     std::shared_ptr<upstream_connection> m_connection;
     routing::pick m_pick;
     model::time_point m_sent_at{};
+    std::optional<model::time_point> m_head_at;
     routing::load_ticket m_load;
     message_head m_answer;
     std::string m_answer_body;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -122,6 +122,7 @@
 void exchange::record_first_byte()
 {
     auto const now = m_context.loop.now();
+    m_head_at = now;
     auto const wait =
         std::chrono::duration_cast<model::milliseconds>(now - m_sent_at);
     m_report.upstream_wait = wait;
--- a/src/proxy/exchange_end.cpp
+++ b/src/proxy/exchange_end.cpp
@@ -93,6 +93,9 @@
         return;
     }
     m_upstream->broken_at = m_context.boot_now();
+    if (fault == answer_fault::broken && m_connection->has_sent()) {
+        report_broken_attempt();
+    }
     if (fault == answer_fault::broken && !is_direct()) {
         // Either the upstream or the host in between has broken it.
         m_upstream->health.record_failure(now);
@@ -110,4 +113,31 @@
     }
 }
 
+model::milliseconds exchange::since_head() const
+{
+    if (!m_head_at) {
+        return model::milliseconds{-1};
+    }
+    return std::chrono::duration_cast<model::milliseconds>(
+        m_context.loop.now() - *m_head_at);
+}
+
+void exchange::report_broken_attempt() const
+{
+    if (!m_context.on_attempt_broken) {
+        return;
+    }
+    broken_attempt_report report;
+    report.id = m_metadata.id;
+    report.route = m_route->name;
+    report.service = m_service;
+    report.upstream = m_upstream->description.id;
+    report.upstream_started = m_upstream->description.started;
+    report.through = m_through;
+    report.prompt = &m_metadata.prompt;
+    report.events = m_framer.events();
+    report.since_head = since_head();
+    m_context.on_attempt_broken(report);
+}
+
 } // namespace caperjunction::proxy
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -70,6 +70,7 @@
     m_upstream->record_send(m_sent_at);
     m_load = routing::load_ticket(chosen, pick_request(), m_sent_at);
     m_answer = {};
+    m_head_at.reset();
     m_answer_body.clear();
     m_framer = {};
     m_is_stream = false;
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_PROXY_RELAY_CONTEXT_HPP
 
 #include "model/time.hpp"
+#include "proxy/broken_attempt_report.hpp"
 #include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
 #include "proxy/origin_codec.hpp"
@@ -75,6 +76,8 @@
     std::map<std::string, routing::retry_budget> retry_budgets;
     /// Streams of the most urgent rank over all hosts, by service.
     std::map<std::string, routing::demand_trend> urgent_demand;
+    /// Called when an upstream breaks an attempt off.
+    std::function<void(broken_attempt_report const&)> on_attempt_broken;
     /// Called when a request is retried, before the next attempt.
     std::function<void(exchange_report const&)> on_retried;
     /// Called when the first link to an upstream of a service is lost, and when
