--- /dev/null
+++ b/tests/proxy/crashing_fleet.cpp
@@ -0,0 +1,145 @@
+#include "proxy/crashing_fleet.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::test {
+namespace {
+
+/// Time from the head of an answer to the crash of its engine.
+constexpr model::milliseconds time_to_crash{30};
+
+std::string event_of(int id, std::string const& text)
+{
+    return chunk("id: " + std::to_string(id) + "\ndata: " + text + "\n\n");
+}
+
+std::string prompt_of(shared_parts const& parts, int own)
+{
+    std::string text;
+    for (std::string const& part : parts) {
+        text += part + ":40,";
+    }
+    return text + "f" + std::to_string(own) + ":10";
+}
+
+std::size_t engine_of(received const& request)
+{
+    // Named i-1, i-2 and so on.
+    constexpr std::size_t prefix = 2;
+    return std::stoul(request.head.find("Expect-Instance")->substr(prefix)) - 1;
+}
+
+} // namespace
+
+crashing_fleet::crashing_fleet(std::vector<std::string> const& data_centres,
+                               std::size_t engines)
+    : fleet(data_centres, engines)
+{
+    fleet.answer = [this](received const& request) {
+        return answer(request);
+    };
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        fleet.set_version(engine, "v1");
+    }
+}
+
+bool crashing_fleet::is_guilty(std::string const& prompt) const
+{
+    return std::any_of(crashing_parts.begin(),
+                       crashing_parts.end(),
+                       [&prompt](std::string const& part) {
+                           return ("," + prompt).find("," + part + ":")
+                                  != std::string::npos;
+                       });
+}
+
+script crashing_fleet::answer(received const& request)
+{
+    auto const* const prompt = request.head.find("Prompt-Prefix");
+    if (prompt != nullptr && is_guilty(*prompt)) {
+        std::size_t const engine = engine_of(request);
+        fleet.loop.after(time_to_crash, [this, engine] {
+            crashes.push_back(fleet.loop.now());
+            crash(engine);
+        });
+        return {stream_head()};
+    }
+    script sound{stream_head() + event_of(1, "begun")};
+    sound.remainder = event_of(2, "done") + "0\r\n\r\n";
+    sound.delay = 150ms;
+    return sound;
+}
+
+void crashing_fleet::crash(std::size_t engine)
+{
+    fleet.set_upstream(engine, path_state::resetting);
+    fleet.loop.after(repair, [this, engine] {
+        fleet.set_version(engine, "v1");
+        fleet.set_upstream(engine, path_state::open);
+    });
+}
+
+void crashing_fleet::send(std::string const& path, shared_parts const& parts)
+{
+    int const number = ++m_next_id;
+    std::size_t host = static_cast<std::size_t>(number) % fleet.hosts.size();
+    while (!fleet.hosts[host]) {
+        host = (host + 1) % fleet.hosts.size();
+    }
+    std::string const prompt = prompt_of(parts, number);
+    std::string const head =
+        "Model: m\r\nToken-Usage: 90,5\r\nPrompt-Prefix: " + prompt + "\r\n";
+    std::string const id = "p" + std::to_string(number);
+    requests.push_back({fleet.send(host, path, id, head, "body of " + id),
+                        parts,
+                        is_guilty(prompt)});
+}
+
+std::size_t crashing_fleet::guilty_runs() const
+{
+    return guilty_runs_since({});
+}
+
+std::size_t crashing_fleet::guilty_runs_since(model::time_point since) const
+{
+    std::size_t runs = 0;
+    for (prompt_request const& item : requests) {
+        if (item.is_guilty && item.made.sent_at >= since) {
+            runs += fleet.runs_of(item.made.id);
+        }
+    }
+    return runs;
+}
+
+std::vector<crashing_fleet::prompt_request>
+crashing_fleet::sound_since(model::time_point since) const
+{
+    std::vector<prompt_request> list;
+    std::copy_if(requests.begin(),
+                 requests.end(),
+                 std::back_inserter(list),
+                 [since](prompt_request const& item) {
+                     return !item.is_guilty && item.made.sent_at >= since;
+                 });
+    return list;
+}
+
+double share_served(std::vector<crashing_fleet::prompt_request> const& requests)
+{
+    auto const served =
+        std::count_if(requests.begin(), requests.end(), [](auto const& item) {
+            return item.made.is_served();
+        });
+    return static_cast<double>(served)
+           / static_cast<double>(std::max<std::size_t>(1, requests.size()));
+}
+
+std::size_t refused(std::vector<crashing_fleet::prompt_request> const& requests)
+{
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(), [](auto const& item) {
+            return item.made.says_not_run();
+        }));
+}
+
+} // namespace caperjunction::test
--- /dev/null
+++ b/tests/proxy/crashing_fleet.hpp
@@ -0,0 +1,75 @@
+#ifndef CAPERJUNCTION_TESTS_PROXY_CRASHING_FLEET_HPP
+#define CAPERJUNCTION_TESTS_PROXY_CRASHING_FLEET_HPP
+
+#include "proxy/host_fleet.hpp"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace caperjunction::test {
+
+/// Parts of a prompt that requests share, in order.
+using shared_parts = std::vector<std::string>;
+
+/// Hosts before engines that crash when they begin to write an answer on a
+/// part, and start again some time later.
+class crashing_fleet
+{
+public:
+    /// A request with a prompt that ends with a part of its own.
+    struct prompt_request
+    {
+        first_try made;
+        shared_parts parts;
+        /// Whether it holds a part that crashes engines.
+        bool is_guilty = false;
+    };
+
+    crashing_fleet(std::vector<std::string> const& data_centres,
+                   std::size_t engines);
+
+    /// Sends a request to the next host on a path of the fixture.
+    void send(std::string const& path, shared_parts const& parts);
+
+    /// Ends an engine: its connections break, and new ones are refused until it
+    /// starts again.
+    void crash(std::size_t engine);
+
+    /// Returns the requests that hold a part that crashes engines and were sent
+    /// to an engine.
+    std::size_t guilty_runs() const;
+
+    /// As above, of those that were sent from `since` on.
+    std::size_t guilty_runs_since(model::time_point since) const;
+
+    /// Returns the requests without such a part that were sent from `since` on.
+    std::vector<prompt_request> sound_since(model::time_point since) const;
+
+    host_fleet fleet;
+    /// Parts that crash engines.
+    std::set<std::string> crashing_parts;
+    std::vector<prompt_request> requests;
+    /// When engines crashed because of a part.
+    std::vector<model::time_point> crashes;
+    /// Time after which an engine starts again.
+    model::milliseconds repair{700};
+
+private:
+    script answer(received const& request);
+    bool is_guilty(std::string const& prompt) const;
+
+    int m_next_id = 0;
+};
+
+/// Returns the share of requests that were served.
+double
+share_served(std::vector<crashing_fleet::prompt_request> const& requests);
+
+/// Returns the number of requests that were refused without a run.
+std::size_t
+refused(std::vector<crashing_fleet::prompt_request> const& requests);
+
+} // namespace caperjunction::test
+
+#endif
--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -151,7 +151,8 @@
 first_try host_fleet::send(std::size_t host,
                            std::string const& path,
                            std::string const& id,
-                           std::string const& more)
+                           std::string const& more,
+                           std::string const& body)
 {
     hosts[host]->context.keys.renew(loop.now());
     first_try made;
@@ -172,7 +173,7 @@
                                         raw->closed = true;
                                     },
                                     nullptr});
-    raw->stream->write(relay_fixture::request(path, made.id, more));
+    raw->stream->write(relay_fixture::request(path, made.id, more, body));
     return made;
 }
 
--- a/tests/proxy/host_fleet.hpp
+++ b/tests/proxy/host_fleet.hpp
@@ -69,7 +69,8 @@
     first_try send(std::size_t host,
                    std::string const& path,
                    std::string const& id,
-                   std::string const& more = "");
+                   std::string const& more = "",
+                   std::string const& body = "order");
 
     /// Ends a host as a kill would: its connections break, and it tells nobody.
     void kill(std::size_t host);
