Keep requests with a part that crashes engines from them

Cause: evidence was kept by whole request (path, key, body). Nothing counted what requests share, so that each one was new. Class: evidence is keyed by what identifies a request, not by what a cause may be in.

Change: routing/poison_parts keeps, by service and part, the crashes at which it was in flight without an answer, each once by the engine's start, from all hosts; an answer that began later clears them. After two crashes without an answer, each at a request sent after the crash before, one request at a time runs over the fleet, at the quietest engine; after three none does. Parts that were answered before need two crashes more, since they are in flight beside others. Crashes that a verdict explains count against no other part. A break counts as a crash only if the engine then refuses connections. What is refused has taken no affinity, retry budget or place: the picker records a request when it is sent. Hosts tell each other at once by datagrams, verdicts again every second.

Why it works: the guilty part is in every crash and in no answer; a sound one is answered at another engine within a moment of each crash.

--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -13,6 +13,7 @@
 #include "routing/load_ticket.hpp"
 #include "routing/pick.hpp"
 #include "routing/retry_rule.hpp"
+#include "routing/shared_part.hpp"
 
 #include <memory>
 #include <optional>
@@ -78,6 +79,21 @@
     std::uint64_t fingerprint();
     bool is_quarantined();
 
+    // exchange_parts.cpp
+    std::vector<routing::shared_part> const& shared_parts();
+    bool are_parts_free();
+    routing::part_judgement judge_parts(routing::software const& at);
+    std::vector<routing::software> kept_from();
+    bool awaits_verdict();
+    routing::upstream_state const* quietest_upstream();
+    void choose_for_trial();
+    void refuse_for_parts();
+    void begin_trial();
+    void end_trial();
+    void record_broken_parts();
+    void record_written_parts();
+    void record_answered_parts();
+
     // exchange_send.cpp
     bool is_still_admitted();
     void send_to(routing::pick const& chosen);
@@ -192,6 +208,18 @@
     std::string m_through;
     bool m_may_have_run = false;
     std::uint64_t m_fingerprint = 0;
+    /// Parts of the prompt that other requests may share, once they were asked
+    /// for.
+    std::optional<std::vector<routing::shared_part>> m_shared_parts;
+    /// Parts of which the current attempt is the trial.
+    std::vector<routing::shared_part> m_tried_parts;
+    std::vector<routing::software> m_kept_from;
+    /// The only upstream that a trial may go to; null: any.
+    routing::upstream_state const* m_only_upstream = nullptr;
+    /// It was in flight when an upstream broke its connection.
+    bool m_was_broken = false;
+    /// The current attempt's answer has shown that its parts are sound.
+    bool m_has_cleared_parts = false;
     bool m_has_begun = false;
     bool m_keep_alive = true;
     std::string m_last_event_id;
--- a/src/proxy/exchange_answer.cpp
+++ b/src/proxy/exchange_answer.cpp
@@ -213,6 +213,7 @@
         record_first_event();
     }
     m_events += count;
+    record_written_parts();
     auto const gap = m_event_gaps.record(m_upstream->received_at);
     // The gap before the first event of a resumed attempt includes time spent
     // at the previous upstream, so it is not attributed to this one.
--- a/src/proxy/exchange_end.cpp
+++ b/src/proxy/exchange_end.cpp
@@ -49,6 +49,7 @@
     bool const is_failure = m_answer.status >= first_failure;
     if (!is_failure) {
         m_upstream->health.record_success(m_context.loop.now());
+        record_answered_parts();
         if (!m_context.suspects.is_empty()) {
             m_context.suspects.record_success(fingerprint());
         }
@@ -95,6 +96,7 @@
     m_upstream->broken_at = m_context.boot_now();
     if (fault == answer_fault::broken && m_connection->has_sent()) {
         report_broken_attempt();
+        record_broken_parts();
     }
     if (fault == answer_fault::broken && !is_direct()) {
         // Either the upstream or the host in between has broken it.
@@ -118,8 +120,8 @@
     if (!m_head_at) {
         return model::milliseconds{-1};
     }
-    return std::chrono::duration_cast<model::milliseconds>(
-        m_context.loop.now() - *m_head_at);
+    return std::chrono::duration_cast<model::milliseconds>(m_context.loop.now()
+                                                           - *m_head_at);
 }
 
 void exchange::report_broken_attempt() const
--- /dev/null
+++ b/src/proxy/exchange_parts.cpp
@@ -0,0 +1,156 @@
+#include "proxy/exchange.hpp"
+#include "proxy/part_crashes.hpp"
+
+#include "routing/usable_upstreams.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+using routing::part_judgement;
+
+/// An upstream that a part crashes ends soon after it has begun to write. One
+/// that has written for this time is not crashed by this answer.
+constexpr model::milliseconds crash_delay{500};
+
+} // namespace
+
+std::vector<routing::shared_part> const& exchange::shared_parts()
+{
+    if (!m_shared_parts) {
+        m_shared_parts = routing::shared_parts_of(
+            m_metadata.prompt, routing::software_service_key(m_service));
+    }
+    return *m_shared_parts;
+}
+
+/// Whether nothing is known that could speak against a part of the prompt.
+bool exchange::are_parts_free()
+{
+    return m_metadata.prompt.parts.empty() || shared_parts().empty()
+           || (!m_was_broken && !m_context.parts.has_evidence());
+}
+
+part_judgement exchange::judge_parts(routing::software const& at)
+{
+    if (are_parts_free()) {
+        return part_judgement::free;
+    }
+    return m_context.parts.judge(
+        shared_parts(), at.version, m_was_broken, m_context.loop.now());
+}
+
+std::vector<routing::software> exchange::kept_from()
+{
+    std::vector<routing::software> list;
+    if (are_parts_free()) {
+        return list;
+    }
+    for (routing::software const& at :
+         m_context.directory.software_of_service(m_service)) {
+        if (judge_parts(at) == part_judgement::kept_back) {
+            list.push_back(at);
+        }
+    }
+    return list;
+}
+
+/// Whether a repeat would be refused because of its parts, at each version.
+bool exchange::awaits_verdict()
+{
+    if (are_parts_free()) {
+        return false;
+    }
+    auto const all = m_context.directory.software_of_service(m_service);
+    return !all.empty()
+           && std::all_of(all.begin(), all.end(), [this](auto const& at) {
+                  part_judgement const judged = judge_parts(at);
+                  return judged == part_judgement::kept_back
+                         || judged == part_judgement::awaits_trial;
+              });
+}
+
+void exchange::refuse_for_parts()
+{
+    bool const is_kept_back = !kept_from().empty();
+    m_context.parts.record_kept_back(shared_parts(), m_context.loop.now());
+    refuse(is_kept_back ? reason_code::part_kept_back
+                        : reason_code::part_on_trial);
+}
+
+// A trial that crashes its upstream takes the requests there with it.
+routing::upstream_state const* exchange::quietest_upstream()
+{
+    auto const now = m_context.loop.now();
+    routing::pick ignored;
+    routing::upstream_state const* quietest = nullptr;
+    for (routing::upstream_ptr const& item :
+         routing::usable_upstreams(m_context.directory.of_service(m_service),
+                                   pick_request(),
+                                   now,
+                                   ignored)) {
+        bool const is_same_software = item->software == m_pick.to->software;
+        if (is_same_software
+            && (quietest == nullptr || item->running() < quietest->running())) {
+            quietest = item.get();
+        }
+    }
+    return quietest;
+}
+
+void exchange::choose_for_trial()
+{
+    m_only_upstream = quietest_upstream();
+    m_pick = choose();
+    m_only_upstream = nullptr;
+}
+
+void exchange::begin_trial()
+{
+    m_tried_parts = m_context.parts.suspects_among(
+        shared_parts(), m_pick.to->software.version, m_was_broken);
+    proxy::begin_trial(m_context, m_tried_parts);
+}
+
+void exchange::end_trial()
+{
+    proxy::end_trial(m_context, std::exchange(m_tried_parts, {}));
+}
+
+void exchange::record_broken_parts()
+{
+    bool const has_written = since_head() >= crash_delay;
+    if (has_written || m_metadata.prompt.parts.empty()
+        || shared_parts().empty()) {
+        return;
+    }
+    m_was_broken = true;
+    broken_attempt attempt;
+    attempt.upstream = m_upstream;
+    attempt.peer = m_connection->peer();
+    attempt.parts = shared_parts();
+    attempt.tried = std::exchange(m_tried_parts, {});
+    attempt.sent_at = m_sent_at;
+    record_broken_attempt(m_context, attempt);
+}
+
+void exchange::record_written_parts()
+{
+    if (!m_has_cleared_parts && since_head() >= crash_delay) {
+        record_answered_parts();
+    }
+}
+
+void exchange::record_answered_parts()
+{
+    if (m_has_cleared_parts || m_metadata.prompt.parts.empty()) {
+        return;
+    }
+    m_has_cleared_parts = true;
+    proxy::record_answered_parts(
+        m_context, shared_parts(), m_upstream->software.version, *m_head_at);
+}
+
+} // namespace caperjunction::proxy
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -19,6 +19,8 @@
     request.body_bytes = m_body.size();
     request.attempted = &m_attempted;
     request.homes = &m_homes;
+    request.kept_from = &m_kept_from;
+    request.only = m_only_upstream;
     request.software = m_software;
     request.is_software_certain = [this](routing::upstream_state const& state) {
         return is_software_certain(m_context, state);
@@ -48,13 +50,7 @@
 
 routing::pick exchange::choose()
 {
-    auto const request = pick_request();
-    routing::pick chosen =
-        m_context.picker.choose(request, m_context.loop.now());
-    if (chosen.to) {
-        m_context.picker.record_sent(request, *chosen.to, m_context.loop.now());
-    }
-    return chosen;
+    return m_context.picker.choose(pick_request(), m_context.loop.now());
 }
 
 // Identifies a request by path, key and body: a caller repeats a request under
@@ -95,11 +91,20 @@
 
 void exchange::place()
 {
+    m_kept_from = kept_from();
     m_pick = choose();
     if (!m_pick.to) {
         refuse_unplaced();
         return;
     }
+    auto const judged = judge_parts(m_pick.to->software);
+    if (judged == routing::part_judgement::awaits_trial) {
+        refuse_for_parts();
+        return;
+    }
+    if (judged == routing::part_judgement::trial) {
+        choose_for_trial();
+    }
     if (m_pick.forecast > time_left() && !may_have_run()) {
         refuse(reason_code::too_late);
         return;
@@ -114,11 +119,18 @@
                               : reason_code::quarantined);
         return;
     }
+    if (judged == routing::part_judgement::trial) {
+        begin_trial();
+    }
     send_to(m_pick);
 }
 
 void exchange::refuse_unplaced()
 {
+    if (!m_kept_from.empty()) {
+        refuse_for_parts();
+        return;
+    }
     bool const is_gone =
         m_software && !m_context.directory.has_software(m_service, *m_software);
     if (is_gone) {
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -53,6 +53,7 @@
 void exchange::send_to(routing::pick const& chosen)
 {
     m_upstream = chosen.to;
+    m_has_cleared_parts = false;
     m_attempted.push_back(m_upstream->description.id);
     m_connection = m_context.pool.acquire(
         m_upstream,
@@ -68,7 +69,9 @@
         m_context.reach.record_sent(m_sent_at);
     }
     m_upstream->record_send(m_sent_at);
-    m_load = routing::load_ticket(chosen, pick_request(), m_sent_at);
+    auto const request = pick_request();
+    m_context.picker.record_sent(request, *m_upstream, m_sent_at);
+    m_load = routing::load_ticket(chosen, request, m_sent_at);
     m_answer = {};
     m_head_at.reset();
     m_answer_body.clear();
@@ -144,6 +147,7 @@
         }
         connection->close();
     }
+    end_trial();
 }
 
 // An engine that answers other requests is busy, not lost. A retry would only
@@ -194,6 +198,11 @@
         refuse(reason_code::version_unknown);
         return;
     }
+    // Before it takes from the retry budget.
+    if (awaits_verdict()) {
+        refuse_for_parts();
+        return;
+    }
     if (acquire_retry(result) && is_still_admitted()) {
         fill_report();
         if (m_context.on_retried) {
--- /dev/null
+++ b/src/proxy/part_codec.hpp
@@ -0,0 +1,54 @@
+#ifndef CAPERJUNCTION_PROXY_PART_CODEC_HPP
+#define CAPERJUNCTION_PROXY_PART_CODEC_HPP
+
+#include "model/time.hpp"
+#include "routing/part_evidence.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caperjunction::proxy {
+
+/// A part of which one request at a time runs: that has begun or is over.
+struct part_trial
+{
+    routing::shared_part part;
+    bool is_over = false;
+};
+
+/// What a host tells others of prompt parts.
+struct part_message
+{
+    std::vector<routing::upstream_crash> crashes;
+    std::vector<routing::part_answer> answers;
+    std::vector<part_trial> trials;
+    std::vector<routing::part_verdict> verdicts;
+    /// The sender wants to know all verdicts.
+    bool asks = false;
+    /// It came from another data centre and goes no further.
+    bool is_forwarded = false;
+
+    bool is_empty() const
+    {
+        return crashes.empty() && answers.empty() && trials.empty()
+               && verdicts.empty() && !asks;
+    }
+};
+
+/// Returns whether a datagram isn't a digest but such a message.
+bool is_part_message(std::string_view bytes);
+
+/// Serializes a message at `now`. Thread safety: any thread.
+std::string encode_part_message(part_message const& message,
+                                model::time_point now);
+
+/// Returns a message that was received at `now`; nothing if it is invalid.
+/// Thread safety: any thread. \pre is_part_message(bytes).
+std::optional<part_message> decode_part_message(std::string_view bytes,
+                                                model::time_point now);
+
+} // namespace caperjunction::proxy
+
+#endif
--- /dev/null
+++ b/src/proxy/part_crashes.cpp
@@ -0,0 +1,164 @@
+#include "proxy/part_crashes.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Time in which all connections of a crash break.
+constexpr model::milliseconds crash_window{1'000};
+/// Candidates of one crash that a host tells of. Those that it has never seen
+/// answered go first.
+constexpr std::size_t max_candidates = 128;
+
+void tell(relay_context& context, part_message const& news)
+{
+    if (context.tell_parts) {
+        context.tell_parts(news);
+    }
+}
+
+void tell_trial(relay_context& context,
+                std::vector<routing::shared_part> const& parts,
+                bool is_over)
+{
+    part_message news;
+    for (routing::shared_part const& part : parts) {
+        news.trials.push_back({part, is_over});
+    }
+    tell(context, news);
+}
+
+void add_candidates(relay_context const& context,
+                    routing::upstream_crash& crash,
+                    broken_attempt const& attempt)
+{
+    for (routing::shared_part const& part : attempt.parts) {
+        auto const known = std::find_if(crash.candidates.begin(),
+                                        crash.candidates.end(),
+                                        [&part](auto const& candidate) {
+                                            return candidate.id == part.id;
+                                        });
+        if (known != crash.candidates.end()) {
+            known->sent_at = std::max(known->sent_at, attempt.sent_at);
+            continue;
+        }
+        bool const is_trusted = context.parts.is_trusted(part, crash.version);
+        crash.candidates.push_back({part.id, attempt.sent_at, is_trusted});
+    }
+    std::stable_partition(crash.candidates.begin(),
+                          crash.candidates.end(),
+                          [](auto const& candidate) {
+                              return !candidate.is_trusted;
+                          });
+    if (crash.candidates.size() > max_candidates) {
+        crash.candidates.resize(max_candidates);
+    }
+}
+
+void record_crash(relay_context& context, routing::upstream_crash const& crash)
+{
+    context.parts.record_crash(crash);
+    part_message news;
+    news.crashes = {crash};
+    tell(context, news);
+}
+
+void conclude(relay_context& context, std::uint64_t start, bool has_crashed)
+{
+    auto const found = context.broken_upstreams.find(start);
+    if (found == context.broken_upstreams.end()) {
+        return;
+    }
+    broken_upstream& broken = found->second;
+    if (has_crashed) {
+        broken.has_crashed = true;
+        record_crash(context, broken.crash);
+        return;
+    }
+    auto const tried = std::move(broken.tried);
+    context.broken_upstreams.erase(found);
+    end_trial(context, tried);
+}
+
+/// Finds out whether the upstream refuses connections.
+void check(relay_context& context,
+           broken_attempt const& attempt,
+           std::uint64_t start)
+{
+    auto const begun = context.loop.now();
+    auto const timeout = context.settings.connect_timeout;
+    context.pool.probe(
+        attempt.upstream,
+        attempt.peer,
+        timeout,
+        [&context, start, begun, timeout](std::optional<answer_fault> fault) {
+            // One that doesn't answer may be alive behind a lost link.
+            bool const is_refused = fault == answer_fault::unreachable
+                                    && context.loop.now() - begun < timeout;
+            conclude(context, start, is_refused);
+        });
+}
+
+} // namespace
+
+void record_broken_attempt(relay_context& context,
+                           broken_attempt const& attempt)
+{
+    auto const now = context.loop.now();
+    std::erase_if(context.broken_upstreams, [now](auto const& item) {
+        return now - item.second.crash.at > crash_window
+               && item.second.has_crashed;
+    });
+    std::uint64_t const start =
+        routing::leaving_key(attempt.upstream->description);
+    auto const [found, is_new] =
+        context.broken_upstreams.try_emplace(start, broken_upstream{});
+    broken_upstream& broken = found->second;
+    if (is_new) {
+        broken.crash.start = start;
+        broken.crash.service = attempt.upstream->software.service;
+        broken.crash.version = attempt.upstream->software.version;
+        broken.crash.at = now;
+    }
+    add_candidates(context, broken.crash, attempt);
+    broken.tried.insert(
+        broken.tried.end(), attempt.tried.begin(), attempt.tried.end());
+    if (is_new) {
+        check(context, attempt, start);
+    } else if (broken.has_crashed) {
+        record_crash(context, broken.crash);
+    }
+}
+
+void record_answered_parts(relay_context& context,
+                           std::vector<routing::shared_part> const& parts,
+                           std::uint64_t version,
+                           model::time_point began_at)
+{
+    part_message news;
+    news.answers = context.parts.record_answer(parts, version, began_at);
+    if (!news.answers.empty()) {
+        tell(context, news);
+    }
+}
+
+void begin_trial(relay_context& context,
+                 std::vector<routing::shared_part> const& parts)
+{
+    context.parts.begin_trial(parts, context.loop.now());
+    tell_trial(context, parts, false);
+}
+
+void end_trial(relay_context& context,
+               std::vector<routing::shared_part> const& parts)
+{
+    if (parts.empty()) {
+        return;
+    }
+    context.parts.end_trial(parts);
+    tell_trial(context, parts, true);
+}
+
+} // namespace caperjunction::proxy
--- /dev/null
+++ b/src/proxy/part_exchange.cpp
@@ -0,0 +1,198 @@
+#include "proxy/part_exchange.hpp"
+
+#include "routing/origin_peer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace caperjunction::proxy {
+namespace {
+
+/// Delay in which the connections of one crash break.
+constexpr model::milliseconds batch_delay{5};
+/// Hosts that know of an answer wait up to this time for another one to say so.
+constexpr int max_reply_delay_ms = 40;
+constexpr model::milliseconds reply_timeout{1'000};
+constexpr std::size_t max_heard = 1'024;
+/// Interval in which verdicts are sent to some hosts.
+constexpr model::milliseconds round_interval{1'000};
+
+template <typename Item>
+void append(std::vector<Item>& to, std::vector<Item> const& more)
+{
+    to.insert(to.end(), more.begin(), more.end());
+}
+
+} // namespace
+
+part_exchange::part_exchange(relay_context& context, sender send)
+    : m_context(context)
+    , m_send(std::move(send))
+{
+    context.tell_parts = [this](part_message const& news) {
+        tell(news);
+    };
+}
+
+part_exchange::~part_exchange()
+{
+    m_context.tell_parts = nullptr;
+    m_context.loop.cancel(m_batch_timer);
+    for (auto const& [number, timer] : m_replies) {
+        m_context.loop.cancel(timer);
+    }
+}
+
+void part_exchange::tell(part_message const& news)
+{
+    if (news.is_empty()) {
+        return;
+    }
+    if (m_untold.is_empty()) {
+        m_batch_timer = m_context.loop.after(batch_delay, [this] {
+            send_batch();
+        });
+    }
+    append(m_untold.crashes, news.crashes);
+    append(m_untold.answers, news.answers);
+    append(m_untold.trials, news.trials);
+    append(m_untold.verdicts, news.verdicts);
+}
+
+void part_exchange::send_batch()
+{
+    std::string const bytes =
+        encode_part_message(std::exchange(m_untold, {}), m_context.loop.now());
+    for (routing::origin_peer const& peer : m_context.peers.origin_peers()) {
+        m_send(peer.at, bytes);
+    }
+}
+
+void part_exchange::send_to_some(part_message const& message)
+{
+    std::string const bytes =
+        encode_part_message(message, m_context.loop.now());
+    for (routing::origin_peer const& peer : routing::choose_origin_holders(
+             m_context.peers.origin_peers(), m_random())) {
+        m_send(peer.at, bytes);
+    }
+}
+
+part_message part_exchange::verdicts() const
+{
+    part_message message;
+    message.verdicts = m_context.parts.verdicts();
+    return message;
+}
+
+void part_exchange::receive(std::string_view bytes, model::endpoint const& from)
+{
+    auto message = decode_part_message(bytes, m_context.loop.now());
+    if (!message) {
+        return;
+    }
+    record(*message);
+    if (message->asks) {
+        m_send(from, encode_part_message(verdicts(), m_context.loop.now()));
+    }
+    forward(std::move(*message), from);
+}
+
+void part_exchange::record(part_message const& message)
+{
+    routing::poison_parts& parts = m_context.parts;
+    auto const now = m_context.loop.now();
+    if (m_heard.size() >= max_heard) {
+        m_heard.clear();
+    }
+    for (routing::part_answer const& answer : message.answers) {
+        m_heard[answer.part] = now;
+        parts.record_answer(answer);
+    }
+    for (part_trial const& trial : message.trials) {
+        if (trial.is_over) {
+            parts.end_trial({trial.part});
+        } else {
+            parts.begin_trial({trial.part}, now);
+        }
+    }
+    for (routing::upstream_crash const& crash : message.crashes) {
+        parts.record_crash(crash);
+        answer_later(parts.answers_for(crash));
+    }
+    part_message corrections;
+    for (routing::part_verdict const& verdict : message.verdicts) {
+        append(corrections.answers, parts.merge(verdict));
+    }
+    tell(corrections);
+}
+
+void part_exchange::answer_later(std::vector<routing::part_answer> answers)
+{
+    if (answers.empty()) {
+        return;
+    }
+    std::uint64_t const number = ++m_last_reply;
+    model::milliseconds const delay(m_random() % max_reply_delay_ms);
+    m_replies[number] = m_context.loop.after(
+        delay, [this, number, known = std::move(answers)]() mutable {
+            auto const now = m_context.loop.now();
+            std::erase_if(known, [&](routing::part_answer const& item) {
+                auto const heard = m_heard.find(item.part);
+                return heard != m_heard.end()
+                       && now - heard->second < reply_timeout;
+            });
+            part_message reply;
+            reply.answers = std::move(known);
+            m_replies.erase(number);
+            tell(reply);
+        });
+}
+
+// In a large fleet only gateways hear from other data centres.
+void part_exchange::forward(part_message message, model::endpoint const& from)
+{
+    bool const is_gateway_of_many =
+        m_context.peers.is_gateway()
+        && m_context.peers.alive()
+               >= routing::peer_table::min_peers_of_large_fleet;
+    if (message.is_forwarded || message.asks || !is_gateway_of_many) {
+        return;
+    }
+    auto const peers = m_context.peers.origin_peers();
+    auto const source =
+        std::find_if(peers.begin(), peers.end(), [&from](auto const& peer) {
+            return peer.at == from;
+        });
+    if (source == peers.end() || source->is_in_data_centre) {
+        return;
+    }
+    message.is_forwarded = true;
+    std::string const bytes =
+        encode_part_message(message, m_context.loop.now());
+    for (routing::origin_peer const& peer : peers) {
+        if (peer.is_in_data_centre) {
+            m_send(peer.at, bytes);
+        }
+    }
+}
+
+void part_exchange::sweep()
+{
+    auto const now = m_context.loop.now();
+    m_context.parts.expire(now);
+    bool const has_peers = m_context.peers.alive() > 0;
+    if (has_peers && !m_has_asked) {
+        part_message question;
+        question.asks = true;
+        send_to_some(question);
+    }
+    m_has_asked = has_peers;
+    bool const is_due = now - m_round_at >= round_interval;
+    if (is_due && !m_context.parts.verdicts().empty()) {
+        m_round_at = now;
+        send_to_some(verdicts());
+    }
+}
+
+} // namespace caperjunction::proxy
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -45,6 +45,10 @@
                 [this](model::endpoint const& to, std::string const& bytes) {
                     send_bytes(to, bytes);
                 })
+    , m_parts(context,
+              [this](model::endpoint const& to, std::string const& bytes) {
+                  send_bytes(to, bytes);
+              })
 {
     sockaddr_in const address = to_socket(listen);
     if (m_socket < 0
@@ -109,6 +113,7 @@
     }
     send_batch();
     apply_loads();
+    m_parts.sweep();
     m_timer = m_context.loop.after(peers.digest_period(), [this] {
         send_digests();
     });
@@ -201,6 +206,10 @@
         m_origins.receive(bytes, from);
         return;
     }
+    if (is_part_message(bytes)) {
+        m_parts.receive(bytes, from);
+        return;
+    }
     auto frame = decode_digest(bytes);
     if (!frame) {
         return;
--- a/src/proxy/peer_gossip.hpp
+++ b/src/proxy/peer_gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "proxy/digest_codec.hpp"
 #include "proxy/origin_exchange.hpp"
+#include "proxy/part_exchange.hpp"
 #include "proxy/relay_context.hpp"
 #include "routing/digest_queue.hpp"
 #include "routing/load_change_detector.hpp"
@@ -88,6 +89,7 @@
     std::map<std::string, echo> m_echoes;
     routing::digest_queue m_queue;
     origin_exchange m_origins;
+    part_exchange m_parts;
     routing::load_change_detector m_load_changes;
     std::size_t m_alive = 0;
     std::function<void(std::size_t)> m_on_changed;
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -6,6 +6,7 @@
 #include "proxy/connection_report.hpp"
 #include "proxy/exchange_report.hpp"
 #include "proxy/origin_codec.hpp"
+#include "proxy/part_codec.hpp"
 #include "proxy/reach_report.hpp"
 #include "proxy/relay_settings.hpp"
 #include "proxy/upstream_pool.hpp"
@@ -15,6 +16,7 @@
 #include "routing/key_lease.hpp"
 #include "routing/peer_table.hpp"
 #include "routing/picker.hpp"
+#include "routing/poison_parts.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/route_table.hpp"
 #include "routing/software_history.hpp"
@@ -24,14 +26,27 @@
 #include "routing/upstream_reach.hpp"
 #include "runtime/event_loop.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace caperjunction::proxy {
 
+/// An upstream that has broken answers off.
+struct broken_upstream
+{
+    routing::upstream_crash crash;
+    /// Parts on trial there.
+    std::vector<routing::shared_part> tried;
+    /// It refuses connections; until that is known, it may have broken off the
+    /// answers alone.
+    bool has_crashed = false;
+};
+
 /// State shared by all requests of a host.
 ///
 /// Thread safety: none; owned by the loop's task.
@@ -61,6 +76,11 @@
     /// Connections of other hosts to upstreams that lead through this host.
     std::size_t open_tunnels = 0;
     routing::crash_suspects suspects;
+    routing::poison_parts parts;
+    /// By start, as `routing::leaving_key`.
+    std::map<std::uint64_t, broken_upstream> broken_upstreams;
+    /// Tells other hosts of parts; null: there are none.
+    std::function<void(part_message const&)> tell_parts;
     routing::software_history software;
     routing::stream_origins origins;
     /// Since when another host has a newer list of upstreams.
--- a/src/proxy/upstream_paths.cpp
+++ b/src/proxy/upstream_paths.cpp
@@ -63,8 +63,8 @@
     context.pool.probe(upstream,
                        std::nullopt,
                        context.settings.connect_timeout,
-                       [&context, upstream](bool is_reached) {
-                           if (is_reached) {
+                       [&context, upstream](std::optional<answer_fault> fault) {
+                           if (!fault) {
                                record_connected(context, *upstream);
                            } else {
                                record_unreachable(context, *upstream);
@@ -81,19 +81,20 @@
     if (!peer) {
         return;
     }
-    context.pool.probe(upstream,
-                       peer,
-                       context.settings.connect_timeout,
-                       [&context, upstream, at = *peer](bool is_reached) {
-                           if (!is_reached) {
-                               record_detour_failure(context, *upstream, at);
-                               return;
-                           }
-                           if (upstream->link.record_detour(true)) {
-                               // Its failures were those of this host's link.
-                               upstream->health = {};
-                           }
-                       });
+    context.pool.probe(
+        upstream,
+        peer,
+        context.settings.connect_timeout,
+        [&context, upstream, at = *peer](std::optional<answer_fault> fault) {
+            if (fault) {
+                record_detour_failure(context, *upstream, at);
+                return;
+            }
+            if (upstream->link.record_detour(true)) {
+                // Its failures were those of this host's link.
+                upstream->health = {};
+            }
+        });
 }
 
 /// Tries the links to the other upstreams of a service of which some are lost,
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -74,10 +74,11 @@
     return path.peer && path.allows_peer(*connection.peer());
 }
 
-void upstream_pool::probe(routing::upstream_ptr const& upstream,
-                          std::optional<model::endpoint> const& peer,
-                          model::milliseconds connect_timeout,
-                          std::function<void(bool)> const& on_result)
+void upstream_pool::probe(
+    routing::upstream_ptr const& upstream,
+    std::optional<model::endpoint> const& peer,
+    model::milliseconds connect_timeout,
+    std::function<void(std::optional<answer_fault>)> const& on_result)
 {
     auto const connection = connect(upstream, peer);
     auto const* const key = connection.get();
@@ -85,11 +86,11 @@
     answer_hooks hooks;
     hooks.on_connected = [this, key, upstream, on_result] {
         release(upstream, m_probes.extract(key).mapped());
-        on_result(true);
+        on_result(std::nullopt);
     };
-    hooks.on_fault = [this, key, on_result](answer_fault) {
+    hooks.on_fault = [this, key, on_result](answer_fault fault) {
         auto const ended = m_probes.extract(key);
-        on_result(false);
+        on_result(fault);
     };
     connection->open(connect_timeout, std::move(hooks));
 }
--- a/src/proxy/upstream_pool.hpp
+++ b/src/proxy/upstream_pool.hpp
@@ -42,12 +42,13 @@
     acquire(routing::upstream_ptr const& upstream, upstream_path const& path);
 
     /// Establishes a connection for later use, through the host whose tunnels
-    /// are at `peer` or directly. `on_result` is called with whether that
-    /// succeeded.
-    void probe(routing::upstream_ptr const& upstream,
-               std::optional<model::endpoint> const& peer,
-               model::milliseconds connect_timeout,
-               std::function<void(bool)> const& on_result);
+    /// are at `peer` or directly. `on_result` is called with why that failed;
+    /// nothing if it succeeded.
+    void
+    probe(routing::upstream_ptr const& upstream,
+          std::optional<model::endpoint> const& peer,
+          model::milliseconds connect_timeout,
+          std::function<void(std::optional<answer_fault>)> const& on_result);
 
     /// Returns a connection to the pool after a complete answer.
     void release(routing::upstream_ptr const& upstream,
--- /dev/null
+++ b/src/routing/part_evidence.hpp
@@ -0,0 +1,59 @@
+#ifndef CAPERJUNCTION_ROUTING_PART_EVIDENCE_HPP
+#define CAPERJUNCTION_ROUTING_PART_EVIDENCE_HPP
+
+#include "model/time.hpp"
+#include "routing/shared_part.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// A part of a request that was in flight at a crash and had not been answered.
+struct crash_candidate
+{
+    std::uint64_t id = 0;
+    /// When the latest such request was sent.
+    model::time_point sent_at{};
+    /// The host has seen it answered before.
+    bool is_trusted = false;
+};
+
+/// What a host has seen of the crash of one upstream.
+struct upstream_crash
+{
+    /// Key from `leaving_key`: differs for each start of the upstream.
+    std::uint64_t start = 0;
+    /// Of the upstream; keys as in `software`.
+    std::uint64_t service = 0;
+    std::uint64_t version = 0;
+    model::time_point at{};
+    std::vector<crash_candidate> candidates;
+};
+
+/// An upstream has written an answer on a part and lived on.
+struct part_answer
+{
+    shared_part part;
+    std::uint64_t version = 0;
+    /// When the answer began.
+    model::time_point began_at{};
+};
+
+/// Parts that together have been in flight at crashes. Requests that hold all
+/// of them are kept from upstreams of these versions.
+struct part_verdict
+{
+    /// Of one service, sorted.
+    std::vector<shared_part> parts;
+    std::vector<std::uint64_t> versions;
+    model::time_point last_crash{};
+    /// When such a request last came to any host.
+    model::time_point seen_at{};
+    /// Crashes that probes have caused.
+    std::uint32_t failed_probes = 0;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- a/src/routing/pick.hpp
+++ b/src/routing/pick.hpp
@@ -32,6 +32,10 @@
     /// Returns whether the software of an upstream is what its entry says;
     /// called if `software` is set. Null: it always is.
     std::function<bool(upstream_state const&)> is_software_certain;
+    /// Software that the request is kept from; null: none.
+    std::vector<routing::software> const* kept_from = nullptr;
+    /// The only upstream that may get the request; null: any.
+    upstream_state const* only = nullptr;
     /// Regions that may serve the request; null: all.
     home_regions const* homes = nullptr;
     /// Returns whether each host that could connect this one to an upstream was
--- a/src/routing/refusal.cpp
+++ b/src/routing/refusal.cpp
@@ -20,7 +20,7 @@
 /// In the order of the reasons. The retry delay is short if another host can
 /// serve the request. If the request waits for an upstream, it is the time in
 /// which a queue shrinks by some requests.
-constexpr std::array<entry, 20> entries{{
+constexpr std::array<entry, 22> entries{{
     {refusal_reason::no_configuration,
      "no_configuration",
      503,
@@ -71,6 +71,16 @@
      503,
      milliseconds{60'000},
      "don't send it again: servers broke down while they ran it"},
+    {refusal_reason::part_kept_back,
+     "part_kept_back",
+     503,
+     milliseconds{60'000},
+     "don't send it again: servers broke down at a part of its prompt"},
+    {refusal_reason::part_on_trial,
+     "part_on_trial",
+     503,
+     milliseconds{1'000},
+     "try again; servers may have broken down at a part of its prompt"},
     {refusal_reason::stopping,
      "stopping",
      503,
--- a/src/routing/refusal.hpp
+++ b/src/routing/refusal.hpp
@@ -29,6 +29,11 @@
     upstream_full,
     /// The request was in flight at several upstreams when they crashed.
     quarantined,
+    /// Its prompt holds a part that crashes upstreams.
+    part_kept_back,
+    /// Its prompt holds a part that may crash upstreams, and another request
+    /// that holds it runs.
+    part_on_trial,
     /// The host is about to stop.
     stopping,
     /// The host has buffered the maximum number of bytes.
--- /dev/null
+++ b/src/routing/shared_part.hpp
@@ -0,0 +1,41 @@
+#ifndef CAPERJUNCTION_ROUTING_SHARED_PART_HPP
+#define CAPERJUNCTION_ROUTING_SHARED_PART_HPP
+
+#include "routing/prompt.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// A part of prompts that requests for one service share.
+struct shared_part
+{
+    /// Key from `software_service_key`.
+    std::uint64_t service = 0;
+    std::uint64_t id = 0;
+
+    friend bool operator==(shared_part const&, shared_part const&) = default;
+    friend auto operator<=>(shared_part const&, shared_part const&) = default;
+};
+
+struct shared_part_hash
+{
+    std::size_t operator()(shared_part const& part) const
+    {
+        constexpr std::uint64_t odd = 0x9e3779b97f4a7c15;
+        return static_cast<std::size_t>((part.id ^ part.service * odd) * odd);
+    }
+};
+
+/// Returns the parts of a prompt that other requests may share, sorted, each
+/// one once. Parts without a valid id are left out.
+///
+/// Thread safety: any thread.
+std::vector<shared_part> shared_parts_of(prompt const& from,
+                                         std::uint64_t service);
+
+} // namespace caperjunction::routing
+
+#endif
--- a/src/routing/upstream_directory.cpp
+++ b/src/routing/upstream_directory.cpp
@@ -148,6 +148,18 @@
     });
 }
 
+std::vector<software>
+upstream_directory::software_of_service(std::string_view service) const
+{
+    std::vector<software> list;
+    for (upstream_ptr const& item : of_service(service)) {
+        if (std::find(list.begin(), list.end(), item->software) == list.end()) {
+            list.push_back(item->software);
+        }
+    }
+    return list;
+}
+
 std::vector<upstream_ptr> const&
 upstream_directory::reservation_order(std::string_view service) const
 {
--- a/src/routing/upstream_directory.hpp
+++ b/src/routing/upstream_directory.hpp
@@ -73,6 +73,10 @@
     /// software.
     bool has_software(std::string_view service, software wanted) const;
 
+    /// Returns the software of the upstreams of a service that may get
+    /// requests, each one once.
+    std::vector<software> software_of_service(std::string_view service) const;
+
     /// Returns the upstreams of a service in the order in which they are
     /// reserved for urgent streams, and sets the `reservation_rank` of each.
     ///
--- a/src/routing/usable_upstreams.cpp
+++ b/src/routing/usable_upstreams.cpp
@@ -17,6 +17,17 @@
                   != request.attempted->end();
 }
 
+bool is_kept_from(pick_request const& request, upstream_state const& candidate)
+{
+    bool const is_other = request.only != nullptr && request.only != &candidate;
+    return is_other
+           || (request.kept_from != nullptr
+               && std::find(request.kept_from->begin(),
+                            request.kept_from->end(),
+                            candidate.software)
+                      != request.kept_from->end());
+}
+
 bool is_allowed(pick_request const& request, upstream_state const& candidate)
 {
     bool const has_software =
@@ -24,7 +35,7 @@
         || (*request.software == candidate.software
             && (!request.is_software_certain
                 || request.is_software_certain(candidate)));
-    return has_software
+    return has_software && !is_kept_from(request, candidate)
            && (request.homes == nullptr
                || request.homes->allows(candidate.where.region));
 }
