Log and measure which part of prompts is kept from engines, and why

upstream_crashed names what was in flight at a crash, part_trial the request that runs alone, part_kept_back and part_released the parts, their service, whether the evidence was gathered here, and the crashes; request_ended names the parts because of which a request was refused. Gauges parts_kept_back and parts_on_trial.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -246,6 +246,8 @@
                         static_cast<double>(m_context.open_tunnels));
     m_metrics.set_streams(static_cast<double>(m_context.origins.size()),
                           static_cast<double>(m_context.origins.evicted()));
+    m_metrics.set_parts(static_cast<double>(m_context.parts.verdicts().size()),
+                        static_cast<double>(m_context.parts.parts_on_trial()));
     return m_metrics.text();
 }
 
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -42,6 +42,7 @@
     model::milliseconds watch_wait();
     void record_first_read();
     void report_requests();
+    void report_parts();
     void log_retried(proxy::exchange_report const& retried);
     void log_ended(proxy::exchange_report const& ended);
     void log_connection(proxy::connection_report const& ended);
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -1,47 +1,10 @@
+#include "program/hex_list.hpp"
 #include "program/routed_host.hpp"
 #include "runtime/log_line.hpp"
 
-#include <fmt/format.h>
-
-#include <algorithm>
-#include <cstddef>
-#include <string>
 #include <string_view>
-#include <vector>
 
 namespace caperjunction::program {
-namespace {
-
-/// Parts of a prompt in one line.
-constexpr std::size_t max_logged_parts = 32;
-
-std::string text_of(std::vector<routing::prompt_part> const& parts)
-{
-    std::string text;
-    for (std::size_t place = 0;
-         place < std::min(parts.size(), max_logged_parts);
-         ++place) {
-        text += fmt::format("{}{:x}", place == 0 ? "" : ",", parts[place].id);
-    }
-    return text;
-}
-
-void log_broken_attempt(proxy::broken_attempt_report const& broken)
-{
-    runtime::log_line("attempt_broken")
-        .field("id", broken.id)
-        .field("route", broken.route)
-        .field("service", broken.service)
-        .field("upstream", broken.upstream)
-        .field("started", broken.upstream_started)
-        .field("through", broken.through)
-        .field("parts", text_of(broken.prompt->parts))
-        .field("events", broken.events)
-        .field("since_head_ms", broken.since_head.count());
-}
-
-} // namespace
-
 void routed_host::report_requests()
 {
     m_context.on_ended = [this](proxy::exchange_report const& ended) {
@@ -93,10 +56,7 @@
             .field("header", header)
             .field("text", value);
     };
-    m_context.on_attempt_broken =
-        [](proxy::broken_attempt_report const& broken) {
-            log_broken_attempt(broken);
-        };
+    report_parts();
     m_context.on_retried = [this](proxy::exchange_report const& tried) {
         log_retried(tried);
     };
@@ -128,6 +88,7 @@
         .field("status", ended.status)
         .field("outcome", ended.outcome)
         .field("reason", ended.reason)
+        .field("parts", ids_of(ended.refused_parts))
         .field("last_try", ended.last_attempt)
         .field("upstream", ended.upstream)
         .field("through", ended.through)
--- /dev/null
+++ b/src/program/routed_host_parts.cpp
@@ -0,0 +1,94 @@
+#include "program/hex_list.hpp"
+#include "program/routed_host.hpp"
+#include "runtime/log_line.hpp"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace caperjunction::program {
+namespace {
+
+/// Returns the name of a service; empty if no upstream is known that serves it.
+std::string service_of(proxy::relay_context const& context, std::uint64_t key)
+{
+    std::string name;
+    context.directory.each_service([&](std::string const& service) {
+        if (routing::software_service_key(service) == key) {
+            name = service;
+        }
+    });
+    return name;
+}
+
+void log_broken_attempt(proxy::broken_attempt_report const& broken)
+{
+    runtime::log_line("attempt_broken")
+        .field("id", broken.id)
+        .field("route", broken.route)
+        .field("service", broken.service)
+        .field("upstream", broken.upstream)
+        .field("started", broken.upstream_started)
+        .field("through", broken.through)
+        .field("parts", ids_of(broken.prompt->parts))
+        .field("events", broken.events)
+        .field("since_head_ms", broken.since_head.count());
+}
+
+void log_crash(proxy::broken_upstream const& crashed)
+{
+    runtime::log_line("upstream_crashed")
+        .field("upstream", crashed.id)
+        .field("service", crashed.service)
+        .field("crash", fmt::format("{:x}", crashed.crash.start))
+        .field("candidates", crashed.crash.candidates.size())
+        .field("parts", ids_of(crashed.crash.candidates));
+}
+
+void log_verdict(proxy::relay_context const& context,
+                 std::string_view event,
+                 routing::part_verdict const& verdict)
+{
+    auto const since_crash = std::chrono::duration_cast<model::milliseconds>(
+        context.loop.now() - verdict.last_crash);
+    runtime::log_line(event)
+        .field("service",
+               verdict.parts.empty()
+                   ? std::string()
+                   : service_of(context, verdict.parts.front().service))
+        .field("parts", ids_of(verdict.parts))
+        .field("versions", verdict.versions.size())
+        .field("heard", verdict.crashes.empty() ? "from_peers" : "here")
+        .field("crashes", hex_list(verdict.crashes))
+        .field("since_crash_ms", since_crash.count());
+}
+
+} // namespace
+
+void routed_host::report_parts()
+{
+    m_context.on_attempt_broken =
+        [](proxy::broken_attempt_report const& broken) {
+            log_broken_attempt(broken);
+        };
+    m_context.on_crashed = [](proxy::broken_upstream const& crashed) {
+        log_crash(crashed);
+    };
+    m_context.on_trial = [](std::string_view id,
+                            std::vector<routing::shared_part> const& parts) {
+        runtime::log_line("part_trial")
+            .field("id", id)
+            .field("parts", ids_of(parts));
+    };
+    m_context.parts.on_kept_back = [this](routing::part_verdict const& begun) {
+        log_verdict(m_context, "part_kept_back", begun);
+    };
+    m_context.parts.on_released = [this](routing::part_verdict const& ended) {
+        log_verdict(m_context, "part_released", ended);
+    };
+}
+
+} // namespace caperjunction::program
--- a/src/program/routed_metrics.cpp
+++ b/src/program/routed_metrics.cpp
@@ -177,6 +177,12 @@
     m_gauges.Add({{"part", "streams_evicted"}}).Set(evicted);
 }
 
+void routed_metrics::set_parts(double kept_back, double on_trial)
+{
+    m_gauges.Add({{"part", "parts_kept_back"}}).Set(kept_back);
+    m_gauges.Add({{"part", "parts_on_trial"}}).Set(on_trial);
+}
+
 std::string routed_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -41,6 +41,10 @@
     /// that were forgotten because there were too many.
     void set_streams(double remembered, double evicted);
 
+    /// `kept_back`: parts of prompts that are kept from upstreams; `on_trial`:
+    /// those of which one request at a time runs.
+    void set_parts(double kept_back, double on_trial);
+
     /// Returns the metrics in the Prometheus text format.
     std::string text() const;
 
--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -75,6 +75,11 @@
 void exchange::refuse_for_parts()
 {
     bool const is_kept_back = !kept_from().empty();
+    for (routing::software const& at :
+         m_context.directory.software_of_service(m_service)) {
+        m_report.refused_parts = m_context.parts.suspects_among(
+            shared_parts(), at.version, m_was_broken);
+    }
     m_context.parts.record_kept_back(shared_parts(), m_context.loop.now());
     refuse(is_kept_back ? reason_code::part_kept_back
                         : reason_code::part_on_trial);
@@ -112,6 +117,9 @@
     m_tried_parts = m_context.parts.suspects_among(
         shared_parts(), m_pick.to->software.version, m_was_broken);
     proxy::begin_trial(m_context, m_tried_parts);
+    if (m_context.on_trial) {
+        m_context.on_trial(m_metadata.id, m_tried_parts);
+    }
 }
 
 void exchange::end_trial()
--- a/src/proxy/exchange_report.hpp
+++ b/src/proxy/exchange_report.hpp
@@ -2,11 +2,13 @@
 #define CAPERJUNCTION_PROXY_EXCHANGE_REPORT_HPP
 
 #include "model/time.hpp"
+#include "routing/shared_part.hpp"
 #include "routing/upstream_performance.hpp"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace caperjunction::proxy {
 
@@ -28,6 +30,8 @@
     std::string_view outcome;
     /// Reason of the refusal; empty if the request was not refused.
     std::string_view reason;
+    /// Parts of the prompt because of which it was refused.
+    std::vector<routing::shared_part> refused_parts;
     /// Who ended the caller's connection before its answer was complete, as a
     /// name of `connection_end`. Empty if the answer was sent or the upstream
     /// broke it off.
--- a/src/proxy/part_crashes.cpp
+++ b/src/proxy/part_crashes.cpp
@@ -74,6 +74,9 @@
     broken_upstream& broken = found->second;
     if (has_crashed) {
         broken.has_crashed = true;
+        if (context.on_crashed) {
+            context.on_crashed(broken);
+        }
         record_crash(context, broken.crash);
         return;
     }
@@ -117,6 +120,8 @@
         context.broken_upstreams.try_emplace(start, broken_upstream{});
     broken_upstream& broken = found->second;
     if (is_new) {
+        broken.id = attempt.upstream->description.id;
+        broken.service = attempt.upstream->description.service;
         broken.crash.start = start;
         broken.crash.service = attempt.upstream->software.service;
         broken.crash.version = attempt.upstream->software.version;
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -39,6 +39,8 @@
 /// An upstream that has broken answers off.
 struct broken_upstream
 {
+    std::string id;
+    std::string service;
     routing::upstream_crash crash;
     /// Parts on trial there.
     std::vector<routing::shared_part> tried;
@@ -98,6 +100,12 @@
     std::map<std::string, routing::demand_trend> urgent_demand;
     /// Called when an upstream breaks an attempt off.
     std::function<void(broken_attempt_report const&)> on_attempt_broken;
+    /// Called when an upstream that had requests of this host has crashed.
+    std::function<void(broken_upstream const&)> on_crashed;
+    /// Called when a request is sent of which only one at a time runs.
+    std::function<void(std::string_view id,
+                       std::vector<routing::shared_part> const& parts)>
+        on_trial;
     /// Called when a request is retried, before the next attempt.
     std::function<void(exchange_report const&)> on_retried;
     /// Called when the first link to an upstream of a service is lost, and when
--- a/src/routing/part_evidence.hpp
+++ b/src/routing/part_evidence.hpp
@@ -52,6 +52,9 @@
     model::time_point seen_at{};
     /// Crashes that probes have caused.
     std::uint32_t failed_probes = 0;
+    /// Starts of the upstreams that crashed, as `leaving_key`; none if another
+    /// host has told this one.
+    std::vector<std::uint64_t> crashes = {};
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -172,6 +172,7 @@
     verdict.parts = causes;
     for (sighting const& item : counted(m_parts.at(causes.front()))) {
         add_once(verdict.versions, item.version);
+        verdict.crashes.push_back(item.start);
     }
     verdict.last_crash = crash.at;
     verdict.seen_at = crash.at;
