Count a repeat's crash by whether its engine had begun to answer

Callers saw six engines crash instead of three where a request is repeated: crashes less than 50 ms apart counted as one, meant for engines that fail together, and an engine crashes 30 ms after the head of its answer in relay_part_test. A request whose answer had begun was sent to a live engine, so it counts at once; another one counts 100 ms after the crash before.

--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -141,6 +141,7 @@
     attempt.parts = shared_parts();
     attempt.tried = std::exchange(m_tried_parts, {});
     attempt.sent_at = m_sent_at;
+    attempt.has_begun = m_head_at.has_value();
     record_broken_attempt(m_context, attempt);
 }
 
--- a/src/proxy/part_codec.cpp
+++ b/src/proxy/part_codec.cpp
@@ -36,8 +36,10 @@
     std::vector<wire::PartCandidate> list;
     list.reserve(from.candidates.size());
     for (routing::crash_candidate const& item : from.candidates) {
-        list.emplace_back(
-            item.id, millis_between(item.sent_at, from.at), item.is_trusted);
+        list.emplace_back(item.id,
+                          millis_between(item.sent_at, from.at),
+                          item.is_trusted,
+                          item.has_begun);
     }
     return wire::CreateUpstreamCrash(builder,
                                      from.start,
@@ -92,7 +94,8 @@
             crash.candidates.push_back(
                 {item->id(),
                  before(crash.at, item->sent_before_ms()),
-                 item->is_trusted()});
+                 item->is_trusted(),
+                 item->has_begun()});
         }
     }
     return crash;
--- a/src/proxy/part_crashes.cpp
+++ b/src/proxy/part_crashes.cpp
@@ -42,10 +42,12 @@
                                         });
         if (known != crash.candidates.end()) {
             known->sent_at = std::max(known->sent_at, attempt.sent_at);
+            known->has_begun = known->has_begun || attempt.has_begun;
             continue;
         }
         bool const is_trusted = context.parts.is_trusted(part, crash.version);
-        crash.candidates.push_back({part.id, attempt.sent_at, is_trusted});
+        crash.candidates.push_back(
+            {part.id, attempt.sent_at, is_trusted, attempt.has_begun});
     }
     std::stable_partition(crash.candidates.begin(),
                           crash.candidates.end(),
--- a/src/proxy/part_crashes.hpp
+++ b/src/proxy/part_crashes.hpp
@@ -19,6 +19,8 @@
     /// Parts of which it was the trial.
     std::vector<routing::shared_part> tried;
     model::time_point sent_at{};
+    /// The upstream had begun to answer.
+    bool has_begun = false;
 };
 
 /// Records a broken attempt. If its upstream then refuses connections, it has
--- a/src/proxy/wire/parts_generated.h
+++ b/src/proxy/wire/parts_generated.h
@@ -37,26 +37,25 @@
   uint64_t id_;
   uint32_t sent_before_ms_;
   uint8_t is_trusted_;
-  int8_t padding0__;  int16_t padding1__;
+  uint8_t has_begun_;
+  int16_t padding0__;
 
  public:
   PartCandidate()
       : id_(0),
         sent_before_ms_(0),
         is_trusted_(0),
-        padding0__(0),
-        padding1__(0) {
+        has_begun_(0),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  PartCandidate(uint64_t _id, uint32_t _sent_before_ms, bool _is_trusted)
+  PartCandidate(uint64_t _id, uint32_t _sent_before_ms, bool _is_trusted, bool _has_begun)
       : id_(flatbuffers::EndianScalar(_id)),
         sent_before_ms_(flatbuffers::EndianScalar(_sent_before_ms)),
         is_trusted_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_trusted))),
-        padding0__(0),
-        padding1__(0) {
+        has_begun_(flatbuffers::EndianScalar(static_cast<uint8_t>(_has_begun))),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t id() const {
     return flatbuffers::EndianScalar(id_);
@@ -67,6 +66,9 @@
   bool is_trusted() const {
     return flatbuffers::EndianScalar(is_trusted_) != 0;
   }
+  bool has_begun() const {
+    return flatbuffers::EndianScalar(has_begun_) != 0;
+  }
 };
 FLATBUFFERS_STRUCT_END(PartCandidate, 16);
 
--- a/src/routing/part_evidence.hpp
+++ b/src/routing/part_evidence.hpp
@@ -17,6 +17,8 @@
     model::time_point sent_at{};
     /// The host has seen it answered before.
     bool is_trusted = false;
+    /// The upstream had begun to answer such a request.
+    bool has_begun = false;
 };
 
 /// What a host has seen of the crash of one upstream.
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -99,6 +99,7 @@
     if (known != list.end()) {
         known->at = std::min(known->at, crash.at);
         known->sent_at = std::max(known->sent_at, candidate.sent_at);
+        known->has_begun = known->has_begun || candidate.has_begun;
         return;
     }
     auto const later =
@@ -106,7 +107,11 @@
             return item.at > crash.at;
         });
     list.insert(later,
-                {crash.start, crash.version, crash.at, candidate.sent_at});
+                {crash.start,
+                 crash.version,
+                 crash.at,
+                 candidate.sent_at,
+                 candidate.has_begun});
     if (list.size() > max_sightings) {
         list.erase(list.begin());
     }
@@ -391,7 +396,8 @@
         bool const is_independent =
             list.empty()
             || (item.sent_at > list.back().at
-                && item.at - list.back().at >= m_limits.min_between);
+                && (item.has_begun
+                    || item.at - list.back().at >= m_limits.min_between));
         if (!is_answered && is_independent && !is_explained(item.start)) {
             list.push_back(item);
         }
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -26,9 +26,10 @@
     /// part are often in flight beside others that crash their upstreams.
     std::size_t trusted_trial = 4;
     std::size_t trusted_verdict = 5;
-    /// A request that was sent after a crash needs this time to cause the next
-    /// one. It is shorter where several upstreams fail together.
-    model::milliseconds min_between{50};
+    /// A request that was sent after a crash, and not begun, counts from this
+    /// time after it on. Where several upstreams fail together, it may have
+    /// been sent to one that was down already.
+    model::milliseconds min_between{100};
     /// A trial without a result no longer holds up others after this time.
     model::milliseconds trial_timeout{3'000};
     /// Time after the last crash until a request is sent as a probe. It doubles
@@ -154,6 +155,7 @@
         std::uint64_t version = 0;
         model::time_point at{};
         model::time_point sent_at{};
+        bool has_begun = false;
     };
 
     /// The last answer that began at upstreams of a version.
--- a/tests/routing/poison_parts_test.cpp
+++ b/tests/routing/poison_parts_test.cpp
@@ -40,7 +40,7 @@
 {
     routing::upstream_crash crash{engine, service, of_version, at, {}};
     for (std::uint64_t const id : ids) {
-        crash.candidates.push_back({id, at - time_to_crash, false});
+        crash.candidates.push_back({id, at - time_to_crash, false, true});
     }
     return crash;
 }
@@ -104,6 +104,21 @@
     CHECK(parts.verdicts().empty());
 }
 
+// Guards against repeats that go to engines which are down already, when a
+// share of all engines fails at once.
+TEST_CASE("requests that no engine has begun count some time later only")
+{
+    poison_parts parts;
+    for (std::uint64_t engine = 1; engine <= 5; ++engine) {
+        auto crash = crash_of(engine, start + engine * 20ms, {5});
+        crash.candidates[0].sent_at = crash.at - 5ms;
+        crash.candidates[0].has_begun = false;
+        parts.record_crash(crash);
+    }
+    CHECK(judge(parts, {5}, start + 1s) == part_judgement::free);
+    CHECK(parts.verdicts().empty());
+}
+
 TEST_CASE("an answer that began after a crash clears the parts in it")
 {
     poison_parts parts;
