End a trial at once that went to an engine which is down already

Seen once in about 37 plays of relay_part_test: a part was kept back three seconds late. The trial had gone out on a kept connection to an engine that had crashed a moment before. Its break was taken for that crash, gave no new evidence, and the trial stayed begun until its timeout, so that no other one was sent. It is over now, and no candidate.

--- a/src/proxy/part_crashes.cpp
+++ b/src/proxy/part_crashes.cpp
@@ -121,6 +121,11 @@
     auto const [found, is_new] =
         context.broken_upstreams.try_emplace(start, broken_upstream{});
     broken_upstream& broken = found->second;
+    if (!is_new && attempt.sent_at >= broken.crash.at) {
+        // Sent on a kept connection after the crash: it never ran.
+        end_trial(context, attempt.tried);
+        return;
+    }
     if (is_new) {
         broken.id = attempt.upstream->description.id;
         broken.service = attempt.upstream->description.service;
--- a/tests/proxy/crashing_fleet.cpp
+++ b/tests/proxy/crashing_fleet.cpp
@@ -43,6 +43,19 @@
     }
 }
 
+void crashing_fleet::add_host(std::string const& data_centre)
+{
+    std::vector<model::endpoint> seeds;
+    for (auto const& host : fleet.hosts) {
+        seeds.push_back(host->context.settings.peer_listen);
+    }
+    fleet.hosts.push_back(
+        std::make_unique<host_fleet::host>(fleet, data_centre, seeds, 0));
+    for (std::size_t engine = 0; engine < fleet.upstreams.size(); ++engine) {
+        fleet.set_version(engine, "v1");
+    }
+}
+
 bool crashing_fleet::is_guilty(std::string const& prompt) const
 {
     return std::any_of(crashing_parts.begin(),
@@ -57,6 +70,11 @@
 {
     auto const* const prompt = request.head.find("Prompt-Prefix");
     if (prompt != nullptr && is_guilty(*prompt)) {
+        if (!crashes_engines) {
+            script broken{stream_head()};
+            broken.resets = true;
+            return broken;
+        }
         std::size_t const engine = engine_of(request);
         fleet.loop.after(time_to_crash, [this, engine] {
             crashes.push_back(fleet.loop.now());
@@ -83,6 +101,7 @@
 {
     int const number = ++m_next_id;
     std::size_t host = static_cast<std::size_t>(number) % fleet.hosts.size();
+    host = only_host.value_or(host);
     while (!fleet.hosts[host]) {
         host = (host + 1) % fleet.hosts.size();
     }
@@ -134,6 +153,12 @@
            / static_cast<double>(std::max<std::size_t>(1, requests.size()));
 }
 
+bool is_refused_for_parts(crashing_fleet::prompt_request const& request)
+{
+    return request.made.caller->received_bytes.find("\"part_")
+           != std::string::npos;
+}
+
 std::size_t refused(std::vector<crashing_fleet::prompt_request> const& requests)
 {
     return static_cast<std::size_t>(
--- a/tests/proxy/crashing_fleet.hpp
+++ b/tests/proxy/crashing_fleet.hpp
@@ -3,6 +3,7 @@
 
 #include "proxy/host_fleet.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
     crashing_fleet(std::vector<std::string> const& data_centres,
                    std::size_t engines);
 
+    /// Starts one more host.
+    void add_host(std::string const& data_centre);
+
     /// Sends a request to the next host on a path of the fixture.
     void send(std::string const& path, shared_parts const& parts);
 
@@ -52,6 +56,11 @@
     std::vector<prompt_request> requests;
     /// When engines crashed because of a part.
     std::vector<model::time_point> crashes;
+    /// Whether an engine crashes at such a part, rather than break off the one
+    /// answer.
+    bool crashes_engines = true;
+    /// The host that gets all requests; no value: each one in turn.
+    std::optional<std::size_t> only_host;
     /// Time after which an engine starts again.
     model::milliseconds repair{700};
 
@@ -66,6 +75,9 @@
 double
 share_served(std::vector<crashing_fleet::prompt_request> const& requests);
 
+/// Whether a request was refused because of a part of its prompt.
+bool is_refused_for_parts(crashing_fleet::prompt_request const& request);
+
 /// Returns the number of requests that were refused without a run.
 std::size_t
 refused(std::vector<crashing_fleet::prompt_request> const& requests);
