Try parts that were never answered one at a time from the first crash on

A part that no host has seen answered is on trial after one crash, and three overlapping crashes and one of a trial make a verdict. Requests that share a part on trial wait up to 1.5 s, judged again at times that differ, and only then are refused. News that a part was answered before ends a verdict that was found without it.

Evidence, verdicts and what is asked of them have files of their own.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -44,6 +44,7 @@
 {
     m_context.loop.cancel(m_deadline_timer);
     m_context.loop.cancel(m_silence_timer);
+    m_context.loop.cancel(m_verdict_timer);
 }
 
 bool exchange::waits_for_lists() const
@@ -245,6 +246,7 @@
     m_ended = true;
     m_context.loop.cancel(m_deadline_timer);
     m_context.loop.cancel(m_silence_timer);
+    m_context.loop.cancel(m_verdict_timer);
     fill_report();
     m_report.outcome = outcome;
     m_report.on_time = outcome == "served" && m_route != nullptr
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -15,6 +15,7 @@
 #include "routing/retry_rule.hpp"
 #include "routing/shared_part.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,7 +85,9 @@
     bool are_parts_free();
     routing::part_judgement judge_parts(routing::software const& at);
     std::vector<routing::software> kept_from();
+    bool is_kept_back();
     bool awaits_verdict();
+    void wait_for_verdict(std::function<void()> const& then);
     routing::upstream_state const* quietest_upstream();
     void choose_for_trial();
     void refuse_for_parts();
@@ -99,6 +102,7 @@
     void send_to(routing::pick const& chosen);
     void arm_silence_timer(routing::pick const& chosen);
     void attempt_ended(routing::attempt_end result);
+    void retry(routing::attempt_end result);
     bool is_upstream_silent() const;
     bool can_retry(routing::attempt_end result);
     bool acquire_retry(routing::attempt_end result);
@@ -216,6 +220,9 @@
     std::vector<routing::software> m_kept_from;
     /// The only upstream that a trial may go to; null: any.
     routing::upstream_state const* m_only_upstream = nullptr;
+    runtime::timer_handle m_verdict_timer;
+    /// Since when it waits for another request's trial.
+    std::optional<model::time_point> m_waits_since;
     /// It was in flight when an upstream broke its connection.
     bool m_was_broken = false;
     /// The current attempt's answer has shown that its parts are sound.
--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -3,6 +3,8 @@
 
 #include "routing/usable_upstreams.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,6 +17,13 @@
 /// that has written for this time is not crashed by this answer.
 constexpr model::milliseconds crash_delay{500};
 
+/// Longer than a trial without a result holds up others.
+constexpr model::milliseconds max_verdict_wait{1'500};
+/// Time after which a request that waits is judged again. It differs between
+/// requests: others should hear of the first one that goes on.
+constexpr std::uint64_t min_verdict_poll_ms = 20;
+constexpr std::uint64_t verdict_poll_spread_ms = 150;
+
 } // namespace
 
 std::vector<routing::shared_part> const& exchange::shared_parts()
@@ -57,19 +66,53 @@
     return list;
 }
 
-/// Whether a repeat would be refused because of its parts, at each version.
+/// Whether the request may run at no version of its service.
+bool exchange::is_kept_back()
+{
+    auto const all = m_context.directory.software_of_service(m_service);
+    return !all.empty() && kept_from().size() == all.size();
+}
+
+/// Whether each version that it may run at has another trial now.
 bool exchange::awaits_verdict()
 {
-    if (are_parts_free()) {
-        return false;
-    }
     auto const all = m_context.directory.software_of_service(m_service);
-    return !all.empty()
-           && std::all_of(all.begin(), all.end(), [this](auto const& at) {
-                  part_judgement const judged = judge_parts(at);
-                  return judged == part_judgement::kept_back
-                         || judged == part_judgement::awaits_trial;
-              });
+    bool awaits = false;
+    for (routing::software const& at : all) {
+        part_judgement const judged = judge_parts(at);
+        if (judged == part_judgement::free || judged == part_judgement::trial) {
+            return false;
+        }
+        awaits = awaits || judged == part_judgement::awaits_trial;
+    }
+    return awaits;
+}
+
+// A sound request goes on as soon as the trial has been answered.
+void exchange::wait_for_verdict(std::function<void()> const& then)
+{
+    auto const now = m_context.loop.now();
+    if (!m_waits_since) {
+        m_waits_since = now;
+    }
+    if (now - *m_waits_since >= max_verdict_wait || m_context.is_stopping) {
+        refuse_for_parts();
+        return;
+    }
+    auto const weak = weak_from_this();
+    std::uint64_t const spread =
+        XXH3_64bits_withSeed(
+            m_metadata.id.data(),
+            m_metadata.id.size(),
+            static_cast<std::uint64_t>(now.time_since_epoch().count()))
+        % verdict_poll_spread_ms;
+    model::milliseconds const poll(min_verdict_poll_ms + spread);
+    m_verdict_timer = m_context.loop.after(poll, [weak, then] {
+        auto const self = weak.lock();
+        if (self && !self->m_ended) {
+            then();
+        }
+    });
 }
 
 void exchange::refuse_for_parts()
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -99,7 +99,9 @@
     }
     auto const judged = judge_parts(m_pick.to->software);
     if (judged == routing::part_judgement::awaits_trial) {
-        refuse_for_parts();
+        wait_for_verdict([this] {
+            place();
+        });
         return;
     }
     if (judged == routing::part_judgement::trial) {
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -198,11 +198,22 @@
         refuse(reason_code::version_unknown);
         return;
     }
+    retry(result);
+}
+
+void exchange::retry(attempt_end result)
+{
     // Before it takes from the retry budget.
-    if (awaits_verdict()) {
+    if (is_kept_back()) {
         refuse_for_parts();
         return;
     }
+    if (awaits_verdict()) {
+        wait_for_verdict([this, result] {
+            retry(result);
+        });
+        return;
+    }
     if (acquire_retry(result) && is_still_admitted()) {
         fill_report();
         if (m_context.on_retried) {
--- a/src/proxy/part_codec.cpp
+++ b/src/proxy/part_codec.cpp
@@ -65,7 +65,8 @@
         builder.CreateVector(from.versions),
         millis_between(from.last_crash, now),
         millis_between(from.seen_at, now),
-        from.failed_probes);
+        from.failed_probes,
+        from.is_trusted);
 }
 
 template <typename Wire, typename Item>
@@ -117,6 +118,7 @@
     verdict.last_crash = before(now, from.crash_age_ms());
     verdict.seen_at = before(now, from.seen_age_ms());
     verdict.failed_probes = from.failed_probes();
+    verdict.is_trusted = from.is_trusted();
     return verdict;
 }
 
--- a/src/proxy/wire/parts_generated.h
+++ b/src/proxy/wire/parts_generated.h
@@ -261,7 +261,8 @@
     VT_VERSIONS = 8,
     VT_CRASH_AGE_MS = 10,
     VT_SEEN_AGE_MS = 12,
-    VT_FAILED_PROBES = 14
+    VT_FAILED_PROBES = 14,
+    VT_IS_TRUSTED = 16
   };
   uint64_t service() const {
     return GetField<uint64_t>(VT_SERVICE, 0);
@@ -281,6 +282,9 @@
   uint32_t failed_probes() const {
     return GetField<uint32_t>(VT_FAILED_PROBES, 0);
   }
+  bool is_trusted() const {
+    return GetField<uint8_t>(VT_IS_TRUSTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
@@ -291,6 +295,7 @@
            VerifyField<uint32_t>(verifier, VT_CRASH_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_SEEN_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_FAILED_PROBES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_TRUSTED, 1) &&
            verifier.EndTable();
   }
 };
@@ -317,6 +322,9 @@
   void add_failed_probes(uint32_t failed_probes) {
     fbb_.AddElement<uint32_t>(PartVerdict::VT_FAILED_PROBES, failed_probes, 0);
   }
+  void add_is_trusted(bool is_trusted) {
+    fbb_.AddElement<uint8_t>(PartVerdict::VT_IS_TRUSTED, static_cast<uint8_t>(is_trusted), 0);
+  }
   explicit PartVerdictBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -335,7 +343,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> versions = 0,
     uint32_t crash_age_ms = 0,
     uint32_t seen_age_ms = 0,
-    uint32_t failed_probes = 0) {
+    uint32_t failed_probes = 0,
+    bool is_trusted = false) {
   PartVerdictBuilder builder_(_fbb);
   builder_.add_service(service);
   builder_.add_failed_probes(failed_probes);
@@ -343,6 +352,7 @@
   builder_.add_crash_age_ms(crash_age_ms);
   builder_.add_versions(versions);
   builder_.add_ids(ids);
+  builder_.add_is_trusted(is_trusted);
   return builder_.Finish();
 }
 
@@ -353,7 +363,8 @@
     const std::vector<uint64_t> *versions = nullptr,
     uint32_t crash_age_ms = 0,
     uint32_t seen_age_ms = 0,
-    uint32_t failed_probes = 0) {
+    uint32_t failed_probes = 0,
+    bool is_trusted = false) {
   auto ids__ = ids ? _fbb.CreateVector<uint64_t>(*ids) : 0;
   auto versions__ = versions ? _fbb.CreateVector<uint64_t>(*versions) : 0;
   return caperjunction::proxy::wire::CreatePartVerdict(
@@ -363,7 +374,8 @@
       versions__,
       crash_age_ms,
       seen_age_ms,
-      failed_probes);
+      failed_probes,
+      is_trusted);
 }
 
 struct PartMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/src/routing/crash_table.cpp
@@ -0,0 +1,205 @@
+#include "routing/crash_table.hpp"
+
+#include <algorithm>
+
+namespace caperjunction::routing {
+namespace {
+
+constexpr std::size_t max_parts = 4'096;
+constexpr std::size_t max_crashes = 512;
+constexpr std::size_t max_sightings = 16;
+
+void add_once(std::vector<shared_part>& to, shared_part const& part)
+{
+    auto const place = std::lower_bound(to.begin(), to.end(), part);
+    if (place == to.end() || *place != part) {
+        to.insert(place, part);
+    }
+}
+
+} // namespace
+
+crash_table::crash const& crash_table::record(upstream_crash const& seen)
+{
+    if (m_order.size() >= max_crashes) {
+        m_crashes.erase(m_order.front());
+        m_order.pop_front();
+    }
+    auto const [found, is_new] =
+        m_crashes.try_emplace(seen.start, crash{seen.at, seen.version, {}});
+    crash& known = found->second;
+    if (is_new) {
+        m_order.push_back(seen.start);
+    }
+    known.at = std::min(known.at, seen.at);
+    for (crash_candidate const& candidate : seen.candidates) {
+        add_once(known.candidates, {seen.service, candidate.id});
+        add(seen, candidate);
+    }
+    return known;
+}
+
+void crash_table::add(upstream_crash const& seen,
+                      crash_candidate const& candidate)
+{
+    shared_part const part{seen.service, candidate.id};
+    if (m_parts.size() >= max_parts && !contains(part)) {
+        return;
+    }
+    evidence& against = m_parts[part];
+    auto& list = against.sightings;
+    auto const known =
+        std::find_if(list.begin(), list.end(), [&seen](sighting const& item) {
+            return item.start == seen.start;
+        });
+    if (known != list.end()) {
+        known->at = std::min(known->at, seen.at);
+        known->sent_at = std::max(known->sent_at, candidate.sent_at);
+        known->has_begun = known->has_begun || candidate.has_begun;
+        return;
+    }
+    auto const later =
+        std::find_if(list.begin(), list.end(), [&seen](sighting const& item) {
+            return item.at > seen.at;
+        });
+    list.insert(later,
+                {seen.start,
+                 seen.version,
+                 seen.at,
+                 candidate.sent_at,
+                 candidate.has_begun});
+    if (list.size() > max_sightings) {
+        list.erase(list.begin());
+    }
+}
+
+void crash_table::record_answer(part_answer const& answer)
+{
+    auto const found = m_parts.find(answer.part);
+    if (found == m_parts.end()) {
+        return;
+    }
+    auto& answers = found->second.answers;
+    auto const known = std::find_if(
+        answers.begin(), answers.end(), [&answer](last_answer const& item) {
+            return item.version == answer.version;
+        });
+    if (known == answers.end()) {
+        answers.push_back({answer.version, answer.began_at});
+        return;
+    }
+    known->began_at = std::max(known->began_at, answer.began_at);
+}
+
+bool crash_table::trust(shared_part const& part)
+{
+    auto const found = m_parts.find(part);
+    if (found == m_parts.end() || found->second.is_trusted) {
+        return false;
+    }
+    found->second.is_trusted = true;
+    return true;
+}
+
+bool crash_table::is_trusted(shared_part const& part) const
+{
+    auto const found = m_parts.find(part);
+    return found != m_parts.end() && found->second.is_trusted;
+}
+
+std::optional<model::time_point>
+crash_table::answered_at(shared_part const& part, std::uint64_t version) const
+{
+    auto const found = m_parts.find(part);
+    if (found == m_parts.end()) {
+        return std::nullopt;
+    }
+    for (last_answer const& item : found->second.answers) {
+        if (item.version == version) {
+            return item.began_at;
+        }
+    }
+    return std::nullopt;
+}
+
+bool crash_table::counts(evidence const& against,
+                         sighting const& item,
+                         is_explained const& explained) const
+{
+    bool const is_answered = std::any_of(
+        against.answers.begin(),
+        against.answers.end(),
+        [&item](last_answer const& answer) {
+            return answer.version == item.version && answer.began_at >= item.at;
+        });
+    auto const known = m_crashes.find(item.start);
+    return !is_answered
+           && (known == m_crashes.end() || !explained(known->second));
+}
+
+std::vector<crash_table::sighting>
+crash_table::in_sequence(shared_part const& part,
+                         is_explained const& explained) const
+{
+    std::vector<sighting> list;
+    auto const found = m_parts.find(part);
+    if (found == m_parts.end()) {
+        return list;
+    }
+    for (sighting const& item : found->second.sightings) {
+        bool const is_independent =
+            list.empty()
+            || (item.sent_at > list.back().at
+                && (item.has_begun
+                    || item.at - list.back().at >= m_limits.min_between));
+        if (is_independent && counts(found->second, item, explained)) {
+            list.push_back(item);
+        }
+    }
+    return list;
+}
+
+bool crash_table::is_cause(shared_part const& part,
+                           is_explained const& explained) const
+{
+    auto const found = m_parts.find(part);
+    if (found == m_parts.end()) {
+        return false;
+    }
+    evidence const& against = found->second;
+    std::size_t const sequence = in_sequence(part, explained).size();
+    if (against.is_trusted) {
+        return sequence >= m_limits.trusted_verdict;
+    }
+    auto const in_all = static_cast<std::size_t>(
+        std::count_if(against.sightings.begin(),
+                      against.sightings.end(),
+                      [&](sighting const& item) {
+                          return counts(against, item, explained);
+                      }));
+    return sequence >= m_limits.verdict
+           || (sequence + 1 >= m_limits.verdict
+               && in_all >= m_limits.overlapping);
+}
+
+void crash_table::expire(model::time_point now,
+                         std::function<bool(shared_part const&)> const& is_kept)
+{
+    auto const is_old = [this, now](model::time_point at) {
+        return now - at > m_limits.retention;
+    };
+    for (auto& [part, against] : m_parts) {
+        std::erase_if(against.sightings, [&](sighting const& item) {
+            return is_old(item.at);
+        });
+    }
+    std::erase_if(m_parts, [&](auto const& item) {
+        return item.second.sightings.empty() && !is_kept(item.first);
+    });
+    while (!m_order.empty() && is_old(m_crashes.at(m_order.front()).at)) {
+        m_crashes.erase(m_order.front());
+        m_order.pop_front();
+    }
+}
+
+} // namespace caperjunction::routing
--- /dev/null
+++ b/src/routing/crash_table.hpp
@@ -0,0 +1,154 @@
+#ifndef CAPERJUNCTION_ROUTING_CRASH_TABLE_HPP
+#define CAPERJUNCTION_ROUTING_CRASH_TABLE_HPP
+
+#include "model/time.hpp"
+#include "routing/part_evidence.hpp"
+#include "routing/poison_limits.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace caperjunction::routing {
+
+/// The crashes of all hosts by what was in flight at them, and the answers
+/// since.
+///
+/// Crashes are keyed by the start of the upstream: reports of several hosts
+/// about one of them add up to one, in any order and however often they come.
+///
+/// Thread safety: none; owned by one task.
+class crash_table
+{
+public:
+    using parts = std::vector<shared_part>;
+
+    /// One crash at which a part was a candidate.
+    struct sighting
+    {
+        std::uint64_t start = 0;
+        std::uint64_t version = 0;
+        model::time_point at{};
+        model::time_point sent_at{};
+        bool has_begun = false;
+    };
+
+    /// A crash, as far as hosts have told.
+    struct crash
+    {
+        model::time_point at{};
+        std::uint64_t version = 0;
+        /// Sorted.
+        parts candidates;
+    };
+
+    /// Returns whether a crash counts against no other part: a verdict explains
+    /// it.
+    using is_explained = std::function<bool(crash const&)>;
+
+    explicit crash_table(poison_limits const& limits)
+        : m_limits(limits)
+    {
+    }
+
+    /// Records what a host has seen and returns what is known of that crash,
+    /// until the next call.
+    crash const& record(upstream_crash const& seen);
+
+    /// Records an answer that began at `answer.began_at`: it clears its part of
+    /// the crashes before that. Parts without evidence are left out.
+    void record_answer(part_answer const& answer);
+
+    /// Records that a part has been answered before the crashes. Returns
+    /// whether that is news about a part with evidence.
+    bool trust(shared_part const& part);
+
+    /// Whether there is evidence against the part, or has been.
+    bool contains(shared_part const& part) const
+    {
+        return m_parts.count(part) > 0;
+    }
+
+    /// Lets answers of the part be recorded without a crash.
+    void watch(shared_part const& part)
+    {
+        m_parts.try_emplace(part);
+    }
+
+    bool is_trusted(shared_part const& part) const;
+
+    /// Returns the last answer of a part with evidence at upstreams of a
+    /// version.
+    std::optional<model::time_point> answered_at(shared_part const& part,
+                                                 std::uint64_t version) const;
+
+    /// Returns the crashes that count against a part: those that are neither
+    /// answered since nor explained, each at a request that was sent after the
+    /// one before.
+    ///
+    /// Crashes at requests that were sent before the last one are not
+    /// independent of it: a data centre that is lost takes all of them.
+    std::vector<sighting> in_sequence(shared_part const& part,
+                                      is_explained const& explained) const;
+
+    /// Returns whether the crashes show that the part has caused them.
+    bool is_cause(shared_part const& part, is_explained const& explained) const;
+
+    bool is_empty() const
+    {
+        return m_parts.empty();
+    }
+
+    std::size_t size() const
+    {
+        return m_parts.size() + m_crashes.size();
+    }
+
+    /// Calls `visit` for each part with evidence.
+    template <typename Visitor>
+    void each(Visitor visit) const
+    {
+        for (auto const& [part, against] : m_parts) {
+            visit(part);
+        }
+    }
+
+    /// Forgets what is old, except of parts that `is_kept` returns true for.
+    void expire(model::time_point now,
+                std::function<bool(shared_part const&)> const& is_kept);
+
+private:
+    struct last_answer
+    {
+        std::uint64_t version = 0;
+        model::time_point began_at{};
+    };
+
+    struct evidence
+    {
+        /// By time.
+        std::vector<sighting> sightings;
+        /// By version.
+        std::vector<last_answer> answers;
+        bool is_trusted = false;
+    };
+
+    void add(upstream_crash const& seen, crash_candidate const& candidate);
+    bool counts(evidence const& against,
+                sighting const& item,
+                is_explained const& explained) const;
+
+    poison_limits m_limits;
+    std::unordered_map<shared_part, evidence, shared_part_hash> m_parts;
+    std::unordered_map<std::uint64_t, crash> m_crashes;
+    /// By age.
+    std::deque<std::uint64_t> m_order;
+};
+
+} // namespace caperjunction::routing
+
+#endif
--- a/src/routing/part_evidence.hpp
+++ b/src/routing/part_evidence.hpp
@@ -4,6 +4,7 @@
 #include "model/time.hpp"
 #include "routing/shared_part.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -52,11 +53,19 @@
     model::time_point last_crash{};
     /// When such a request last came to any host.
     model::time_point seen_at{};
+    /// The parts had been answered before, and more evidence was asked for.
+    bool is_trusted = false;
     /// Crashes that probes have caused.
     std::uint32_t failed_probes = 0;
     /// Starts of the upstreams that crashed, as `leaving_key`; none if another
     /// host has told this one.
     std::vector<std::uint64_t> crashes = {};
+
+    bool holds_for(std::uint64_t version) const
+    {
+        return std::find(versions.begin(), versions.end(), version)
+               != versions.end();
+    }
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/shared_part.hpp
+++ b/src/routing/shared_part.hpp
@@ -3,6 +3,7 @@
 
 #include "routing/prompt.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -36,6 +37,24 @@
 std::vector<shared_part> shared_parts_of(prompt const& from,
                                          std::uint64_t service);
 
+/// Returns whether a sorted list of parts has all of another sorted list.
+///
+/// Thread safety: any thread.
+inline bool includes(std::vector<shared_part> const& all,
+                     std::vector<shared_part> const& some)
+{
+    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
+/// Returns whether a sorted list of parts has a part.
+///
+/// Thread safety: any thread.
+inline bool contains(std::vector<shared_part> const& all,
+                     shared_part const& part)
+{
+    return std::binary_search(all.begin(), all.end(), part);
+}
+
 } // namespace caperjunction::routing
 
 #endif
--- /dev/null
+++ b/tests/routing/poison_fleet.cpp
@@ -0,0 +1,309 @@
+#include "routing/poison_fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace caperjunction::test {
+namespace {
+
+using namespace std::chrono_literals;
+using routing::part_judgement;
+
+constexpr std::uint64_t service = 1;
+constexpr std::uint64_t version = 1;
+/// The part that crashes engines.
+constexpr std::uint64_t guilty_id = 999'999;
+constexpr std::uint64_t first_parts = 4;
+constexpr std::uint64_t subjects = 300;
+constexpr std::uint64_t rare_parts = 3'000;
+
+constexpr model::milliseconds queue_time{120};
+constexpr model::milliseconds time_to_crash{60};
+/// Time of writing by which an answer counts.
+constexpr model::milliseconds answer_time{500};
+constexpr model::milliseconds stream_time{2'000};
+constexpr model::milliseconds repair{4'000};
+constexpr model::milliseconds grace{3'000};
+/// Until a host has heard of a crash and waited for others to reply.
+constexpr model::milliseconds reply_delay{60};
+constexpr model::milliseconds max_wait{1'500};
+constexpr std::uint64_t poll_spread_ms = 150;
+constexpr model::milliseconds poll{20};
+constexpr std::size_t graced_crashes = 5;
+constexpr double loss = 0.02;
+
+} // namespace
+
+poison_fleet::poison_fleet(poison_load const& load, rule_maker const& make)
+    : m_load(load)
+    , m_engines(static_cast<std::size_t>(load.engines))
+    , m_random(load.seed)
+{
+    for (int host = 0; host < load.hosts; ++host) {
+        m_rules.push_back(make());
+    }
+    for (engine& item : m_engines) {
+        item.start = ++m_last_start;
+    }
+}
+
+void poison_fleet::at(model::time_point when, std::function<void()> run)
+{
+    m_events.push({when, ++m_last_event, std::move(run)});
+}
+
+model::milliseconds poison_fleet::random_gap(double per_second)
+{
+    std::exponential_distribution<double> gap(per_second / 1'000);
+    return model::milliseconds(1 + std::lround(gap(m_random)));
+}
+
+std::vector<routing::shared_part> poison_fleet::sound_parts()
+{
+    std::vector<routing::shared_part> parts{
+        {service, 1 + m_random() % first_parts},
+        {service, 1'000 + m_random() % subjects}};
+    if (m_random() % 4 == 0) {
+        parts.push_back({service, 10'000 + m_random() % rare_parts});
+    }
+    return parts;
+}
+
+void poison_fleet::arrive(bool is_guilty)
+{
+    request made;
+    made.host = m_random() % m_rules.size();
+    made.parts = sound_parts();
+    made.is_guilty = is_guilty;
+    if (is_guilty) {
+        made.parts.back().id = guilty_id;
+    }
+    std::sort(made.parts.begin(), made.parts.end());
+    made.arrived_at = m_now;
+    send(std::move(made));
+    double const rate =
+        is_guilty ? m_load.guilty_per_second : m_load.sound_per_second;
+    if (m_now < m_end) {
+        at(m_now + random_gap(rate), [this, is_guilty] {
+            arrive(is_guilty);
+        });
+    }
+}
+
+std::size_t poison_fleet::choose_engine(std::uint64_t affinity, bool is_quiet)
+{
+    std::vector<std::size_t> up;
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        if (m_engines[index].up_from <= m_now) {
+            up.push_back(index);
+        }
+    }
+    if (up.empty()) {
+        return m_engines.size();
+    }
+    if (is_quiet) {
+        return *std::min_element(up.begin(), up.end(), [this](auto a, auto b) {
+            return m_engines[a].running.size() < m_engines[b].running.size();
+        });
+    }
+    // Half of the requests follow their prefix.
+    std::uint64_t const place = m_random() % 2 == 0 ? affinity : m_random();
+    return up[place % up.size()];
+}
+
+void poison_fleet::send(request made)
+{
+    part_rule& rule = *m_rules[made.host];
+    auto const judged = rule.judge(made.parts, m_now);
+    bool const waits = judged == part_judgement::awaits_trial
+                       && m_now - made.arrived_at < max_wait;
+    if (waits) {
+        at(m_now + poll + model::milliseconds(m_random() % poll_spread_ms),
+           [this, made] {
+               send(made);
+           });
+        return;
+    }
+    bool const is_refused = judged == part_judgement::kept_back
+                            || judged == part_judgement::awaits_trial;
+    m_result.sound += made.is_guilty ? 0 : 1;
+    m_result.sound_refused += is_refused && !made.is_guilty ? 1 : 0;
+    bool const is_trial = judged == part_judgement::trial;
+    made.engine = choose_engine(made.parts[1].id, is_trial);
+    if (is_refused || made.engine >= m_engines.size()) {
+        return;
+    }
+    if (is_trial) {
+        auto const parts = made.parts;
+        rule.begin_trial(parts, m_now);
+        tell(made.host, [parts, now = m_now](part_rule& other) {
+            other.begin_trial(parts, now);
+        });
+    }
+    made.sent_at = m_now;
+    std::uint64_t const number = ++m_last_request;
+    std::size_t const engine = made.engine;
+    m_engines[engine].running.emplace(number, std::move(made));
+    model::milliseconds const wait(queue_time.count() / 2
+                                   + m_random() % queue_time.count());
+    at(m_now + wait, [this, engine, number] {
+        begin(engine, number);
+    });
+}
+
+void poison_fleet::begin(std::size_t engine, std::uint64_t number)
+{
+    auto& running = m_engines[engine].running;
+    auto const found = running.find(number);
+    if (found == running.end()) {
+        return;
+    }
+    found->second.begins_at = m_now;
+    if (found->second.is_guilty) {
+        at(m_now + time_to_crash, [this, engine, number] {
+            if (m_engines[engine].running.count(number) == 0) {
+                return;
+            }
+            if (++m_result.crashes == 1) {
+                m_first_crash = m_now;
+            }
+            m_fifth_crash =
+                m_result.crashes == graced_crashes ? m_now : m_fifth_crash;
+            bool const is_late = m_result.crashes > graced_crashes
+                                 && m_now - m_fifth_crash > grace;
+            m_result.late_crashes += is_late ? 1 : 0;
+            m_result.until_last =
+                std::chrono::duration_cast<model::milliseconds>(
+                    m_now - m_first_crash);
+            crash(engine);
+        });
+        return;
+    }
+    at(m_now + answer_time, [this, engine, number] {
+        auto const item = m_engines[engine].running.find(number);
+        if (item == m_engines[engine].running.end()) {
+            return;
+        }
+        request const& answered = item->second;
+        for (routing::part_answer const& news :
+             m_rules[answered.host]->record_answer(answered.parts,
+                                                   answered.begins_at)) {
+            tell(answered.host, [news](part_rule& other) {
+                other.record_answer(news);
+            });
+        }
+    });
+    at(m_now + stream_time, [this, engine, number] {
+        m_engines[engine].running.erase(number);
+    });
+}
+
+void poison_fleet::crash(std::size_t engine)
+{
+    auto& down = m_engines[engine];
+    if (down.up_from > m_now) {
+        return;
+    }
+    std::map<std::size_t, routing::upstream_crash> seen;
+    for (auto const& [number, item] : down.running) {
+        bool const has_begun = item.begins_at != model::time_point{};
+        if (has_begun && m_now - item.begins_at >= answer_time) {
+            continue;
+        }
+        routing::upstream_crash& crash = seen[item.host];
+        crash.start = down.start;
+        crash.service = service;
+        crash.version = version;
+        crash.at = m_now;
+        for (routing::shared_part const& part : item.parts) {
+            bool const is_trusted = m_rules[item.host]->is_trusted(part);
+            crash.candidates.push_back(
+                {part.id, item.sent_at, is_trusted, has_begun});
+        }
+    }
+    for (auto const& [host, crash] : seen) {
+        m_rules[host]->record_crash(crash);
+        m_result.candidates += crash.candidates.size();
+        tell(host, [crash = crash](part_rule& other) {
+            other.record_crash(crash);
+        });
+        answer_later(host, crash);
+    }
+    down.running.clear();
+    down.start = ++m_last_start;
+    down.up_from = m_now + repair;
+}
+
+/// Lets hosts tell what they have seen answered of a crash at `seer`.
+void poison_fleet::answer_later(std::size_t seer,
+                                routing::upstream_crash const& crash)
+{
+    for (std::size_t host = 0; host < m_rules.size(); ++host) {
+        auto const known = m_rules[host]->answers_for(crash);
+        if (host == seer || known.empty()) {
+            continue;
+        }
+        at(m_now + reply_delay, [this, host, known] {
+            for (routing::part_answer const& answer : known) {
+                tell(host, [answer](part_rule& other) {
+                    other.record_answer(answer);
+                });
+            }
+        });
+    }
+}
+
+void poison_fleet::tell(std::size_t from,
+                        std::function<void(part_rule&)> const& news)
+{
+    auto const centres = static_cast<std::size_t>(m_load.data_centres);
+    std::uniform_real_distribution<double> chance;
+    for (std::size_t host = 0; host < m_rules.size(); ++host) {
+        if (host == from || chance(m_random) < loss) {
+            continue;
+        }
+        ++m_result.messages;
+        auto const delay = host % centres == from % centres ? 5ms : 80ms;
+        at(m_now + delay, [this, host, news] {
+            news(*m_rules[host]);
+        });
+    }
+}
+
+poison_result poison_fleet::play()
+{
+    // Before the first request that crashes an engine, parts are answered.
+    constexpr model::milliseconds lead{3'000};
+    m_end = m_now + lead + m_load.duration;
+    at(m_now, [this] {
+        arrive(false);
+    });
+    if (m_load.guilty_per_second > 0.0) {
+        at(m_now + lead, [this] {
+            arrive(true);
+        });
+    }
+    std::function<void()> const by_chance = [&] {
+        crash(m_random() % m_engines.size());
+        at(m_now + random_gap(m_load.crashes_per_second), by_chance);
+    };
+    if (m_load.crashes_per_second > 0.0) {
+        at(m_now + lead, by_chance);
+    }
+    auto const lost = static_cast<std::size_t>(
+        m_load.lost_share * static_cast<double>(m_engines.size()));
+    at(m_now + lead + m_load.duration / 2, [this, lost] {
+        for (std::size_t engine = 0; engine < lost; ++engine) {
+            crash(engine);
+        }
+    });
+    while (!m_events.empty() && m_events.top().at <= m_end) {
+        event const next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.run();
+    }
+    return m_result;
+}
+
+} // namespace caperjunction::test
--- /dev/null
+++ b/tests/routing/poison_fleet.hpp
@@ -0,0 +1,144 @@
+#ifndef CAPERJUNCTION_TESTS_ROUTING_POISON_FLEET_HPP
+#define CAPERJUNCTION_TESTS_ROUTING_POISON_FLEET_HPP
+
+#include "routing/poison_parts.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace caperjunction::test {
+
+/// How one host weighs what it hears of crashes and answers.
+class part_rule
+{
+public:
+    virtual ~part_rule() = default;
+    virtual void record_crash(routing::upstream_crash const& crash) = 0;
+    /// Returns the answers that other hosts are told of.
+    virtual std::vector<routing::part_answer>
+    record_answer(std::vector<routing::shared_part> const& parts,
+                  model::time_point began_at) = 0;
+    virtual void record_answer(routing::part_answer const& answer) = 0;
+    /// Returns the answers that this host knows and the one that has seen the
+    /// crash doesn't.
+    virtual std::vector<routing::part_answer>
+    answers_for(routing::upstream_crash const& crash) const = 0;
+    virtual bool is_trusted(routing::shared_part const& part) const = 0;
+    virtual routing::part_judgement
+    judge(std::vector<routing::shared_part> const& parts,
+          model::time_point now) const = 0;
+    virtual void begin_trial(std::vector<routing::shared_part> const& parts,
+                             model::time_point now) = 0;
+};
+
+/// The load and the faults of a play.
+struct poison_load
+{
+    int hosts = 7;
+    int data_centres = 3;
+    int engines = 12;
+    double sound_per_second = 100.0;
+    /// Requests with a part that crashes engines.
+    double guilty_per_second = 2.0;
+    /// Engines that crash by chance.
+    double crashes_per_second = 0.0;
+    /// Share of engines that crash in one moment, halfway.
+    double lost_share = 0.0;
+    model::milliseconds duration{20'000};
+    std::uint32_t seed = 1;
+};
+
+struct poison_result
+{
+    /// Crashes that a part has caused, and those of them from `grace` after the
+    /// fifth on.
+    std::size_t crashes = 0;
+    std::size_t late_crashes = 0;
+    /// When the last one was, after the first.
+    model::milliseconds until_last{0};
+    std::size_t sound = 0;
+    std::size_t sound_refused = 0;
+    /// Messages between hosts, and their candidates.
+    std::size_t messages = 0;
+    std::size_t candidates = 0;
+};
+
+/// Hosts that place requests on engines and tell each other of crashes and
+/// answers, in virtual time: messages take 5 ms within a data centre and 80 ms
+/// to others, and some are lost.
+class poison_fleet
+{
+public:
+    using rule_maker = std::function<std::unique_ptr<part_rule>()>;
+
+    poison_fleet(poison_load const& load, rule_maker const& make);
+
+    poison_result play();
+
+private:
+    struct request
+    {
+        std::size_t host = 0;
+        std::size_t engine = 0;
+        std::vector<routing::shared_part> parts;
+        bool is_guilty = false;
+        model::time_point sent_at{};
+        model::time_point begins_at{};
+        model::time_point arrived_at{};
+    };
+
+    struct event
+    {
+        model::time_point at{};
+        std::uint64_t number = 0;
+        std::function<void()> run;
+
+        bool operator<(event const& other) const
+        {
+            return at != other.at ? at > other.at : number > other.number;
+        }
+    };
+
+    struct engine
+    {
+        std::uint64_t start = 0;
+        model::time_point up_from{};
+        std::map<std::uint64_t, request> running;
+    };
+
+    void at(model::time_point when, std::function<void()> run);
+    model::milliseconds random_gap(double per_second);
+    void arrive(bool is_guilty);
+    void send(request made);
+    void begin(std::size_t engine, std::uint64_t number);
+    void crash(std::size_t engine);
+    void answer_later(std::size_t seer, routing::upstream_crash const& crash);
+    void tell(std::size_t from, std::function<void(part_rule&)> const& news);
+    std::size_t choose_engine(std::uint64_t affinity, bool is_quiet);
+    std::vector<routing::shared_part> sound_parts();
+
+    poison_load m_load;
+    std::vector<std::unique_ptr<part_rule>> m_rules;
+    std::vector<engine> m_engines;
+    std::priority_queue<event> m_events;
+    std::mt19937 m_random;
+    model::time_point m_now{std::chrono::hours(1)};
+    model::time_point m_end{};
+    std::uint64_t m_last_event = 0;
+    std::uint64_t m_last_start = 0;
+    std::uint64_t m_last_request = 0;
+    model::time_point m_first_crash{};
+    model::time_point m_fifth_crash{};
+    poison_result m_result;
+};
+
+} // namespace caperjunction::test
+
+#endif
