Soak: engines that crash at a part of prompts, beside sound prompts

Every fifth seed sends prompts that share parts; two requests a second hold one that crashes the engine that begins to write. guilty_parts_are_stopped and sound_parts_are_served judge them; a request is late only if its host had no fault of its own.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -19,21 +19,22 @@
 def request(request_id="r1", path="/book/x", **more):
     values = dict(id=request_id, path=path, key="k", host="h0", sent=100.0, ended=100.1,
                   status=200, service="i-0", body=b"/book/x by r1", complete=True, caller_left=False, deadline=2.5,
-                  idle_time=0.1, after_paused_read=False, resumes="", resumed_after=0, could_go_on=False)
+                  idle_time=0.1, after_paused_read=False, resumes="", resumed_after=0, could_go_on=False,
+                  is_guilty=False)
     values.update(more)
     return types.SimpleNamespace(**values)
 
 
 def run(request_id="r1", path="/book/x", **more):
     values = dict(id=request_id, path=path, engine="i-0", service="s0", team="desk",
-                  started=100.0, ended=100.1, resumed_after=0, upstream_aborted=False)
+                  started=100.0, ended=100.1, resumed_after=0, upstream_aborted=False, is_guilty=False)
     values.update(more)
     return types.SimpleNamespace(**values)
 
 
 def site(requests, runs, **more):
     values = dict(requests=requests, runs=runs, revoked_keys={}, moves=[], stops=[], drained_at={}, engines=[],
-                  limits=[], partitions=[], brittle_times=[], had_other_fault=lambda begin, end: False, reloads=[], configurations=[(0.0, 2.5)], had_fault=lambda begin, end: False,
+                  limits=[], partitions=[], brittle_times=[], part_crashes=[], host_faults=[], had_other_fault=lambda begin, end: False, reloads=[], configurations=[(0.0, 2.5)], had_fault=lambda begin, end: False,
                   now=lambda: 200.0)
     values.update(more)
     return types.SimpleNamespace(**values)
@@ -75,6 +76,23 @@
 
 
 class Checks(unittest.TestCase):
+    def test_late_guilty_parts_are_found(self):
+        crashes = [100.0, 100.2, 100.4, 100.6, 100.8]
+        ids = [f"r{n}" for n in range(4)]
+        sent = [request(i, path="/prompt/x", is_guilty=True) for i in ids]
+        late = [run(i, path="/prompt/x", is_guilty=True, started=105.0) for i in ids]
+        self.assertTrue(checks.guilty_parts_are_stopped(site(sent, late, part_crashes=crashes)))
+        self.assertFalse(checks.guilty_parts_are_stopped(site(sent, late[:3], part_crashes=crashes)))
+        self.assertFalse(checks.guilty_parts_are_stopped(site(sent, late, part_crashes=crashes[:4])))
+        excused = site(sent, late, part_crashes=crashes, host_faults=[("h0", 104.0, 106.0)])
+        self.assertFalse(checks.guilty_parts_are_stopped(excused))
+
+    def test_sound_parts_that_are_kept_back_are_found(self):
+        refused = request(path="/prompt/x", status=503, body=b'{"reason":"part_kept_back"}')
+        self.assertTrue(checks.sound_parts_are_served(site([refused], [])))
+        refused.is_guilty = True
+        self.assertFalse(checks.sound_parts_are_served(site([refused], [])))
+
     def test_a_correct_run_has_no_findings(self):
         correct = site([request()], [run()])
         self.assertEqual([], [line for check in checks.ALL for line in check(correct)])
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -24,6 +24,7 @@
 LIMIT_SEED_OFFSET = 1_000_000
 LINK_SEED_OFFSET = 2_000_000
 BRITTLE_SEED_ENGINES = 4
+PART_SEED_ENGINES = 8
 # Wait after the start, until the hosts have read the store, and at the end,
 # so that late executions are still recorded.
 SETTLE_SECONDS = 1.5
@@ -67,6 +68,18 @@
             inject_in_turn(site, seed + 4, until - 2.0, faults.kill_hosts)]
 
 
+def has_crashing_parts(seed):
+    """Every fifth seed has engines that crash at a part of prompts, beside prompts that share the rest."""
+    return seed % 5 == 3
+
+
+def parts(site, seed, until):
+    if not has_crashing_parts(seed):
+        return []
+    faults.crash_at_part(site)
+    return [caller.run(until) for caller in site.prompt_callers(6)]
+
+
 async def run_seed_in_time(seed, options, folder):
     """A seed that doesn't end is a failure of the soak: prints where its tasks wait."""
     run = asyncio.ensure_future(run_seed(seed, options, folder))
@@ -90,6 +103,7 @@
     # them, since limits apply too.
     more_faults = faults.partition_hosts if seed % 2 else faults.make_brittle
     engines = options.engines + (0 if seed % 2 else BRITTLE_SEED_ENGINES)
+    engines += PART_SEED_ENGINES if has_crashing_parts(seed) else 0
     site = Site(random.Random(seed), options.program, folder, options.hosts, engines, options.flag)
     try:
         await site.start()
@@ -104,7 +118,7 @@
                              inject_in_turn(site, seed, until - 1.0, faults.silence_engine),
                              inject_in_turn(site, seed + 1, until - 6.0, faults.leave_unheard),
                              inject_in_turn(site, seed + 2, until - 2.0, faults.ask_for_pause),
-                             *rollouts(site, seed, until), *tasks)
+                             *rollouts(site, seed, until), *parts(site, seed, until), *tasks)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
@@ -113,6 +127,7 @@
     served = sum(t.status == 200 and t.complete for t in site.requests)
     print(f"soak: seed={seed} requests={len(site.requests)} served={served} runs={len(site.runs)} "
           f"harms={len(site.fault_periods)} stops={len(site.stops)} taken_up={taken} went_on={went_on} "
+          f"part_crashes={len(site.part_crashes)} "
           f"findings={len(found)}", flush=True)
     for line in found[:10]:
         print(f"  {line}", flush=True)
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -29,6 +29,7 @@
         self.body = b""
         # False if the connection ended before the answer was complete.
         self.complete = False
+        self.is_guilty = False
         self.caller_left = False
         # Of a stream that is taken up: its first id, the last event that the caller had, and whether two engines of
         # its version served.
@@ -39,7 +40,7 @@
     counter = itertools.count(1)
 
     def __init__(self, site, rng, prefixes=("/book/", "/book/", "/view/", "/stream/", "/resume/"),
-                 uses_stopping_hosts=False, waits=True):
+                 uses_stopping_hosts=False, waits=True, is_guilty=False):
         self.site = site
         self.random = rng
         self.prefixes = prefixes
@@ -52,12 +53,16 @@
         self.waits, self.retry_after = waits, 0.0
         # The record of the last request.
         self.last = None
+        # Sends prompts with the part that crashes engines, twice a second.
+        self.is_guilty = is_guilty
 
     async def run(self, until):
         while time.monotonic() < until:
             is_idle = self.random.random() < 0.02
             await asyncio.sleep(self.random.uniform(0.5, 1.5) if is_idle else self.random.uniform(0.02, 0.12))
-            if self.waits:
+            if self.is_guilty:
+                await asyncio.sleep(0.4)
+            if self.waits and not self.is_guilty:
                 await asyncio.sleep(min(self.retry_after, 1.0))
             self.retry_after = 0.0
             try:
@@ -88,6 +93,14 @@
                 body = attempt.body if last_event_id(attempt.body) > 0 else body
             await asyncio.sleep(min(self.retry_after, 0.3))
 
+    def prompt(self, path):
+        """The header of a prompt: a first part of three, a subject of ten, and a part of its own."""
+        if not path.startswith("/prompt/"):
+            return []
+        subject = self.site.guilty_part if self.is_guilty else f"b{self.random.randrange(10)}"
+        parts = f"a{self.random.randrange(3)}:30,{subject}:30,f{next(self.counter)}:10"
+        return ["Model: m", "Token-Usage: 70,20", f"Prompt-Prefix: {parts}"]
+
     def close_connection(self):
         if self.connection is not None:
             self.connection[1].transport.abort()
@@ -118,6 +131,7 @@
         deadline = 12.0 if path.startswith(("/long/", "/big/")) else 2.5
         record = RequestRecord(f"r{next(self.counter)}", path, self.site.pick_key(self.random), self.host.name,
                                deadline)
+        record.is_guilty = self.is_guilty
         record.idle_time, record.after_paused_read = record.sent - self.idle_since, self.has_paused
         if resumed is not None:
             record.resumes, record.resumed_after = resumed.id, last_event
@@ -131,9 +145,10 @@
             f"Authorization: Bearer {record.key}",
             f"Deadline-Ms: {deadline * 1000:.0f}",
             *([f"Resumes: {record.resumes}", f"Last-Event-Id: {last_event}"] if resumed is not None else []),
+            *self.prompt(path),
             "Content-Length: 4",
             "",
-            "body",
+            "body" if not path.startswith("/prompt/") else f"{next(self.counter):04}"[-4:],
         ]
         writer.write("\r\n".join(header_lines).encode())
         caller_leaves = self.random.random() < 0.05
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -9,7 +9,7 @@
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Prefixes of routes whose requests run at most once.
-AT_MOST_ONCE = ("/book/", "/stream/", "/slow/", "/long/")
+AT_MOST_ONCE = ("/book/", "/stream/", "/slow/", "/long/", "/prompt/")
 # Times (s) and ratios. They match the settings of the hosts in the soak.
 KEY_LIFETIME = 5.0
 APPLY_LIMIT = 2.5
@@ -67,7 +67,7 @@
     for t in site.requests:
         if t.status != 200 or not t.complete:
             continue
-        if t.path.startswith(("/stream/", "/resume/", "/long/")):
+        if t.path.startswith(("/stream/", "/resume/", "/long/", "/prompt/")):
             got = without_versions(t.body.decode())
             want = expected_text(t.id, range(t.resumed_after + 1, event_count(t.path) + 1))
         else:
@@ -79,6 +79,26 @@
     return found
 
 
+def was_in_touch(site, host, at):
+    return not any(h == host and begin <= at <= end for h, begin, end in site.host_faults)
+
+
+def guilty_parts_are_stopped(site):
+    """Three requests at most reach engines later than CONTACT after the fifth crash, from hosts without a fault."""
+    if len(site.part_crashes) < 5:
+        return []
+    bound = site.part_crashes[4] + CONTACT + SCHEDULING_SLACK
+    hosts = {t.id: t.host for t in site.requests}
+    late = [r for r in site.runs if r.is_guilty and r.started > bound and was_in_touch(site, hosts[r.id], r.started)]
+    return [f"{len(late)} requests with a part that crashes engines ran after its fifth crash"] if len(late) > 3 else []
+
+
+def sound_parts_are_served(site):
+    """No request without such a part is kept from the engines."""
+    return [f"{t.id} was refused for a part: {t.body[:80]!r}" for t in site.requests
+            if t.path.startswith("/prompt/") and not t.is_guilty and b"part_kept_back" in t.body]
+
+
 def removed_keys_are_dead(site):
     sent = {t.id: t for t in site.requests}
     found = []
@@ -381,6 +401,8 @@
     brittle_engines_stay_up,
     streams_keep_their_version,
     taken_up_streams_go_on,
+    guilty_parts_are_stopped,
+    sound_parts_are_served,
     requests_are_answered,
 )
 
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -13,6 +13,8 @@
 SLOTS, BRITTLE_QUEUE = 8, 2
 # Work of a brittle engine takes this long, so that callers fill it.
 BRITTLE_SECONDS = 0.15
+# An engine that a part of a prompt crashes begins its answer this long before.
+TIME_TO_CRASH = 0.06
 # An engine that crashed because it rejected too many requests is back after this time.
 CRASH_SECONDS = 3.0
 
@@ -39,6 +41,8 @@
         self.version = version
         self.started = time.monotonic()
         self.ended = None
+        # It crashes its engine.
+        self.is_guilty = False
         # The upstream closed the connection before the answer was complete.
         self.upstream_aborted = False
         self.resumed_after = 0
@@ -67,6 +71,8 @@
         # It says so for some time before it comes true.
         self.brittle_from = 0.0
         self.rejections, self.crashes, self.on_crash = [], [], None
+        # Parts of prompts at which it crashes, and what is called then.
+        self.crashing_parts, self.on_part_crash = (), None
         self.running, self.down_until = 0, 0.0
         self.silent_until = 0.0
         # It says so in all its answers: (time, request) of each.
@@ -177,7 +183,13 @@
         mark = mark + [f"Response-Seal: {self.name}"]
         # A third of the answers end with their connections.
         is_framed = self.framing_random.random() < 2 / 3
-        if path.startswith(("/stream/", "/resume/", "/long/")):
+        if any(part in headers.get("prompt-prefix", "") for part in self.crashing_parts):
+            run.is_guilty = True
+            writer.write("\r\n".join(["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *mark, "", ""]).encode())
+            await asyncio.sleep(TIME_TO_CRASH)
+            asyncio.ensure_future(self.on_part_crash(self))
+            return False
+        if path.startswith(("/stream/", "/resume/", "/long/", "/prompt/")):
             run.resumed_after = int(headers.get("last-event-id", "0"))
             return await self.stream(run, path, mark, is_framed, writer)
         # The path of a slow request contains its duration in milliseconds.
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -29,6 +29,7 @@
 async def fail_host_path(site, mode, seconds):
     host = site.random.choice(site.hosts)
     path = site.random.choice([host.front, host.store_path])
+    site.record_host_fault(host, seconds + CONTACT_SECONDS)
     site.record_fault(seconds + RECOVERY_SECONDS)
     path.mode = mode
     await asyncio.sleep(seconds)
@@ -123,6 +124,16 @@
         engine.rejection_limit = None
 
 
+def crash_at_part(site):
+    """Engines crash at a part of prompts, and are back after some seconds."""
+    async def crash(engine):
+        site.part_crashes.append(site.now())
+        await crash_engine(site, engines.CRASH_SECONDS, engine)
+
+    for engine in site.engines:
+        engine.crashing_parts, engine.on_part_crash = (f"{site.guilty_part}:",), crash
+
+
 async def silence_engine(site, rng):
     """A sound engine stops for a second and goes on. That excuses nothing."""
     rng.choice(site.engines).silent_until = site.now() + rng.uniform(0.5, 1.5)
@@ -169,6 +180,7 @@
     hosts = [h for h in rng.sample(site.hosts, rng.choice([1, 1, 2])) if h.is_running() and not h.is_stopping]
     site.record_fault(RECOVERY_SECONDS)
     for host in hosts:
+        site.record_host_fault(host, RECOVERY_SECONDS)
         host.send_signal(signal.SIGKILL)
         host.process.wait()
     await asyncio.sleep(rng.uniform(0.1, 0.5))
@@ -189,6 +201,7 @@
     if host.is_stopping:
         return
     site.record_fault(RECOVERY_SECONDS)
+    site.record_host_fault(host, RECOVERY_SECONDS)
     host.send_signal(signal.SIGKILL)
     host.process.wait()
     await asyncio.sleep(site.random.uniform(0.1, 1.0))
@@ -200,6 +213,7 @@
     if host.is_stopping:
         return
     site.record_fault(seconds + RECOVERY_SECONDS)
+    site.record_host_fault(host, seconds + CONTACT_SECONDS)
     process = host.process
     process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(seconds)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -104,6 +104,8 @@
         # [service, begin, end] of each time in which upstreams crashed from too many rejections; see Engine.crashes.
         self.brittle_times = []
         self.engines = []
+        # The part of prompts that crashes engines, and when it did; (host, begin, end) of faults of hosts.
+        self.guilty_part, self.part_crashes, self.host_faults = "d", [], []
         # Faults that were started, as tasks.
         self.actions = []
         self.paths = {}
@@ -125,6 +127,9 @@
         """Records a fault that begins now and lasts `seconds`, including its after-effects."""
         self.fault_periods.append((self.now(), self.now() + seconds))
 
+    def record_host_fault(self, host, seconds):
+        self.host_faults.append((host.name, self.now(), self.now() + seconds))
+
     def had_other_fault(self, begin, end):
         """Whether there was another fault than lost links."""
         return any(a < end and begin < b for a, b in self.fault_periods)
@@ -140,7 +145,7 @@
         self.version += 1
         kinds = {"/book/": ("non_idempotent", 1), "/view/": ("idempotent", 2),
                  "/stream/": ("streaming", 1), "/resume/": ("streaming", 3), "/slow/": ("non_idempotent", 1),
-                 "/big/": ("idempotent", 2), "/long/": ("streaming", 1)}
+                 "/big/": ("idempotent", 2), "/long/": ("streaming", 1), "/prompt/": ("streaming", 1)}
         routes = [
             {"name": p, "host": "desk.example", "prefix": p, "route_type": kind, "max_attempts": attempts,
              "timeout_ms": 12_000 if p in ("/big/", "/long/") else int(self.timeout * 1000),
@@ -234,6 +239,10 @@
                 host.process.kill()
                 host.process.wait()
 
+    def prompt_callers(self, count):
+        """Callers with prompts, one of them with a part that crashes engines."""
+        return [Caller(self, self.random, ("/prompt/",), is_guilty=n == 0) for n in range(count)]
+
     def callers(self, count):
         """Callers of all kinds, among them some that delay the stop of a host."""
         ordinary = [Caller(self, self.random, uses_stopping_hosts=n % 5 == 0, waits=n % 10 != 0) for n in range(count)]
