Keep trials apart, and two causes of the same crashes together

Cause, by the lines part_trial, upstream_crashed and part_kept_back: twice its trial was sent to the engine at which the guilty part had one, each chosen as the quietest, and crashed with it; with a crash of another cause that made three. Its host heard of the guilty part in the same crash a moment later and held that explained.

Trials name their engine, and no second one goes there; hosts choose among the quiet engines by the request. Two verdicts that rest on the same crashes become one on both parts, which keeps only requests with both: each part alone is tried and answers or not. A verdict ends if a later one explains its crashes.

--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -88,8 +88,8 @@
     bool is_kept_back();
     bool awaits_verdict();
     void wait_for_verdict(std::function<void()> const& then);
-    routing::upstream_state const* quietest_upstream();
-    void choose_for_trial();
+    routing::upstream_state const* upstream_for_trial();
+    bool choose_for_trial();
     void refuse_for_parts();
     void begin_trial();
     void end_trial();
--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -128,38 +128,52 @@
                         : reason_code::part_on_trial);
 }
 
-// A trial that crashes its upstream takes the requests there with it.
-routing::upstream_state const* exchange::quietest_upstream()
+// A trial that crashes its upstream takes the requests there with it. Of the
+// upstreams with the fewest, hosts choose different ones: two trials at one
+// share their fate.
+routing::upstream_state const* exchange::upstream_for_trial()
 {
     auto const now = m_context.loop.now();
     routing::pick ignored;
-    routing::upstream_state const* quietest = nullptr;
-    for (routing::upstream_ptr const& item :
-         routing::usable_upstreams(m_context.directory.of_service(m_service),
-                                   pick_request(),
-                                   now,
-                                   ignored)) {
-        bool const is_same_software = item->software == m_pick.to->software;
-        if (is_same_software
-            && (quietest == nullptr || item->running() < quietest->running())) {
-            quietest = item.get();
-        }
+    auto list =
+        routing::usable_upstreams(m_context.directory.of_service(m_service),
+                                  pick_request(),
+                                  now,
+                                  ignored);
+    std::erase_if(list, [&](routing::upstream_ptr const& item) {
+        return item->software != m_pick.to->software
+               || m_context.parts.has_trial_at(
+                   routing::leaving_key(item->description), now);
+    });
+    if (list.empty()) {
+        return nullptr;
     }
-    return quietest;
+    std::sort(list.begin(), list.end(), [](auto const& a, auto const& b) {
+        return a->running() < b->running();
+    });
+    std::size_t const quiet = std::max<std::size_t>(1, list.size() / 3);
+    std::uint64_t const random =
+        XXH3_64bits(m_metadata.id.data(), m_metadata.id.size());
+    return list[random % quiet].get();
 }
 
-void exchange::choose_for_trial()
+/// Returns false if no upstream is free for a trial.
+bool exchange::choose_for_trial()
 {
-    m_only_upstream = quietest_upstream();
+    m_only_upstream = upstream_for_trial();
+    if (m_only_upstream == nullptr) {
+        return false;
+    }
     m_pick = choose();
     m_only_upstream = nullptr;
+    return m_pick.to != nullptr;
 }
 
 void exchange::begin_trial()
 {
     m_tried_parts = m_context.parts.suspects_among(
         shared_parts(), m_pick.to->software.version, m_was_broken);
-    proxy::begin_trial(m_context, m_tried_parts);
+    proxy::begin_trial(m_context, m_tried_parts, *m_pick.to);
     if (m_context.on_trial) {
         m_context.on_trial(m_metadata.id, m_tried_parts);
     }
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -98,15 +98,14 @@
         return;
     }
     auto const judged = judge_parts(m_pick.to->software);
-    if (judged == routing::part_judgement::awaits_trial) {
+    bool const is_trial = judged == routing::part_judgement::trial;
+    if (judged == routing::part_judgement::awaits_trial
+        || (is_trial && !choose_for_trial())) {
         wait_for_verdict([this] {
             place();
         });
         return;
     }
-    if (judged == routing::part_judgement::trial) {
-        choose_for_trial();
-    }
     if (m_pick.forecast > time_left() && !may_have_run()) {
         refuse(reason_code::too_late);
         return;
@@ -121,7 +120,7 @@
                               : reason_code::quarantined);
         return;
     }
-    if (judged == routing::part_judgement::trial) {
+    if (is_trial) {
         begin_trial();
     }
     send_to(m_pick);
--- a/src/proxy/part_codec.cpp
+++ b/src/proxy/part_codec.cpp
@@ -146,7 +146,8 @@
     }
     std::vector<wire::PartTrial> trials;
     for (part_trial const& item : message.trials) {
-        trials.emplace_back(item.part.service, item.part.id, item.is_over);
+        trials.emplace_back(
+            item.part.service, item.part.id, item.upstream, item.is_over);
     }
     auto const answer_list = builder.CreateVectorOfStructs(answers);
     auto const trial_list = builder.CreateVectorOfStructs(trials);
@@ -184,8 +185,9 @@
     }
     if (from->trials() != nullptr) {
         for (wire::PartTrial const* const item : *from->trials()) {
-            message.trials.push_back(
-                {{item->service(), item->id()}, item->is_over()});
+            message.trials.push_back({{item->service(), item->id()},
+                                      item->upstream(),
+                                      item->is_over()});
         }
     }
     if (from->verdicts() != nullptr) {
--- a/src/proxy/part_codec.hpp
+++ b/src/proxy/part_codec.hpp
@@ -4,6 +4,7 @@
 #include "model/time.hpp"
 #include "routing/part_evidence.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,8 @@
 struct part_trial
 {
     routing::shared_part part;
+    /// Where it runs: key from `routing::leaving_key`.
+    std::uint64_t upstream = 0;
     bool is_over = false;
 };
 
--- a/src/proxy/part_crashes.cpp
+++ b/src/proxy/part_crashes.cpp
@@ -21,11 +21,12 @@
 
 void tell_trial(relay_context& context,
                 std::vector<routing::shared_part> const& parts,
+                std::uint64_t upstream,
                 bool is_over)
 {
     part_message news;
     for (routing::shared_part const& part : parts) {
-        news.trials.push_back({part, is_over});
+        news.trials.push_back({part, upstream, is_over});
     }
     tell(context, news);
 }
@@ -157,10 +158,12 @@
 }
 
 void begin_trial(relay_context& context,
-                 std::vector<routing::shared_part> const& parts)
+                 std::vector<routing::shared_part> const& parts,
+                 routing::upstream_state const& at)
 {
-    context.parts.begin_trial(parts, context.loop.now());
-    tell_trial(context, parts, false);
+    std::uint64_t const upstream = routing::leaving_key(at.description);
+    context.parts.begin_trial(parts, upstream, context.loop.now());
+    tell_trial(context, parts, upstream, false);
 }
 
 void end_trial(relay_context& context,
@@ -170,7 +173,7 @@
         return;
     }
     context.parts.end_trial(parts);
-    tell_trial(context, parts, true);
+    tell_trial(context, parts, 0, true);
 }
 
 } // namespace caperjunction::proxy
--- a/src/proxy/part_crashes.hpp
+++ b/src/proxy/part_crashes.hpp
@@ -44,7 +44,8 @@
 ///
 /// Thread safety: the loop's task.
 void begin_trial(relay_context& context,
-                 std::vector<routing::shared_part> const& parts);
+                 std::vector<routing::shared_part> const& parts,
+                 routing::upstream_state const& at);
 void end_trial(relay_context& context,
                std::vector<routing::shared_part> const& parts);
 
--- a/src/proxy/part_exchange.cpp
+++ b/src/proxy/part_exchange.cpp
@@ -113,7 +113,7 @@
         if (trial.is_over) {
             parts.end_trial({trial.part});
         } else {
-            parts.begin_trial({trial.part}, now);
+            parts.begin_trial({trial.part}, trial.upstream, now);
         }
     }
     for (routing::upstream_crash const& crash : message.crashes) {
--- a/src/proxy/wire/parts_generated.h
+++ b/src/proxy/wire/parts_generated.h
@@ -116,6 +116,7 @@
  private:
   uint64_t service_;
   uint64_t id_;
+  uint64_t upstream_;
   uint8_t is_over_;
   int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
 
@@ -123,6 +124,7 @@
   PartTrial()
       : service_(0),
         id_(0),
+        upstream_(0),
         is_over_(0),
         padding0__(0),
         padding1__(0),
@@ -131,9 +133,10 @@
     (void)padding1__;
     (void)padding2__;
   }
-  PartTrial(uint64_t _service, uint64_t _id, bool _is_over)
+  PartTrial(uint64_t _service, uint64_t _id, uint64_t _upstream, bool _is_over)
       : service_(flatbuffers::EndianScalar(_service)),
         id_(flatbuffers::EndianScalar(_id)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
         is_over_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_over))),
         padding0__(0),
         padding1__(0),
@@ -148,11 +151,14 @@
   uint64_t id() const {
     return flatbuffers::EndianScalar(id_);
   }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
   bool is_over() const {
     return flatbuffers::EndianScalar(is_over_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(PartTrial, 24);
+FLATBUFFERS_STRUCT_END(PartTrial, 32);
 
 struct UpstreamCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef UpstreamCrashBuilder Builder;
--- a/src/routing/crash_table.cpp
+++ b/src/routing/crash_table.cpp
@@ -182,6 +182,14 @@
                && in_all >= m_limits.overlapping);
 }
 
+bool crash_table::has_crash_of(parts const& all) const
+{
+    return std::any_of(
+        m_crashes.begin(), m_crashes.end(), [&all](auto const& item) {
+            return includes(item.second.candidates, all);
+        });
+}
+
 void crash_table::expire(model::time_point now,
                          std::function<bool(shared_part const&)> const& is_kept)
 {
--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -98,6 +98,9 @@
     /// Returns whether the crashes show that the part has caused them.
     bool is_cause(shared_part const& part, is_explained const& explained) const;
 
+    /// Returns whether all of these sorted parts were in flight at one crash.
+    bool has_crash_of(parts const& all) const;
+
     bool is_empty() const
     {
         return m_parts.empty();
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <utility>
 
 namespace caperjunction::routing {
@@ -37,7 +38,7 @@
         }
         // One that was sent since is a trial of its own.
         auto const trial = m_trials.find(part);
-        if (trial != m_trials.end() && trial->second <= crash.at) {
+        if (trial != m_trials.end() && trial->second.begun_at <= crash.at) {
             m_trials.erase(trial);
         }
     }
@@ -98,7 +99,7 @@
         for (shared_part const& part : verdict.parts) {
             if (contains(seen.candidates, part)
                 && in_sequence(part).size() >= m_limits.narrowing) {
-                narrow(verdict, {part});
+                change(verdict, {part});
                 return true;
             }
         }
@@ -146,9 +147,55 @@
     verdict.last_crash = seen.at;
     verdict.seen_at = seen.at;
     add_verdict(std::move(verdict));
+    // The new one may explain crashes that others rest on.
+    for (std::size_t index = m_verdicts.size(); index-- > 0;) {
+        part_verdict const& other = m_verdicts[index];
+        if (!other.crashes.empty() && !is_supported(other)) {
+            end_verdict(index);
+        }
+    }
+}
+
+/// Whether the crashes that no other verdict explains suffice.
+bool poison_parts::is_supported(part_verdict const& verdict) const
+{
+    auto const explained = [this, &verdict](crash_table::crash const& seen) {
+        return std::any_of(m_verdicts.begin(),
+                           m_verdicts.end(),
+                           [&](part_verdict const& other) {
+                               return &other != &verdict
+                                      && includes(seen.candidates, other.parts);
+                           });
+    };
+    return m_crashes.is_cause(verdict.parts.front(), explained);
+}
+
+// Two hosts have found different causes of the same crashes. Only requests with
+// all of these parts are kept back then: others tell which of them it is.
+bool poison_parts::combine(part_verdict const& told)
+{
+    for (part_verdict& known : m_verdicts) {
+        parts all;
+        std::set_union(known.parts.begin(),
+                       known.parts.end(),
+                       told.parts.begin(),
+                       told.parts.end(),
+                       std::back_inserter(all));
+        if (!m_crashes.has_crash_of(all) || is_cause(told.parts.front())) {
+            continue;
+        }
+        for (std::uint64_t const version : told.versions) {
+            add_once(known.versions, version);
+        }
+        known.last_crash = std::max(known.last_crash, told.last_crash);
+        known.is_trusted = known.is_trusted && told.is_trusted;
+        change(known, all);
+        return true;
+    }
+    return false;
 }
 
-void poison_parts::narrow(part_verdict& verdict, parts const& to)
+void poison_parts::change(part_verdict& verdict, parts const& to)
 {
     verdict.parts = to;
     if (on_kept_back) {
@@ -287,11 +334,13 @@
             add_once(known.versions, version);
         }
         if (!is_narrower) {
-            narrow(known, told.parts);
+            change(known, told.parts);
         }
         return {};
     }
-    add_verdict(told);
+    if (!combine(told)) {
+        add_verdict(told);
+    }
     return {};
 }
 
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -48,7 +48,7 @@
 
     explicit poison_parts(poison_limits const& limits = {});
 
-    /// Called when a verdict begins or is narrowed, and when it ends.
+    /// Called when a verdict begins or has changed, and when it ends.
     std::function<void(part_verdict const&)> on_kept_back;
     std::function<void(part_verdict const&)> on_released;
 
@@ -106,9 +106,16 @@
     void record_kept_back(parts const& requested, model::time_point now);
 
     /// Records the begin or the end of a trial here or at another host.
-    void begin_trial(parts const& tried, model::time_point now);
+    /// `upstream`: key from `leaving_key`.
+    void begin_trial(parts const& tried,
+                     std::uint64_t upstream,
+                     model::time_point now);
     void end_trial(parts const& tried);
 
+    /// Returns whether a trial runs at an upstream, by its key from
+    /// `leaving_key`. Another one there would share its fate.
+    bool has_trial_at(std::uint64_t upstream, model::time_point now) const;
+
     std::vector<part_verdict> const& verdicts() const
     {
         return m_verdicts;
@@ -127,13 +134,21 @@
     void expire(model::time_point now);
 
 private:
+    struct trial
+    {
+        std::uint64_t upstream = 0;
+        model::time_point begun_at{};
+    };
+
     void trust(shared_part const& part);
     bool merge_into_verdicts(crash_table::crash const& seen);
     bool narrow_verdicts(crash_table::crash const& seen);
     void find_cause(crash_table::crash const& seen);
     parts strongest(parts const& candidates) const;
-    void narrow(part_verdict& verdict, parts const& to);
+    void change(part_verdict& verdict, parts const& to);
     void add_verdict(part_verdict verdict);
+    bool is_supported(part_verdict const& verdict) const;
+    bool combine(part_verdict const& told);
     void end_verdict(std::size_t index);
     void apply(part_answer const& answer);
     std::vector<part_answer> answers_against(part_verdict const& told) const;
@@ -151,9 +166,8 @@
     crash_table m_crashes;
     answered_parts m_answered;
     std::vector<part_verdict> m_verdicts;
-    /// When the last trial of a part began.
-    std::unordered_map<shared_part, model::time_point, shared_part_hash>
-        m_trials;
+    /// The last trial of each part.
+    std::unordered_map<shared_part, trial, shared_part_hash> m_trials;
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/poison_parts_judge.cpp
+++ b/src/routing/poison_parts_judge.cpp
@@ -89,14 +89,25 @@
         suspects.begin(), suspects.end(), [&](shared_part const& part) {
             auto const trial = m_trials.find(part);
             return trial != m_trials.end()
-                   && now - trial->second < m_limits.trial_timeout;
+                   && now - trial->second.begun_at < m_limits.trial_timeout;
         });
 }
 
-void poison_parts::begin_trial(parts const& tried, model::time_point now)
+bool poison_parts::has_trial_at(std::uint64_t upstream,
+                                model::time_point now) const
+{
+    return std::any_of(m_trials.begin(), m_trials.end(), [&](auto const& item) {
+        return item.second.upstream == upstream
+               && now - item.second.begun_at < m_limits.trial_timeout;
+    });
+}
+
+void poison_parts::begin_trial(parts const& tried,
+                               std::uint64_t upstream,
+                               model::time_point now)
 {
     for (shared_part const& part : tried) {
-        m_trials[part] = now;
+        m_trials[part] = {upstream, now};
     }
 }
 
@@ -139,7 +150,7 @@
         return is_in_verdict(part);
     });
     std::erase_if(m_trials, [&](auto const& item) {
-        return now - item.second >= m_limits.trial_timeout;
+        return now - item.second.begun_at >= m_limits.trial_timeout;
     });
 }
 
--- a/tests/proxy/relay_part_test.cpp
+++ b/tests/proxy/relay_part_test.cpp
@@ -235,7 +235,7 @@
     crashed.has_crashed = true;
     crashed.crash.at = fixture.loop.now();
     std::vector<routing::shared_part> const parts{{1, 5}};
-    proxy::begin_trial(fixture.context, parts);
+    proxy::begin_trial(fixture.context, parts, *upstream);
     proxy::record_broken_attempt(
         fixture.context,
         {upstream, std::nullopt, parts, parts, fixture.loop.now()});
--- a/tests/routing/poison_fleet.cpp
+++ b/tests/routing/poison_fleet.cpp
@@ -90,7 +90,7 @@
     }
 }
 
-std::size_t poison_fleet::choose_engine(std::uint64_t affinity, bool is_quiet)
+std::vector<std::size_t> poison_fleet::engines_up() const
 {
     std::vector<std::size_t> up;
     for (std::size_t index = 0; index < m_engines.size(); ++index) {
@@ -98,19 +98,36 @@
             up.push_back(index);
         }
     }
+    return up;
+}
+
+std::size_t poison_fleet::choose_engine(std::uint64_t affinity)
+{
+    auto const up = engines_up();
     if (up.empty()) {
         return m_engines.size();
     }
-    if (is_quiet) {
-        return *std::min_element(up.begin(), up.end(), [this](auto a, auto b) {
-            return m_engines[a].running.size() < m_engines[b].running.size();
-        });
-    }
     // Half of the requests follow their prefix.
     std::uint64_t const place = m_random() % 2 == 0 ? affinity : m_random();
     return up[place % up.size()];
 }
 
+/// Like `exchange::upstream_for_trial`.
+std::size_t poison_fleet::choose_for_trial(part_rule const& rule)
+{
+    auto up = engines_up();
+    std::erase_if(up, [&](std::size_t index) {
+        return rule.has_trial_at(m_engines[index].start, m_now);
+    });
+    if (up.empty()) {
+        return m_engines.size();
+    }
+    std::sort(up.begin(), up.end(), [this](std::size_t a, std::size_t b) {
+        return m_engines[a].running.size() < m_engines[b].running.size();
+    });
+    return up[m_random() % std::max<std::size_t>(1, up.size() / 3)];
+}
+
 void poison_fleet::send(request made)
 {
     part_rule& rule = *m_rules[made.host];
@@ -129,15 +146,17 @@
     m_result.sound += made.is_guilty ? 0 : 1;
     m_result.sound_refused += is_refused && !made.is_guilty ? 1 : 0;
     bool const is_trial = judged == part_judgement::trial;
-    made.engine = choose_engine(made.parts[1].id, is_trial);
+    made.engine =
+        is_trial ? choose_for_trial(rule) : choose_engine(made.parts[1].id);
     if (is_refused || made.engine >= m_engines.size()) {
         return;
     }
     if (is_trial) {
         auto const parts = made.parts;
-        rule.begin_trial(parts, m_now);
-        tell(made.host, [parts, now = m_now](part_rule& other) {
-            other.begin_trial(parts, now);
+        std::uint64_t const start = m_engines[made.engine].start;
+        rule.begin_trial(parts, start, m_now);
+        tell(made.host, [parts, start, now = m_now](part_rule& other) {
+            other.begin_trial(parts, start, now);
         });
     }
     made.sent_at = m_now;
--- a/tests/routing/poison_fleet.hpp
+++ b/tests/routing/poison_fleet.hpp
@@ -35,7 +35,10 @@
     judge(std::vector<routing::shared_part> const& parts,
           model::time_point now) const = 0;
     virtual void begin_trial(std::vector<routing::shared_part> const& parts,
+                             std::uint64_t engine,
                              model::time_point now) = 0;
+    virtual bool has_trial_at(std::uint64_t engine,
+                              model::time_point now) const = 0;
 };
 
 /// The load and the faults of a play.
@@ -121,7 +124,9 @@
     void crash(std::size_t engine);
     void answer_later(std::size_t seer, routing::upstream_crash const& crash);
     void tell(std::size_t from, std::function<void(part_rule&)> const& news);
-    std::size_t choose_engine(std::uint64_t affinity, bool is_quiet);
+    std::size_t choose_engine(std::uint64_t affinity);
+    std::size_t choose_for_trial(part_rule const& rule);
+    std::vector<std::size_t> engines_up() const;
     std::vector<routing::shared_part> sound_parts();
 
     poison_load m_load;
--- a/tests/routing/poison_fleet_test.cpp
+++ b/tests/routing/poison_fleet_test.cpp
@@ -56,9 +56,17 @@
     }
 
     void begin_trial(std::vector<shared_part> const& parts,
+                     std::uint64_t engine,
                      model::time_point now) override
     {
-        m_parts.begin_trial(m_parts.suspects_among(parts, version, false), now);
+        m_parts.begin_trial(
+            m_parts.suspects_among(parts, version, false), engine, now);
+    }
+
+    bool has_trial_at(std::uint64_t engine,
+                      model::time_point now) const override
+    {
+        return m_parts.has_trial_at(engine, now);
     }
 
 private:
@@ -131,10 +139,16 @@
     }
 
     void begin_trial(std::vector<shared_part> const&,
+                     std::uint64_t,
                      model::time_point) override
     {
     }
 
+    bool has_trial_at(std::uint64_t, model::time_point) const override
+    {
+        return false;
+    }
+
 private:
     struct record
     {
--- a/tests/routing/poison_parts_test.cpp
+++ b/tests/routing/poison_parts_test.cpp
@@ -229,7 +229,9 @@
     poison_parts parts;
     crash_times(parts, 1, 2, start, {5});
     auto const now = start + 2s;
-    parts.begin_trial(parts_of({5}), now);
+    parts.begin_trial(parts_of({5}), 7, now);
+    CHECK(parts.has_trial_at(7, now));
+    CHECK_FALSE(parts.has_trial_at(8, now));
     CHECK(judge(parts, {5}, now) == part_judgement::awaits_trial);
     CHECK(judge(parts, {6}, now) == part_judgement::free);
     SUBCASE("until it is over")
@@ -263,7 +265,7 @@
 TEST_CASE("a crash ends only trials that were sent before it")
 {
     poison_parts parts;
-    parts.begin_trial(parts_of({5}), start + 10ms);
+    parts.begin_trial(parts_of({5}), 7, start + 10ms);
     parts.record_crash(crash_of(1, start, {5}));
     CHECK(parts.judge(parts_of({5}), version, true, start + 20ms)
           == part_judgement::awaits_trial);
@@ -322,6 +324,35 @@
     CHECK(told.verdicts().empty());
 }
 
+// Guards against a sound part that is kept back because its host heard of the
+// guilty one beside it a moment later.
+TEST_CASE("two causes of the same crashes are kept back together only")
+{
+    poison_parts parts;
+    crash_times(parts, 1, 1, start, {5});
+    crash_times(parts, 2, 2, start + 1s, {5});
+    crash_times(parts, 2, 2, start + 1s, {6});
+    REQUIRE(judge(parts, {5}, start + 3s) == part_judgement::kept_back);
+    parts.merge({parts_of({6}), {version}, start + 2s, start + 2s});
+    CHECK(judge(parts, {5, 6}, start + 3s) == part_judgement::kept_back);
+    CHECK(judge(parts, {5}, start + 3s) == part_judgement::trial);
+    CHECK(judge(parts, {6}, start + 3s) == part_judgement::trial);
+    parts.record_answer(parts_of({5}), version, start + 4s);
+    CHECK(judge(parts, {5}, start + 5s) == part_judgement::free);
+    CHECK(judge(parts, {6}, start + 5s) == part_judgement::kept_back);
+}
+
+TEST_CASE("a later verdict ends one that rests on crashes which it explains")
+{
+    poison_parts parts;
+    crash_times(parts, 1, 1, start, {5});
+    crash_times(parts, 2, 2, start + 1s, {5, 6});
+    REQUIRE(judge(parts, {5}, start + 3s) == part_judgement::kept_back);
+    crash_times(parts, 4, 3, start + 4s, {6});
+    CHECK(judge(parts, {6}, start + 7s) == part_judgement::kept_back);
+    CHECK(judge(parts, {5}, start + 7s) != part_judgement::kept_back);
+}
+
 TEST_CASE("what is kept of parts is bounded")
 {
     poison_parts parts;
