Tell crashes again to hosts that were out of touch

A host that is cut off counts its crashes alone, and its datagrams are lost. Rounds, once a second while there is anything to tell, repeat the last eight crashes that it has seen in 30 s. Hosts reply with answers to a crash only when it is news.

--- a/src/proxy/part_exchange.cpp
+++ b/src/proxy/part_exchange.cpp
@@ -14,8 +14,11 @@
 constexpr int max_reply_delay_ms = 40;
 constexpr model::milliseconds reply_timeout{1'000};
 constexpr std::size_t max_heard = 1'024;
-/// Interval in which verdicts are sent to some hosts.
+/// Interval in which verdicts and crashes are sent to some hosts.
 constexpr model::milliseconds round_interval{1'000};
+/// Crashes in a round.
+constexpr model::milliseconds crash_retention{30'000};
+constexpr std::size_t max_own_crashes = 8;
 
 template <typename Item>
 void append(std::vector<Item>& to, std::vector<Item> const& more)
@@ -54,6 +57,15 @@
         });
     }
     append(m_untold.crashes, news.crashes);
+    for (routing::upstream_crash const& crash : news.crashes) {
+        std::erase_if(m_own_crashes, [&crash](auto const& item) {
+            return item.start == crash.start;
+        });
+        m_own_crashes.push_back(crash);
+    }
+    if (m_own_crashes.size() > max_own_crashes) {
+        m_own_crashes.pop_front();
+    }
     append(m_untold.answers, news.answers);
     append(m_untold.trials, news.trials);
     append(m_untold.verdicts, news.verdicts);
@@ -78,10 +90,11 @@
     }
 }
 
-part_message part_exchange::verdicts() const
+part_message part_exchange::summary() const
 {
     part_message message;
     message.verdicts = m_context.parts.verdicts();
+    message.crashes.assign(m_own_crashes.begin(), m_own_crashes.end());
     return message;
 }
 
@@ -93,7 +106,7 @@
     }
     record(*message);
     if (message->asks) {
-        m_send(from, encode_part_message(verdicts(), m_context.loop.now()));
+        m_send(from, encode_part_message(summary(), m_context.loop.now()));
     }
     forward(std::move(*message), from);
 }
@@ -117,8 +130,9 @@
         }
     }
     for (routing::upstream_crash const& crash : message.crashes) {
-        parts.record_crash(crash);
-        answer_later(parts.answers_for(crash));
+        if (parts.record_crash(crash)) {
+            answer_later(parts.answers_for(crash));
+        }
     }
     part_message corrections;
     for (routing::part_verdict const& verdict : message.verdicts) {
@@ -188,10 +202,14 @@
         send_to_some(question);
     }
     m_has_asked = has_peers;
-    bool const is_due = now - m_round_at >= round_interval;
-    if (is_due && !m_context.parts.verdicts().empty()) {
+    while (!m_own_crashes.empty()
+           && now - m_own_crashes.front().at > crash_retention) {
+        m_own_crashes.pop_front();
+    }
+    part_message const round = summary();
+    if (now - m_round_at >= round_interval && !round.is_empty()) {
         m_round_at = now;
-        send_to_some(verdicts());
+        send_to_some(round);
     }
 }
 
--- a/src/proxy/part_exchange.hpp
+++ b/src/proxy/part_exchange.hpp
@@ -4,6 +4,7 @@
 #include "proxy/part_codec.hpp"
 #include "proxy/relay_context.hpp"
 
+#include <deque>
 #include <functional>
 #include <random>
 #include <string>
@@ -17,8 +18,8 @@
 /// takes up what they have seen.
 ///
 /// News go out at once: until the others know of a crash, they send requests
-/// that may cause the next one. A host that misses one learns the verdict from
-/// the next round.
+/// that may cause the next one. Rounds repeat the verdicts and this host's last
+/// crashes to some hosts, for those that were out of touch.
 ///
 /// Thread safety: none; owned by the loop's task.
 class part_exchange
@@ -47,11 +48,13 @@
     void forward(part_message message, model::endpoint const& from);
     void record(part_message const& message);
     void answer_later(std::vector<routing::part_answer> answers);
-    part_message verdicts() const;
+    part_message summary() const;
 
     relay_context& m_context;
     sender m_send;
     part_message m_untold;
+    /// What this host has seen of late: others may have been out of touch.
+    std::deque<routing::upstream_crash> m_own_crashes;
     runtime::timer_handle m_batch_timer;
     bool m_has_asked = false;
     model::time_point m_round_at{};
--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -98,6 +98,12 @@
     /// Returns whether the crashes show that the part has caused them.
     bool is_cause(shared_part const& part, is_explained const& explained) const;
 
+    /// Whether a crash is remembered, by the start of its upstream.
+    bool knows(std::uint64_t start) const
+    {
+        return m_crashes.count(start) > 0;
+    }
+
     /// Returns whether all of these sorted parts were in flight at one crash.
     bool has_crash_of(parts const& all) const;
 
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -28,8 +28,9 @@
 {
 }
 
-void poison_parts::record_crash(upstream_crash const& crash)
+bool poison_parts::record_crash(upstream_crash const& crash)
 {
+    bool const is_new = !m_crashes.knows(crash.start);
     crash_table::crash const& known = m_crashes.record(crash);
     for (crash_candidate const& candidate : crash.candidates) {
         shared_part const part{crash.service, candidate.id};
@@ -45,6 +46,7 @@
     if (!merge_into_verdicts(known) && !narrow_verdicts(known)) {
         find_cause(known);
     }
+    return is_new;
 }
 
 // A verdict that was found without knowing that its part had been answered
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -52,8 +52,9 @@
     std::function<void(part_verdict const&)> on_kept_back;
     std::function<void(part_verdict const&)> on_released;
 
-    /// Records a crash as this host or another one has seen it.
-    void record_crash(upstream_crash const& crash);
+    /// Records a crash as this host or another one has seen it. Returns whether
+    /// it was unknown.
+    bool record_crash(upstream_crash const& crash);
 
     /// Records that an answer on these parts, begun at `began_at`, has been
     /// written for some time or to its end. Returns the answers that hosts with
--- /dev/null
+++ b/tests/proxy/part_exchange_test.cpp
@@ -0,0 +1,181 @@
+#include "proxy/digest_codec.hpp"
+#include "proxy/origin_codec.hpp"
+#include "proxy/part_exchange.hpp"
+#include "proxy/relay_fixture.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+
+namespace {
+
+model::time_point const now{std::chrono::hours(1)};
+
+routing::upstream_crash crash_of(std::uint64_t start, model::time_point at)
+{
+    return {start, 2, 3, at, {{4, at - 150ms, false, true}}};
+}
+
+/// One host, and what it has sent to others.
+struct exchange_host
+{
+    exchange_host()
+        : parts(fixture.context,
+                [this](model::endpoint const& to, std::string const& bytes) {
+                    sent.emplace_back(to, bytes);
+                })
+    {
+    }
+
+    void add_peer(model::endpoint const& at)
+    {
+        routing::peer_digest digest;
+        digest.generation = 1;
+        fixture.context.peers.record_digest(at, digest, fixture.loop.now());
+    }
+
+    proxy::part_message last() const
+    {
+        REQUIRE_FALSE(sent.empty());
+        auto const read =
+            proxy::decode_part_message(sent.back().second, fixture.loop.now());
+        REQUIRE(read);
+        return *read;
+    }
+
+    relay_fixture fixture;
+    std::vector<std::pair<model::endpoint, std::string>> sent;
+    proxy::part_exchange parts;
+};
+
+model::endpoint const peer{"127.0.0.2", 7'000};
+
+} // namespace
+
+TEST_CASE("messages about parts are read as they were written")
+{
+    proxy::part_message told;
+    told.crashes = {crash_of(1, now - 40ms)};
+    told.answers = {{{2, 5}, 3, now - 70ms}};
+    told.trials = {{{2, 6}, 9, true}};
+    told.verdicts = {{{{2, 7}, {2, 8}}, {3, 4}, now - 1s, now - 2s, true, 2}};
+    told.asks = true;
+    std::string const bytes = proxy::encode_part_message(told, now);
+    REQUIRE(proxy::is_part_message(bytes));
+    auto const read = proxy::decode_part_message(bytes, now + 10ms);
+    REQUIRE(read);
+    CHECK(read->crashes[0].start == 1);
+    CHECK(read->crashes[0].at == now - 30ms);
+    CHECK(read->crashes[0].candidates[0].id == 4);
+    CHECK(read->crashes[0].candidates[0].sent_at == now - 180ms);
+    CHECK(read->crashes[0].candidates[0].has_begun);
+    CHECK(read->answers[0].part == told.answers[0].part);
+    CHECK(read->answers[0].began_at == now - 60ms);
+    CHECK(read->trials[0].upstream == 9);
+    CHECK(read->trials[0].is_over);
+    CHECK(read->verdicts[0].parts == told.verdicts[0].parts);
+    CHECK(read->verdicts[0].versions == told.verdicts[0].versions);
+    CHECK(read->verdicts[0].is_trusted);
+    CHECK(read->verdicts[0].failed_probes == 2);
+    CHECK(read->asks);
+}
+
+// Guards against messages that are taken for others, and that fill the links.
+TEST_CASE("a message about parts is short, and is no other message")
+{
+    proxy::part_message told;
+    told.crashes = {crash_of(1, now)};
+    std::string const one = proxy::encode_part_message(told, now);
+    told.crashes[0].candidates.resize(128, told.crashes[0].candidates[0]);
+    std::string const full = proxy::encode_part_message(told, now);
+    told.crashes.clear();
+    told.verdicts.resize(64, {{{2, 7}}, {3}, now, now});
+    std::string const verdicts = proxy::encode_part_message(told, now);
+    MESSAGE("bytes: one candidate ",
+            one.size(),
+            ", 128 ",
+            full.size(),
+            ", 64 verdicts ",
+            verdicts.size());
+    CHECK(one.size() <= 140);
+    CHECK(full.size() <= 2'300);
+    CHECK(verdicts.size() <= 8'000);
+    CHECK_FALSE(proxy::decode_digest(one));
+    CHECK_FALSE(proxy::is_origin_message(one));
+}
+
+TEST_CASE("no bytes crash the reader of messages about parts")
+{
+    CHECK(rc::check([](std::string const& bytes) {
+        proxy::decode_part_message("\xff\xff\xff\xfe" + bytes, now);
+    }));
+}
+
+// Guards against a host that tries for itself what others know.
+TEST_CASE("a host asks for verdicts as soon as it knows another host")
+{
+    exchange_host host;
+    host.parts.sweep();
+    CHECK(host.sent.empty());
+    host.add_peer(peer);
+    host.parts.sweep();
+    CHECK(host.last().asks);
+    host.sent.clear();
+    host.parts.sweep();
+    CHECK(host.sent.empty());
+
+    host.fixture.context.parts.merge(
+        {{{2, 7}}, {3}, host.fixture.loop.now(), host.fixture.loop.now()});
+    proxy::part_message question;
+    question.asks = true;
+    host.parts.receive(
+        proxy::encode_part_message(question, host.fixture.loop.now()), peer);
+    CHECK(host.last().verdicts.size() == 1);
+    CHECK(host.sent.back().first == peer);
+}
+
+// Guards against crashes that are unknown to hosts which were out of touch.
+TEST_CASE("crashes that a host has seen are told again in rounds")
+{
+    exchange_host host;
+    host.add_peer(peer);
+    host.parts.sweep();
+    host.sent.clear();
+    proxy::part_message news;
+    news.crashes = {crash_of(1, host.fixture.loop.now())};
+    host.fixture.context.tell_parts(news);
+    host.fixture.run_for(20ms);
+    CHECK(host.last().crashes.size() == 1);
+    host.sent.clear();
+    host.parts.sweep();
+    CHECK(host.last().crashes[0].start == 1);
+    host.sent.clear();
+    host.parts.sweep();
+    CHECK(host.sent.empty());
+}
+
+TEST_CASE("a host answers for parts that another one has never seen answered")
+{
+    exchange_host host;
+    host.add_peer(peer);
+    host.fixture.context.parts.record_answer(
+        {{2, 4}}, 3, host.fixture.loop.now() - 1s);
+    proxy::part_message news;
+    news.crashes = {crash_of(1, host.fixture.loop.now())};
+    auto const bytes =
+        proxy::encode_part_message(news, host.fixture.loop.now());
+    host.parts.receive(bytes, peer);
+    host.fixture.run_for(100ms);
+    REQUIRE(host.last().answers.size() == 1);
+    CHECK(host.last().answers[0].part == routing::shared_part{2, 4});
+    host.sent.clear();
+    host.parts.receive(bytes, peer);
+    host.fixture.run_for(100ms);
+    CHECK(host.sent.empty());
+}
