--- a/src/routing/part_evidence.hpp
+++ b/src/routing/part_evidence.hpp
@@ -66,6 +66,13 @@
         return std::find(versions.begin(), versions.end(), version)
                != versions.end();
     }
+
+    void add_version(std::uint64_t version)
+    {
+        if (!holds_for(version)) {
+            versions.push_back(version);
+        }
+    }
 };
 
 } // namespace caperjunction::routing
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -13,13 +13,6 @@
 
 using parts = poison_parts::parts;
 
-void add_once(std::vector<std::uint64_t>& to, std::uint64_t value)
-{
-    if (std::find(to.begin(), to.end(), value) == to.end()) {
-        to.push_back(value);
-    }
-}
-
 } // namespace
 
 poison_parts::poison_parts(poison_limits const& limits)
@@ -90,7 +83,7 @@
             seen.at - verdict.last_crash >= m_limits.probe_delay;
         verdict.failed_probes += was_probe ? 1 : 0;
         verdict.last_crash = std::max(verdict.last_crash, seen.at);
-        add_once(verdict.versions, seen.version);
+        verdict.add_version(seen.version);
     }
     return explains;
 }
@@ -142,7 +135,7 @@
     }
     shared_part const& first = verdict.parts.front();
     for (crash_table::sighting const& item : in_sequence(first)) {
-        add_once(verdict.versions, item.version);
+        verdict.add_version(item.version);
         verdict.crashes.push_back(item.start);
     }
     verdict.is_trusted = m_crashes.is_trusted(first);
@@ -172,31 +165,6 @@
     return m_crashes.is_cause(verdict.parts.front(), explained);
 }
 
-// Two hosts have found different causes of the same crashes. Only requests with
-// all of these parts are kept back then: others tell which of them it is.
-bool poison_parts::combine(part_verdict const& told)
-{
-    for (part_verdict& known : m_verdicts) {
-        parts all;
-        std::set_union(known.parts.begin(),
-                       known.parts.end(),
-                       told.parts.begin(),
-                       told.parts.end(),
-                       std::back_inserter(all));
-        if (!m_crashes.has_crash_of(all) || is_cause(told.parts.front())) {
-            continue;
-        }
-        for (std::uint64_t const version : told.versions) {
-            add_once(known.versions, version);
-        }
-        known.last_crash = std::max(known.last_crash, told.last_crash);
-        known.is_trusted = known.is_trusted && told.is_trusted;
-        change(known, all);
-        return true;
-    }
-    return false;
-}
-
 void poison_parts::change(part_verdict& verdict, parts const& to)
 {
     verdict.parts = to;
@@ -281,71 +249,6 @@
     }
 }
 
-std::vector<part_answer>
-poison_parts::answers_for(upstream_crash const& crash) const
-{
-    std::vector<part_answer> list;
-    for (crash_candidate const& candidate : crash.candidates) {
-        auto const last =
-            m_answered.find({crash.service, candidate.id}, crash.version);
-        if (!candidate.is_trusted && last) {
-            list.push_back(*last);
-        }
-    }
-    return list;
-}
-
-// Answers since the last crash, and, against a verdict on a part that its
-// finders have never seen answered, any answer.
-std::vector<part_answer>
-poison_parts::answers_against(part_verdict const& told) const
-{
-    std::vector<part_answer> answers;
-    bool const is_on_one = told.parts.size() == 1;
-    for (shared_part const& part : told.parts) {
-        for (std::uint64_t const version : told.versions) {
-            auto const since = m_crashes.answered_at(part, version);
-            auto const last = m_answered.find(part, version);
-            if (since && *since > told.last_crash) {
-                answers.push_back({part, version, *since});
-            } else if (is_on_one && !told.is_trusted && last
-                       && !is_cause(part)) {
-                answers.push_back(*last);
-            }
-        }
-    }
-    return answers;
-}
-
-std::vector<part_answer> poison_parts::merge(part_verdict const& told)
-{
-    auto answers = answers_against(told);
-    if (!answers.empty() || told.parts.empty()) {
-        return answers;
-    }
-    for (part_verdict& known : m_verdicts) {
-        bool const is_narrower = includes(told.parts, known.parts);
-        if (!is_narrower && !includes(known.parts, told.parts)) {
-            continue;
-        }
-        known.last_crash = std::max(known.last_crash, told.last_crash);
-        known.seen_at = std::max(known.seen_at, told.seen_at);
-        known.failed_probes = std::max(known.failed_probes, told.failed_probes);
-        known.is_trusted = known.is_trusted || told.is_trusted;
-        for (std::uint64_t const version : told.versions) {
-            add_once(known.versions, version);
-        }
-        if (!is_narrower) {
-            change(known, told.parts);
-        }
-        return {};
-    }
-    if (!combine(told)) {
-        add_verdict(told);
-    }
-    return {};
-}
-
 bool poison_parts::is_explained(crash_table::crash const& seen) const
 {
     return std::any_of(m_verdicts.begin(),
--- a/src/routing/shared_part.hpp
+++ b/src/routing/shared_part.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <tuple>
 #include <vector>
 
 namespace caperjunction::routing {
@@ -18,7 +19,11 @@
     std::uint64_t id = 0;
 
     friend bool operator==(shared_part const&, shared_part const&) = default;
-    friend auto operator<=>(shared_part const&, shared_part const&) = default;
+
+    friend bool operator<(shared_part const& a, shared_part const& b)
+    {
+        return std::tie(a.service, a.id) < std::tie(b.service, b.id);
+    }
 };
 
 struct shared_part_hash
--- a/tests/proxy/relay_part_test.cpp
+++ b/tests/proxy/relay_part_test.cpp
@@ -110,7 +110,8 @@
 TEST_CASE("crashes of other causes keep no part from engines")
 {
     crashing_fleet site({"a", "a", "b", "b", "c"}, 12);
-    for (std::string const& path : {"/stream/", "/resume/"}) {
+    for (std::string const& path :
+         std::vector<std::string>{"/stream/", "/resume/"}) {
         load sound;
         sound.path = path;
         sound.duration = 300ms;
--- a/tests/routing/poison_parts_test.cpp
+++ b/tests/routing/poison_parts_test.cpp
@@ -11,7 +11,6 @@
 using namespace std::chrono_literals;
 using routing::part_judgement;
 using routing::poison_parts;
-using routing::shared_part;
 
 namespace {
 
