Keep a verdict whose evidence is old when another one is found

Found in reading the diff: a later verdict ended every other one whose crashes no longer sufficed, also because they were forgotten after ten minutes, and the part was tried again. Only verdicts that share a crash with the new one are weighed anew. The test failed before (trial instead of kept back).

--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -141,11 +141,20 @@
     verdict.is_trusted = m_crashes.is_trusted(first);
     verdict.last_crash = seen.at;
     verdict.seen_at = seen.at;
+    parts const found = verdict.parts;
     add_verdict(std::move(verdict));
-    // The new one may explain crashes that others rest on.
+    end_explained(found);
+}
+
+/// Ends the verdicts that rest on crashes which one on `found` explains.
+void poison_parts::end_explained(parts const& found)
+{
     for (std::size_t index = m_verdicts.size(); index-- > 0;) {
         part_verdict const& other = m_verdicts[index];
-        if (!other.crashes.empty() && !is_supported(other)) {
+        bool const shares_crash =
+            other.parts != found
+            && m_crashes.has_crash_of(union_of(other.parts, found));
+        if (shares_crash && !is_supported(other)) {
             end_verdict(index);
         }
     }
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -148,6 +148,7 @@
     parts strongest(parts const& candidates) const;
     void change(part_verdict& verdict, parts const& to);
     void add_verdict(part_verdict verdict);
+    void end_explained(parts const& found);
     bool is_supported(part_verdict const& verdict) const;
     bool combine(part_verdict const& told);
     void end_verdict(std::size_t index);
--- a/src/routing/poison_parts_merge.cpp
+++ b/src/routing/poison_parts_merge.cpp
@@ -1,7 +1,6 @@
 #include "routing/poison_parts.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace caperjunction::routing {
 
@@ -46,12 +45,7 @@
 bool poison_parts::combine(part_verdict const& told)
 {
     for (part_verdict& known : m_verdicts) {
-        parts all;
-        std::set_union(known.parts.begin(),
-                       known.parts.end(),
-                       told.parts.begin(),
-                       told.parts.end(),
-                       std::back_inserter(all));
+        parts const all = union_of(known.parts, told.parts);
         if (!m_crashes.has_crash_of(all) || is_cause(told.parts.front())) {
             continue;
         }
--- a/src/routing/shared_part.hpp
+++ b/src/routing/shared_part.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <tuple>
 #include <vector>
 
@@ -51,6 +52,18 @@
     return std::includes(all.begin(), all.end(), some.begin(), some.end());
 }
 
+/// Returns the parts of two sorted lists, sorted, each one once.
+///
+/// Thread safety: any thread.
+inline std::vector<shared_part> union_of(std::vector<shared_part> const& a,
+                                         std::vector<shared_part> const& b)
+{
+    std::vector<shared_part> all;
+    std::set_union(
+        a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(all));
+    return all;
+}
+
 /// Returns whether a sorted list of parts has a part.
 ///
 /// Thread safety: any thread.
--- a/tests/routing/poison_parts_test.cpp
+++ b/tests/routing/poison_parts_test.cpp
@@ -352,6 +352,20 @@
     CHECK(judge(parts, {5}, start + 7s) != part_judgement::kept_back);
 }
 
+// Guards against a part that is tried again because its evidence is old.
+TEST_CASE("a verdict outlives its evidence beside a later one")
+{
+    poison_parts parts;
+    crash_times(parts, 1, 3, start, {5});
+    auto const later = start + 15min;
+    parts.record_kept_back(parts_of({5}), start + 9min);
+    parts.expire(later);
+    parts.record_crash(crash_of(4, later, {5}));
+    crash_times(parts, 5, 3, later + 1s, {6});
+    CHECK(judge(parts, {6}, later + 5s) == part_judgement::kept_back);
+    CHECK(judge(parts, {5}, later + 5s) == part_judgement::kept_back);
+}
+
 TEST_CASE("what is kept of parts is bounded")
 {
     poison_parts parts;
