Let gateways pass on news of parts, not rounds

Found in reading the diff: each host of a large fleet sends a round a second to a gateway of another data centre while a part is kept back, and the gateway sent each on to all its hosts: by arithmetic some 1,250 datagrams a second at 295 hosts in six data centres. Rounds of the gateway itself reach them.

--- a/src/proxy/part_codec.cpp
+++ b/src/proxy/part_codec.cpp
@@ -157,7 +157,7 @@
                                            trial_list,
                                            verdicts,
                                            message.asks,
-                                           message.is_forwarded));
+                                           message.goes_no_further));
     return std::string(mark) + text_of(builder);
 }
 
@@ -196,7 +196,7 @@
         }
     }
     message.asks = from->asks();
-    message.is_forwarded = from->is_forwarded();
+    message.goes_no_further = from->is_forwarded();
     return message;
 }
 
--- a/src/proxy/part_codec.hpp
+++ b/src/proxy/part_codec.hpp
@@ -30,8 +30,8 @@
     std::vector<routing::part_verdict> verdicts;
     /// The sender wants to know all verdicts.
     bool asks = false;
-    /// It came from another data centre and goes no further.
-    bool is_forwarded = false;
+    /// Gateways don't pass it on to their data centre.
+    bool goes_no_further = false;
 
     bool is_empty() const
     {
--- a/src/proxy/part_exchange.cpp
+++ b/src/proxy/part_exchange.cpp
@@ -170,7 +170,7 @@
         m_context.peers.is_gateway()
         && m_context.peers.alive()
                >= routing::peer_table::min_peers_of_large_fleet;
-    if (message.is_forwarded || message.asks || !is_gateway_of_many) {
+    if (message.goes_no_further || message.asks || !is_gateway_of_many) {
         return;
     }
     auto const peers = m_context.peers.origin_peers();
@@ -181,7 +181,7 @@
     if (source == peers.end() || source->is_in_data_centre) {
         return;
     }
-    message.is_forwarded = true;
+    message.goes_no_further = true;
     std::string const bytes =
         encode_part_message(message, m_context.loop.now());
     for (routing::origin_peer const& peer : peers) {
@@ -206,7 +206,9 @@
            && now - m_own_crashes.front().at > crash_retention) {
         m_own_crashes.pop_front();
     }
-    part_message const round = summary();
+    part_message round = summary();
+    // Each host has rounds of its own.
+    round.goes_no_further = true;
     if (now - m_round_at >= round_interval && !round.is_empty()) {
         m_round_at = now;
         send_to_some(round);
--- a/tests/proxy/part_exchange_test.cpp
+++ b/tests/proxy/part_exchange_test.cpp
@@ -155,6 +155,7 @@
     host.sent.clear();
     host.parts.sweep();
     CHECK(host.last().crashes[0].start == 1);
+    CHECK(host.last().goes_no_further);
     host.sent.clear();
     host.parts.sweep();
     CHECK(host.sent.empty());
