--- a/src/program/routed_host_parts.cpp
+++ b/src/program/routed_host_parts.cpp
@@ -48,17 +48,16 @@
         .field("parts", ids_of(crashed.crash.candidates));
 }
 
-void log_verdict(proxy::relay_context const& context,
-                 std::string_view event,
+void add_verdict(runtime::log_line& to,
+                 proxy::relay_context const& context,
                  routing::part_verdict const& verdict)
 {
     auto const since_crash = std::chrono::duration_cast<model::milliseconds>(
         context.loop.now() - verdict.last_crash);
-    runtime::log_line(event)
-        .field("service",
-               verdict.parts.empty()
-                   ? std::string()
-                   : service_of(context, verdict.parts.front().service))
+    to.field("service",
+             verdict.parts.empty()
+                 ? std::string()
+                 : service_of(context, verdict.parts.front().service))
         .field("parts", ids_of(verdict.parts))
         .field("versions", verdict.versions.size())
         .field("heard", verdict.crashes.empty() ? "from_peers" : "here")
@@ -84,10 +83,12 @@
             .field("parts", ids_of(parts));
     };
     m_context.parts.on_kept_back = [this](routing::part_verdict const& begun) {
-        log_verdict(m_context, "part_kept_back", begun);
+        runtime::log_line line("part_kept_back");
+        add_verdict(line, m_context, begun);
     };
     m_context.parts.on_released = [this](routing::part_verdict const& ended) {
-        log_verdict(m_context, "part_released", ended);
+        runtime::log_line line("part_released");
+        add_verdict(line, m_context, ended);
     };
 }
 
