--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -112,6 +112,17 @@
             m_replica.retain_only(keys);
             record_first_read();
         };
+        hooks.on_read = [](std::uint64_t revision, std::size_t keys) {
+            runtime::log_line("store_read")
+                .field("revision", revision)
+                .field("keys", keys);
+        };
+        hooks.on_gap = [](proxy::revision_gap const& gap) {
+            runtime::log_line("store_gap")
+                .field("after", gap.after)
+                .field("revision", gap.revision)
+                .field("missing", gap.missing);
+        };
         hooks.on_confirmed = [this](model::time_point as_of,
                                     std::uint64_t revision) {
             routing::store_revisions const before = m_context.known;
--- a/src/program/store_replica.cpp
+++ b/src/program/store_replica.cpp
@@ -138,6 +138,7 @@
     commit_upstreams(list.revision);
     runtime::log_line("peer_items_merged")
         .field("before", before)
+        .field("since", list.since)
         .field("revision", list.revision)
         .field("items", list.items.size());
 }
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <set>
 #include <utility>
 
 namespace caperjunction::proxy {
@@ -131,6 +132,9 @@
     }
     m_is_complete = true;
     m_hooks.on_complete(m_keys);
+    if (m_hooks.on_read) {
+        m_hooks.on_read(m_revision, m_keys.size());
+    }
     m_confirmed = m_sent_at;
     m_hooks.on_confirmed(m_confirmed, m_revision);
     idle_or_watch();
@@ -214,6 +218,7 @@
     for (store_item const& item : changes.items) {
         m_hooks.on_item(item);
     }
+    report_gap(changes);
     m_revision = std::max(m_revision, changes.revision);
     // The store evaluated the request no earlier than it was sent. If the
     // request waited for its whole time without a change, the store evaluated
@@ -235,6 +240,25 @@
     });
 }
 
+// Each change has a revision of its own, and this reader sees all keys: a
+// revision without a change in the answer is a change that was not received.
+void store_reader::report_gap(store_answer const& changes)
+{
+    if (!m_hooks.on_gap || changes.revision <= m_revision) {
+        return;
+    }
+    std::set<std::uint64_t> received;
+    for (store_item const& item : changes.items) {
+        if (item.revision > m_revision && item.revision <= changes.revision) {
+            received.insert(item.revision);
+        }
+    }
+    std::size_t const missing = changes.revision - m_revision - received.size();
+    if (missing > 0) {
+        m_hooks.on_gap({m_revision, changes.revision, missing});
+    }
+}
+
 void store_reader::handle_success()
 {
     m_failures = 0;
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -25,6 +25,16 @@
     get_progress progress;
 };
 
+/// Revisions of the store whose changes an answer doesn't contain.
+struct revision_gap
+{
+    /// Revision that the watch continued from.
+    std::uint64_t after = 0;
+    /// Revision that the answer ends at.
+    std::uint64_t revision = 0;
+    std::size_t missing = 0;
+};
+
 /// Callbacks of a reader.
 struct store_hooks
 {
@@ -37,6 +47,10 @@
         on_confirmed;
     std::function<void(store_failure const&)> on_lost;
     std::function<void()> on_regained;
+    /// Called after `on_complete`, for the log.
+    std::function<void(std::uint64_t revision, std::size_t keys)> on_read;
+    /// A watch was answered with fewer changes than revisions.
+    std::function<void(revision_gap const&)> on_gap;
 };
 
 /// Replicates one prefix of the platform's store: reads it completely, then
@@ -92,6 +106,7 @@
                       std::function<void(int, std::string const&)> on_answer);
     void handle_page(int status, std::string const& body);
     void handle_changes(int status, std::string const& body);
+    void report_gap(store_answer const& changes);
     void handle_failure(std::string_view reason);
     void handle_success();
 
