--- /dev/null
+++ b/tests/proxy/store_reader_fixture.hpp
@@ -0,0 +1,139 @@
+#ifndef CAPERJUNCTION_TESTS_PROXY_STORE_READER_FIXTURE_HPP
+#define CAPERJUNCTION_TESTS_PROXY_STORE_READER_FIXTURE_HPP
+
+#include "platform/platform.hpp"
+#include "proxy/relay_fixture.hpp"
+#include "proxy/store_reader.hpp"
+
+#include <fmt/format.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace caperjunction::test {
+
+inline std::string json(std::string const& body, int status = 200)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}",
+                       status,
+                       body.size(),
+                       body);
+}
+
+inline std::string const one_item =
+    R"({"items":[{"key":"servers/i-1","value":"e30=","revision":4}],)"
+    R"("more_pages":false,"store_revision":9})";
+
+inline std::string const no_events = R"({"events":[],"store_revision":9})";
+
+/// Returns `answer` as sent over a saturated link: in pieces, slowly.
+inline script in_pieces(std::string const& answer,
+                        std::size_t pieces,
+                        model::milliseconds delay)
+{
+    std::size_t const head = answer.find("\r\n\r\n") + 4;
+    script slow{answer.substr(0, head)};
+    slow.remainder = answer.substr(head);
+    slow.delay = delay;
+    slow.piece_bytes = slow.remainder.size() / pieces + 1;
+    return slow;
+}
+
+/// A reader on a scripted store; its callbacks are recorded.
+struct reader_fixture
+{
+    runtime::event_loop loop;
+    std::deque<std::string> answers;
+    std::vector<std::string> targets;
+    scripted_upstream store;
+    proxy::store_codec codec = platform::store_codec();
+    std::size_t slow_pieces = 0;
+    model::milliseconds delay{0};
+    std::vector<std::string> events;
+    std::optional<model::time_point> confirmed;
+    std::uint64_t revision = 0;
+    std::vector<std::uint64_t> eras;
+    std::vector<std::string> era_faults;
+    proxy::store_reader reader;
+
+    explicit reader_fixture(std::deque<std::string> script_of_store)
+        : answers(std::move(script_of_store))
+        , store(loop,
+                [this](received const& request) -> script {
+                    targets.push_back(request.head.target);
+                    if (answers.empty()) {
+                        return {};
+                    }
+                    std::string const next = answers.front();
+                    answers.pop_front();
+                    if (next == "reset") {
+                        return {"", false, true};
+                    }
+                    return slow_pieces == 0
+                               ? script{next}
+                               : in_pieces(next, slow_pieces, delay);
+                })
+        , reader(loop,
+                 store.at(),
+                 codec,
+                 "",
+                 {[this](proxy::store_item const& item) {
+                      events.push_back((item.removed ? "-" : "+") + item.key);
+                  },
+                  [this](std::vector<std::string> const& keys,
+                         routing::store_position) {
+                      events.push_back("all " + std::to_string(keys.size()));
+                  },
+                  [this](model::time_point as_of,
+                         routing::store_position all_up_to) {
+                      confirmed = as_of;
+                      revision = all_up_to.revision;
+                  },
+                  [this](proxy::store_failure const& loss) {
+                      events.push_back("lost " + std::string(loss.reason));
+                  },
+                  [this] {
+                      events.emplace_back("regained");
+                  },
+                  nullptr,
+                  [this](std::uint64_t era) {
+                      eras.push_back(era);
+                  },
+                  [this](proxy::era_fault const& fault) {
+                      era_faults.push_back(std::string(fault.reason) + " "
+                                           + fault.value);
+                  }})
+    {
+        reader.start(200ms, [this] {
+            return loop.now();
+        });
+    }
+
+    void run_for(model::milliseconds time)
+    {
+        bool over = false;
+        loop.after(time, [&over] {
+            over = true;
+        });
+        while (!over) {
+            loop.run_once();
+        }
+    }
+
+    bool run_until_requested(std::size_t times)
+    {
+        auto const limit = loop.now() + 5s;
+        while (targets.size() < times && loop.now() < limit) {
+            loop.run_once();
+        }
+        return targets.size() >= times;
+    }
+};
+
+} // namespace caperjunction::test
+
+#endif
