serve: end calls whose answers have no end

What callers saw: none yet, by test. The list of plans or engines stays as it is when the platform's answer has no end (its read never ended); an engine's head or chunk size without end grows in libevent's buffer until the call times out. Cause: two readers stopped keeping bytes at a limit and went on reading; libevent limits neither heads of answers nor what waits to be parsed. Change: heads of 64 KiB, 1 MiB that waits to be parsed, a limit of a call's body that breaks it. Failed before: 'a published value without end ends its read' (2 checks). The case of heads and chunk sizes passed before too: at the speed of this machine they stayed below its 24 MB within their second.

--- a/src/net/engine_reader.cpp
+++ b/src/net/engine_reader.cpp
@@ -101,15 +101,14 @@
     call.to = engine.address;
     call.method = "GET";
     call.path = std::move(path);
+    call.max_body_bytes = max_answer_bytes;
     auto const state = std::make_shared<pending_answer>();
     call_hooks hooks;
     hooks.head = [state](call_head const& head) {
         state->status = head.status;
     };
     hooks.body = [state](std::string_view bytes) {
-        if (state->body.size() <= max_answer_bytes) {
-            state->body.append(bytes);
-        }
+        state->body.append(bytes);
     };
     hooks.done = [this, state, handler, name = engine.name](call_end end) {
         if (end == call_end::complete && state->status == status_ok) {
--- a/src/net/platform_reader.cpp
+++ b/src/net/platform_reader.cpp
@@ -81,15 +81,14 @@
     call.to = m_service;
     call.method = "GET";
     call.path = std::move(path);
+    call.max_body_bytes = max_answer_bytes;
     auto const state = std::make_shared<pending_answer>();
     call_hooks hooks;
     hooks.head = [state](call_head const& head) {
         state->status = head.status;
     };
     hooks.body = [state](std::string_view bytes) {
-        if (state->body.size() <= max_answer_bytes) {
-            state->body.append(bytes);
-        }
+        state->body.append(bytes);
     };
     model::time_point const started = m_loop.now();
     hooks.done = [this, state, value, started](call_end end) {
--- a/src/net/upstream_call.hpp
+++ b/src/net/upstream_call.hpp
@@ -5,6 +5,7 @@
 #include "model/time.hpp"
 #include "net/header.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -57,6 +58,8 @@
     /// repeated: the peer may close an idle connection at any time, and
     /// then it is unknown whether the call ran.
     bool needs_new_connection = false;
+    /// A longer body breaks the call; 0: the caller limits it.
+    std::size_t max_body_bytes = 0;
 };
 
 /// Callbacks of a call; each may cancel the call.
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -19,6 +19,12 @@
 // Disables libevent's own timeout, which would end pauses that sweep allows.
 constexpr int libevent_timeout_s = 24 * 3600;
 
+/// Of an answer's head, which libevent doesn't limit by itself.
+constexpr ev_ssize_t max_head_bytes = 65'536;
+/// Bytes that may wait to be parsed. A chunk's size may be a line without end;
+/// beyond this the connection isn't read, and the call times out.
+constexpr std::size_t max_unparsed_bytes = 1'048'576;
+
 std::string key_of(model::endpoint const& to)
 {
     return fmt::format("{}:{}", to.address, to.port);
@@ -85,6 +91,11 @@
     evhttp_connection* const created = evhttp_connection_base_new(
         m_loop.base(), nullptr, call.to.address.c_str(), call.to.port);
     evhttp_connection_set_timeout(created, libevent_timeout_s);
+    evhttp_connection_set_max_headers_size(created, max_head_bytes);
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(created),
+                             EV_READ,
+                             0,
+                             max_unparsed_bytes);
     return created;
 }
 
@@ -96,6 +107,7 @@
     running->to = call.to;
     running->hooks = std::move(hooks);
     running->connection = acquire_connection(call);
+    running->max_body_bytes = call.max_body_bytes;
     running->started = m_loop.now();
     running->progressed = running->started;
 
@@ -207,7 +219,15 @@
     std::size_t const size = evbuffer_get_length(input);
     auto const* const bytes =
         reinterpret_cast<char const*>(evbuffer_pullup(input, -1));
-    if (call.hooks.body && !call.ended && size > 0) {
+    if (call.ended || size == 0) {
+        return;
+    }
+    call.body_bytes += size;
+    if (call.max_body_bytes > 0 && call.body_bytes > call.max_body_bytes) {
+        call.owner->finish(call, call_end::broken);
+        return;
+    }
+    if (call.hooks.body) {
         call.hooks.body({bytes, size});
     }
 }
--- a/src/net/upstream_client.hpp
+++ b/src/net/upstream_client.hpp
@@ -73,6 +73,8 @@
         evhttp_connection* connection = nullptr;
         model::time_point started{};
         model::time_point progressed{};
+        std::size_t max_body_bytes = 0;
+        std::size_t body_bytes = 0;
         bool connected = false;
         bool answered = false;
         bool failed = false;
