--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -104,67 +104,14 @@
         m_tunnels = std::make_unique<proxy::tunnel_server>(m_context);
     }
     for (std::string const& prefix : m_codec.prefixes) {
-        proxy::store_hooks hooks;
-        hooks.on_item = [this](proxy::store_item const& item) {
-            m_replica.apply(item);
-        };
-        hooks.on_complete = [this](std::vector<std::string> const& keys,
-                                   routing::store_position at) {
-            runtime::log_line("store_read")
-                .field("era", at.era)
-                .field("revision", at.revision)
-                .field("keys", keys.size());
-            m_replica.retain_only(keys, at);
-            record_first_read();
-        };
-        hooks.on_gap = [](proxy::revision_gap const& gap) {
-            runtime::log_line("store_gap")
-                .field("after", gap.after)
-                .field("revision", gap.revision)
-                .field("missing", gap.missing);
-        };
-        hooks.on_confirmed = [this](model::time_point as_of,
-                                    routing::store_position at) {
-            routing::store_revisions const before = m_context.known;
-            m_replica.commit(at);
-            renew_keys(as_of);
-            broadcast_change(before);
-        };
-        hooks.on_era = [this](std::uint64_t era) {
-            m_replica.enter_era(era);
-        };
-        hooks.on_era_fault = [](proxy::era_fault const& fault) {
-            runtime::log_line("store_era_unreadable")
-                .field("reason", fault.reason)
-                .field("value", fault.value)
-                .field("known", fault.known);
-        };
-        hooks.on_lost = [this](proxy::store_failure const& failure) {
-            log_store_lost(failure);
-        };
-        hooks.on_regained = [this] {
-            m_context.directory.store_regained(m_loop.now());
-            runtime::log_line("store_regained")
-                .field("config_age_ms", m_context.keys.age(boot_now()).count());
-        };
         m_readers.push_back(std::make_unique<proxy::store_reader>(
-            m_loop, m_settings.platform, m_codec, prefix, std::move(hooks)));
+            m_loop, m_settings.platform, m_codec, prefix, reader_hooks()));
         // A host with peers doesn't know yet whether it watches the store for
         // them: `update_store_polling` decides that soon.
         m_readers.back()->set_watching(!m_peers);
     }
 }
 
-// A store that comes back from a copy may lack the newest configuration, and so
-// its answer doesn't confirm the keys of an older one.
-void routed_host::renew_keys(model::time_point as_of)
-{
-    if (m_context.peers.newest_configuration()
-        <= m_context.known.configuration) {
-        m_context.keys.renew(as_of);
-    }
-}
-
 bool routed_host::is_ready() const
 {
     return m_has_read && m_context.table && !m_relay.is_stopping();
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -38,6 +38,7 @@
 private:
     void serve_peers();
     void broadcast_change(routing::store_revisions const& before);
+    proxy::store_hooks reader_hooks();
     void renew_keys(model::time_point as_of);
     void update_store_polling();
     model::milliseconds watch_wait();
--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -238,16 +238,4 @@
         .field("is_among_them", limit.share().participates);
 }
 
-void routed_host::log_store_lost(proxy::store_failure const& failure)
-{
-    runtime::log_line("store_lost")
-        .field("why", failure.reason)
-        .field("call", failure.call)
-        .field("bytes", failure.progress.bytes)
-        .field("total_ms", failure.progress.total.count())
-        .field("quiet_ms", failure.progress.idle.count())
-        .field("config_age_ms",
-               m_context.keys.age(m_context.boot_now()).count());
-}
-
 } // namespace caperjunction::program
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -124,16 +124,16 @@
         return false;
     }
     m_has_era_fault = false;
-    bool const is_first =
-        !std::exchange(m_names_era, true) && !m_position.is_set();
-    if (*era == m_position.era) {
-        return true;
+    bool const is_news = !std::exchange(m_names_era, true);
+    bool const has_changed = *era != m_position.era;
+    bool const is_first = is_news && !m_position.is_set();
+    if (has_changed) {
+        m_position = {0, *era};
     }
-    m_position = {0, *era};
-    if (m_hooks.on_era) {
+    if (m_hooks.on_era && (is_news || has_changed)) {
         m_hooks.on_era(*era);
     }
-    if (is_first) {
+    if (is_first || !has_changed) {
         return true;
     }
     handle_success();
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -64,8 +64,8 @@
     std::function<void()> on_regained;
     /// A watch was answered with fewer changes than revisions.
     std::function<void(revision_gap const&)> on_gap;
-    /// The store has come back from a copy. Called before any item of the new
-    /// era.
+    /// The store names its era for the first time, or has come back from a copy.
+    /// Called before any item of that era.
     std::function<void(std::uint64_t era)> on_era;
     /// Called for the first of several such answers in a row.
     std::function<void(era_fault const&)> on_era_fault;
--- a/src/routing/store_position.hpp
+++ b/src/routing/store_position.hpp
@@ -1,7 +1,6 @@
 #ifndef CAPERJUNCTION_ROUTING_STORE_POSITION_HPP
 #define CAPERJUNCTION_ROUTING_STORE_POSITION_HPP
 
-#include <compare>
 #include <cstdint>
 
 namespace caperjunction::routing {
@@ -35,8 +34,28 @@
         return era != 0 || revision != 0;
     }
 
-    friend auto operator<=>(store_position const&,
-                            store_position const&) = default;
+    friend bool operator==(store_position const&,
+                           store_position const&) = default;
+
+    friend bool operator<(store_position const& a, store_position const& b)
+    {
+        return a.era != b.era ? a.era < b.era : a.revision < b.revision;
+    }
+
+    friend bool operator>(store_position const& a, store_position const& b)
+    {
+        return b < a;
+    }
+
+    friend bool operator<=(store_position const& a, store_position const& b)
+    {
+        return !(b < a);
+    }
+
+    friend bool operator>=(store_position const& a, store_position const& b)
+    {
+        return !(a < b);
+    }
 };
 
 } // namespace caperjunction::routing
--- a/tests/proxy/http_get_test.cpp
+++ b/tests/proxy/http_get_test.cpp
@@ -20,7 +20,7 @@
 /// A client and a server that sends without end.
 struct endless_server
 {
-    explicit endless_server(script plan)
+    explicit endless_server(script const& plan)
         : server(loop, [plan](received const&) {
             return plan;
         })
--- a/tests/proxy/store_copy_test.cpp
+++ b/tests/proxy/store_copy_test.cpp
@@ -70,7 +70,7 @@
                                 if (answers.empty()) {
                                     return {};
                                 }
-                                script const next{answers.front()};
+                                script next{answers.front()};
                                 answers.pop_front();
                                 return next;
                             }};
