Tell by its revisions that a store without eras has gone back

Its revision in a complete read, or in the answer of a watch, below what the reader has begins an era; readers that hear of it from peers read again. An era that the store names goes before.

--- a/src/program/routed_host_peers.cpp
+++ b/src/program/routed_host_peers.cpp
@@ -70,6 +70,7 @@
     for (auto const& reader : m_readers) {
         reader->set_watch_wait(watch_wait());
         reader->skip_to(m_context.known.all());
+        reader->adopt_era(m_context.known.upstreams.era);
         reader->set_watching(is_store_watcher);
         if (is_behind) {
             reader->poll_once();
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -116,6 +116,11 @@
         fault_era("unreadable", *text);
         return true;
     }
+    if (*era < m_position.era && !m_names_era) {
+        // It was inferred here before the store named one.
+        fault_era("older", *text);
+        return true;
+    }
     if (*era < m_position.era) {
         // Another store behind the same address, or one that was reset: what it
         // holds may be older than what this host has.
@@ -141,6 +146,23 @@
     return false;
 }
 
+void store_reader::adopt_era(std::uint64_t era)
+{
+    if (m_names_era || m_is_idle || era <= m_position.era) {
+        return;
+    }
+    m_position = {0, era};
+    m_get.stop();
+    start_reading();
+}
+
+// Returns whether the store, which names no era, has gone back behind what this
+// reader has.
+bool store_reader::has_gone_back(std::uint64_t revision) const
+{
+    return !m_names_era && revision < m_position.revision;
+}
+
 void store_reader::fault_era(std::string_view reason, std::string const& value)
 {
     if (!std::exchange(m_has_era_fault, true) && m_hooks.on_era_fault) {
@@ -204,6 +226,12 @@
     if (is_first) {
         // Pages are not a snapshot: changes since the first page are received
         // by the watch.
+        if (has_gone_back(page.revision)) {
+            ++m_position.era;
+            if (m_hooks.on_era) {
+                m_hooks.on_era(m_position.era);
+            }
+        }
         m_position.revision = page.revision;
     }
     handle_success();
@@ -307,6 +335,10 @@
         return;
     }
     handle_success();
+    if (has_gone_back(changes.revision)) {
+        read_again();
+        return;
+    }
     for (store_item& item : changes.items) {
         item.era = m_position.era;
         m_hooks.on_item(item);
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -64,8 +64,8 @@
     std::function<void()> on_regained;
     /// A watch was answered with fewer changes than revisions.
     std::function<void(revision_gap const&)> on_gap;
-    /// The store names its era for the first time, or has come back from a copy.
-    /// Called before any item of that era.
+    /// The store names its era for the first time, or has come back from a
+    /// copy. Called before any item of that era.
     std::function<void(std::uint64_t era)> on_era;
     /// Called for the first of several such answers in a row.
     std::function<void(era_fault const&)> on_era_fault;
@@ -116,9 +116,15 @@
     /// next poll.
     void skip_to(routing::store_position at);
 
+    /// Tells the reader of the newest era that this host knows from peers. If
+    /// the store names none, a reader infers one from revisions that have gone
+    /// back; one that has not seen that reads the store again, in that era.
+    void adopt_era(std::uint64_t era);
+
 private:
     void idle_or_watch();
     bool enter_era();
+    bool has_gone_back(std::uint64_t revision) const;
     void fault_era(std::string_view reason, std::string const& value);
     void read_again();
     void start_reading();
--- a/tests/proxy/store_reader_era_test.cpp
+++ b/tests/proxy/store_reader_era_test.cpp
@@ -154,3 +154,53 @@
         CHECK(is_complete_read(fixture.targets[2]));
     }
 }
+
+// Guards against the same where the store names no era: its revisions alone
+// tell that it has gone back.
+TEST_CASE("a store without eras that goes back begins one")
+{
+    SUBCASE("after a 410")
+    {
+        reader_fixture fixture({page("a", 9, false),
+                                json("{}", 410),
+                                page("b", 5, false),
+                                change("x", 6)});
+        REQUIRE(fixture.run_until_requested(5));
+        CHECK(fixture.eras == std::vector<std::uint64_t>{1});
+        CHECK(fixture.targets[3].find("after=5&") != std::string::npos);
+        CHECK(fixture.revision == 6);
+    }
+    SUBCASE("by the answer of a watch")
+    {
+        reader_fixture fixture(
+            {page("a", 9, false), change("x", 6), page("b", 6, false)});
+        REQUIRE(fixture.run_until_requested(4));
+        CHECK(fixture.eras == std::vector<std::uint64_t>{1});
+        CHECK(fixture.events
+              == std::vector<std::string>{"+a", "all 1", "+b", "all 1"});
+    }
+    SUBCASE("as peers have noticed")
+    {
+        reader_fixture fixture({page("a", 9, false)});
+        REQUIRE(fixture.run_until_requested(2));
+        fixture.answers.push_back(page("b", 5, false));
+        fixture.answers.push_back(change("x", 6));
+        fixture.reader.adopt_era(1);
+        fixture.reader.adopt_era(1);
+        REQUIRE(fixture.run_until_requested(5));
+        CHECK(is_complete_read(fixture.targets[2]));
+        CHECK(fixture.targets[3].find("after=5&") != std::string::npos);
+        CHECK(fixture.eras.empty());
+    }
+}
+
+TEST_CASE("a store that names eras is not taken to have gone back")
+{
+    reader_fixture fixture({of_era("3", page("a", 9, false)),
+                            of_era("3", json("{}", 410)),
+                            of_era("3", page("b", 5, false))});
+    REQUIRE(fixture.run_until_requested(4));
+    fixture.reader.adopt_era(7);
+    CHECK(fixture.eras == std::vector<std::uint64_t>{3});
+    CHECK(fixture.targets.size() == 4);
+}
