--- a/src/program/store_replica.cpp
+++ b/src/program/store_replica.cpp
@@ -62,12 +62,13 @@
     // Its removal is among what the copy lacks: the entry may be older.
     bool const may_be_outdated =
         is_new && removed_at.is_set() && removed_at.era < item.era;
+    bool const has_changed = !is_new && stored->second.era == item.era;
     stored->second = item;
     decode(item);
     if (may_be_outdated) {
         m_context.directory.withhold(m_codec.upstream_id(item.key),
                                      m_context.loop.now());
-    } else if (!is_new) {
+    } else if (has_changed) {
         m_context.directory.release(m_codec.upstream_id(item.key));
     }
 }
--- a/src/routing/upstream_directory.cpp
+++ b/src/routing/upstream_directory.cpp
@@ -20,8 +20,11 @@
 
 void upstream_directory::put(upstream const& described)
 {
-    m_missing.erase(described.id);
     upstream_ptr& held = m_by_id[described.id];
+    if (m_missing.erase(described.id) > 0 && held) {
+        // It may be an entry of a copy from before its removal: see `withhold`.
+        record_departure(*held);
+    }
     std::string const before =
         held ? held->description.service : described.service;
     bool const is_same =
--- a/tests/program/store_era_test.cpp
+++ b/tests/program/store_era_test.cpp
@@ -292,3 +292,37 @@
     CHECK(!earlier.has_newer(routing::list_kind::configuration, own));
     CHECK(!own.covers_configuration(earlier));
 }
+
+// Guards against requests to an upstream that left without a word between two
+// returns of the store: its entry was kept for the settle time of the first.
+TEST_CASE("an entry that goes between two returns is withheld after the second")
+{
+    clocked_hosts fleet;
+    replica_host host(fleet.loop);
+    read_first_era(host);
+    read_copy(host);
+    host.replica.apply(in_era(2, removal_item("i-1", 123)));
+    host.replica.commit({123, 2});
+    host.replica.enter_era(3);
+    host.replica.apply(in_era(3, upstream_item("i-1", 120)));
+    host.replica.retain_only({"servers/i-1"}, {122, 3});
+    CHECK(!host.uses("i-1"));
+    host.replica.apply(in_era(3, upstream_item("i-1", 123)));
+    CHECK(host.uses("i-1"));
+}
+
+// The same where it had gone before the first return.
+TEST_CASE("an entry that is withheld stays so at another return")
+{
+    clocked_hosts fleet;
+    replica_host host(fleet.loop);
+    read_first_era(host);
+    host.replica.apply(in_era(1, removal_item("i-1", 127)));
+    host.replica.commit({127, 1});
+    read_copy(host);
+    CHECK(!host.uses("i-1"));
+    host.replica.enter_era(3);
+    host.replica.apply(in_era(3, upstream_item("i-1", 120)));
+    host.replica.retain_only({"servers/i-1"}, {122, 3});
+    CHECK(!host.uses("i-1"));
+}
