--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -169,17 +169,6 @@
     }
 }
 
-void store_reader::skip_to(routing::store_position at)
-{
-    if (!m_is_idle || at <= m_position) {
-        return;
-    }
-    m_position = at;
-    if (std::exchange(m_awaits_peers, false)) {
-        m_loop.cancel(m_delay_timer);
-    }
-}
-
 void store_reader::idle_or_watch()
 {
     m_polls_once = false;
--- a/src/proxy/store_reader_era.cpp
+++ b/src/proxy/store_reader_era.cpp
@@ -62,6 +62,17 @@
     return false;
 }
 
+void store_reader::skip_to(routing::store_position at)
+{
+    if (!m_is_idle || at <= m_position) {
+        return;
+    }
+    m_position = at;
+    if (std::exchange(m_awaits_peers, false)) {
+        m_loop.cancel(m_delay_timer);
+    }
+}
+
 void store_reader::adopt_era(std::uint64_t era)
 {
     if (m_names_era || m_is_idle || era <= m_position.era) {
