--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -229,7 +229,7 @@
         item.era = m_position.era;
         m_hooks.on_item(item);
     }
-    if (has_gap(changes)) {
+    if (must_read_for_gap(changes)) {
         read_again();
         return;
     }
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -137,7 +137,7 @@
                       std::function<void(int, std::string const&)> on_answer);
     void handle_page(int status, std::string const& body);
     void handle_changes(int status, std::string const& body);
-    bool has_gap(store_answer const& changes);
+    bool must_read_for_gap(store_answer const& changes);
     void handle_failure(std::string_view reason);
     void handle_success();
 
--- a/src/proxy/store_reader_era.cpp
+++ b/src/proxy/store_reader_era.cpp
@@ -128,7 +128,7 @@
 // revision without a change in the answer is a change that was not received. A
 // reader that moved on would never hear of it. A store that has such answers
 // all the time is read again now and then only.
-bool store_reader::has_gap(store_answer const& changes)
+bool store_reader::must_read_for_gap(store_answer const& changes)
 {
     std::set<std::uint64_t> received;
     for (store_item const& item : changes.items) {
