Test requests that crash engines at seven hosts; name them in the log

Callers saw: a request under which three engines had ended was sent to four more. Change: no logic. attempt_broken names the request and the crashes that the host knew of, request_ended the request that is refused for them.

--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -88,6 +88,10 @@
         .field("status", ended.status)
         .field("outcome", ended.outcome)
         .field("reason", ended.reason)
+        .field("request",
+               ended.refused_request == 0
+                   ? std::string()
+                   : fmt::format("{:x}", ended.refused_request))
         .field("parts", ids_of(ended.refused_parts))
         .field("last_try", ended.last_attempt)
         .field("upstream", ended.upstream)
--- a/src/program/routed_host_parts.cpp
+++ b/src/program/routed_host_parts.cpp
@@ -33,6 +33,8 @@
         .field("upstream", broken.upstream)
         .field("started", broken.upstream_started)
         .field("through", broken.through)
+        .field("request", fmt::format("{:x}", broken.request))
+        .field("crashes", broken.known_crashes)
         .field("parts", ids_of(broken.prompt->parts))
         .field("events", broken.events)
         .field("since_head_ms", broken.since_head.count());
--- a/src/proxy/broken_attempt_report.hpp
+++ b/src/proxy/broken_attempt_report.hpp
@@ -4,6 +4,7 @@
 #include "model/time.hpp"
 #include "routing/prompt.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -13,6 +14,10 @@
 struct broken_attempt_report
 {
     std::string_view id;
+    /// Identifies the request at all hosts, however often it is repeated.
+    std::uint64_t request = 0;
+    /// Crashes at which it was in flight, as far as this host knew before.
+    std::size_t known_crashes = 0;
     std::string_view route;
     std::string_view service;
     std::string_view upstream;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -78,6 +78,7 @@
     routing::pick choose();
     bool has_alternative();
     std::uint64_t fingerprint();
+    std::size_t known_crashes();
     bool is_quarantined();
 
     // exchange_parts.cpp
@@ -129,7 +130,7 @@
     bool is_stream_broken_off() const;
     void handle_fault(answer_fault fault);
     void record_fault(answer_fault fault);
-    void report_broken_attempt() const;
+    void report_broken_attempt();
     /// Time since the head of the current attempt's answer; negative if there
     /// was none.
     model::milliseconds since_head() const;
--- a/src/proxy/exchange_end.cpp
+++ b/src/proxy/exchange_end.cpp
@@ -124,13 +124,15 @@
                                                            - *m_head_at);
 }
 
-void exchange::report_broken_attempt() const
+void exchange::report_broken_attempt()
 {
     if (!m_context.on_attempt_broken) {
         return;
     }
     broken_attempt_report report;
     report.id = m_metadata.id;
+    report.request = fingerprint();
+    report.known_crashes = known_crashes();
     report.route = m_route->name;
     report.service = m_service;
     report.upstream = m_upstream->description.id;
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -66,14 +66,18 @@
     return m_fingerprint;
 }
 
+std::size_t exchange::known_crashes()
+{
+    return m_context.suspects.crashes_of(fingerprint(), m_context.loop.now())
+           + m_context.peers.crashes_of(fingerprint());
+}
+
 bool exchange::is_quarantined()
 {
     if (m_context.suspects.is_empty() && m_context.peers.has_no_crashes()) {
         return false;
     }
-    return m_context.suspects.crashes_of(fingerprint(), m_context.loop.now())
-               + m_context.peers.crashes_of(fingerprint())
-           >= routing::crash_suspects::max_crashes;
+    return known_crashes() >= routing::crash_suspects::max_crashes;
 }
 
 std::optional<model::milliseconds> exchange::overload_retry_after() const
@@ -116,6 +120,7 @@
         return;
     }
     if (is_quarantined()) {
+        m_report.refused_request = fingerprint();
         refuse(may_have_run() ? reason_code::upstream_failed
                               : reason_code::quarantined);
         return;
--- a/tests/proxy/crashing_fleet.cpp
+++ b/tests/proxy/crashing_fleet.cpp
@@ -66,8 +66,33 @@
                        });
 }
 
+void crashing_fleet::end_later(std::size_t engine)
+{
+    fleet.loop.after(time_to_crash, [this, engine] {
+        crashes.push_back(fleet.loop.now());
+        crash(engine);
+    });
+}
+
+script crashing_fleet::answer_plain(received const& request) const
+{
+    std::string const* const id = request.head.find("Attempt-Id");
+    std::string whole = valid_answer("done");
+    constexpr std::string_view mark = "@ID@";
+    whole.replace(whole.find(mark), mark.size(), *id);
+    script plain;
+    plain.remainder = whole;
+    plain.delay = work;
+    return plain;
+}
+
 script crashing_fleet::answer(received const& request)
 {
+    if (crashing_bodies.count(request.body) > 0) {
+        m_arrivals.push_back(fleet.loop.now());
+        end_later(engine_of(request));
+        return {};
+    }
     auto const* const prompt = request.head.find("Prompt-Prefix");
     if (prompt != nullptr && is_guilty(*prompt)) {
         if (!crashes_engines) {
@@ -75,13 +100,12 @@
             broken.resets = true;
             return broken;
         }
-        std::size_t const engine = engine_of(request);
-        fleet.loop.after(time_to_crash, [this, engine] {
-            crashes.push_back(fleet.loop.now());
-            crash(engine);
-        });
+        end_later(engine_of(request));
         return {stream_head()};
     }
+    if (prompt == nullptr && request.head.target.rfind("/stream/", 0) != 0) {
+        return answer_plain(request);
+    }
     script sound{stream_head() + event_of(1, "begun")};
     sound.remainder = event_of(2, "done") + "0\r\n\r\n";
     sound.delay = 150ms;
@@ -90,8 +114,11 @@
 
 void crashing_fleet::crash(std::size_t engine)
 {
-    fleet.set_upstream(engine, path_state::resetting);
+    bool const is_silent = way == crash_way::falls_silent;
+    fleet.set_upstream(engine,
+                       is_silent ? path_state::silent : path_state::resetting);
     fleet.loop.after(repair, [this, engine] {
+        fleet.set_upstream(engine, path_state::resetting);
         fleet.set_version(engine, "v1");
         fleet.set_upstream(engine, path_state::open);
     });
@@ -114,6 +141,26 @@
                         is_guilty(prompt)});
 }
 
+first_try crashing_fleet::repeat(std::size_t host,
+                                 repeated_request const& repeated)
+{
+    std::string const id = "w" + std::to_string(++m_next_id);
+    return fleet.send(host, repeated.path, id, "", repeated.body, repeated.key);
+}
+
+std::size_t crashing_fleet::late_arrivals(model::milliseconds grace) const
+{
+    constexpr std::size_t graced_crashes = 3;
+    if (crashes.size() < graced_crashes) {
+        return 0;
+    }
+    auto const since = crashes[graced_crashes - 1] + grace;
+    return static_cast<std::size_t>(
+        std::count_if(m_arrivals.begin(), m_arrivals.end(), [since](auto at) {
+            return at > since;
+        }));
+}
+
 std::size_t crashing_fleet::guilty_runs() const
 {
     return guilty_runs_since({});
--- a/tests/proxy/crashing_fleet.hpp
+++ b/tests/proxy/crashing_fleet.hpp
@@ -3,6 +3,7 @@
 
 #include "proxy/host_fleet.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,8 +14,17 @@
 /// Parts of a prompt that requests share, in order.
 using shared_parts = std::vector<std::string>;
 
-/// Hosts before engines that crash when they begin to write an answer on a
-/// part, and start again some time later.
+/// How an engine ends.
+enum class crash_way : std::uint8_t
+{
+    /// Its connections are reset, and new ones refused, until it starts again.
+    resets,
+    /// Nothing passes until it starts again; then the same.
+    falls_silent,
+};
+
+/// Hosts before engines that crash when they begin to write an answer on a part
+/// or to run one request, and start again some time later.
 class crashing_fleet
 {
 public:
@@ -33,6 +43,26 @@
     /// Starts one more host.
     void add_host(std::string const& data_centre);
 
+    /// A request that is sent again and again, each time under a new id.
+    struct repeated_request
+    {
+        std::string path;
+        std::string body;
+        std::string key = "secret";
+    };
+
+    /// Sends a repeated request to a host.
+    first_try repeat(std::size_t host, repeated_request const& repeated);
+
+    /// Returns when engines received one of the requests that crash them.
+    std::vector<model::time_point> const& arrivals() const
+    {
+        return m_arrivals;
+    }
+
+    /// Returns the number of these from `grace` after the third crash on.
+    std::size_t late_arrivals(model::milliseconds grace) const;
+
     /// Sends a request to the next host on a path of the fixture.
     void send(std::string const& path, shared_parts const& parts);
 
@@ -53,6 +83,11 @@
     host_fleet fleet;
     /// Parts that crash engines.
     std::set<std::string> crashing_parts;
+    /// Bodies of requests that crash engines.
+    std::set<std::string> crashing_bodies;
+    crash_way way = crash_way::resets;
+    /// Time that other requests without a prompt take.
+    model::milliseconds work{0};
     std::vector<prompt_request> requests;
     /// When engines crashed because of a part.
     std::vector<model::time_point> crashes;
@@ -66,9 +101,12 @@
 
 private:
     script answer(received const& request);
+    script answer_plain(received const& request) const;
+    void end_later(std::size_t engine);
     bool is_guilty(std::string const& prompt) const;
 
     int m_next_id = 0;
+    std::vector<model::time_point> m_arrivals;
 };
 
 /// Returns the share of requests that were served.
--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -152,7 +152,8 @@
                            std::string const& path,
                            std::string const& id,
                            std::string const& more,
-                           std::string const& body)
+                           std::string const& body,
+                           std::string const& key)
 {
     hosts[host]->context.keys.renew(loop.now());
     first_try made;
@@ -173,7 +174,7 @@
                                         raw->closed = true;
                                     },
                                     nullptr});
-    raw->stream->write(relay_fixture::request(path, made.id, more, body));
+    raw->stream->write(relay_fixture::request(path, made.id, more, body, key));
     return made;
 }
 
--- a/tests/proxy/host_fleet.hpp
+++ b/tests/proxy/host_fleet.hpp
@@ -70,7 +70,8 @@
                    std::string const& path,
                    std::string const& id,
                    std::string const& more = "",
-                   std::string const& body = "order");
+                   std::string const& body = "order",
+                   std::string const& key = "secret");
 
     /// Ends a host as a kill would: its connections break, and it tells nobody.
     void kill(std::size_t host);
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -171,14 +171,16 @@
 std::string relay_fixture::request(std::string const& path,
                                    std::string const& id,
                                    std::string const& more,
-                                   std::string const& body)
+                                   std::string const& body,
+                                   std::string const& key)
 {
     return fmt::format("POST {}x?q=1 HTTP/1.1\r\nHost: desk.example\r\n"
                        "Attempt-Id: {}\r\nDeadline-Ms: 1500\r\n"
-                       "Authorization: Bearer secret\r\n{}"
+                       "Authorization: Bearer {}\r\n{}"
                        "Content-Length: {}\r\n\r\n{}",
                        path,
                        id,
+                       key,
                        more,
                        body.size(),
                        body);
--- a/tests/proxy/relay_fixture.hpp
+++ b/tests/proxy/relay_fixture.hpp
@@ -68,7 +68,8 @@
     static std::string request(std::string const& path,
                                std::string const& id = "a1",
                                std::string const& more = "",
-                               std::string const& body = "order");
+                               std::string const& body = "order",
+                               std::string const& key = "secret");
 
     runtime::event_loop loop;
     proxy::wire_names names = platform::wire_names();
--- /dev/null
+++ b/tests/proxy/relay_repeat_test.cpp
@@ -0,0 +1,213 @@
+#include "proxy/crashing_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace caperjunction;
+using namespace caperjunction::test;
+
+namespace {
+
+/// Arrivals of one request at engines, in all and from `grace` after the third
+/// crash on.
+constexpr std::size_t max_arrivals = 4;
+constexpr std::size_t max_late_arrivals = 0;
+constexpr model::milliseconds grace{1'000};
+
+constexpr std::size_t engines = 12;
+std::vector<std::string> const seven_hosts{"a", "a", "a", "b", "b", "c", "c"};
+std::string const guilty_body = "crashes";
+
+crashing_fleet::repeated_request const booked{"/book/", guilty_body};
+
+/// Sends a request to the hosts in turn, once each `gap`.
+std::vector<first_try> repeat(crashing_fleet& site,
+                              crashing_fleet::repeated_request const& repeated,
+                              int times,
+                              model::milliseconds gap)
+{
+    std::vector<first_try> tries;
+    for (int number = 0; number < times; ++number) {
+        std::size_t host =
+            static_cast<std::size_t>(number) % site.fleet.hosts.size();
+        host = site.only_host.value_or(host);
+        if (site.fleet.hosts[host]) {
+            tries.push_back(site.repeat(host, repeated));
+        }
+        site.fleet.run_for(gap);
+    }
+    return tries;
+}
+
+void check_arrivals(crashing_fleet const& site)
+{
+    CHECK(site.arrivals().size() <= max_arrivals);
+    CHECK(site.late_arrivals(grace) <= max_late_arrivals);
+}
+
+/// Ends all engines again and again, until each host has lost about `lost`
+/// requests there.
+void crash_with_requests_in_flight(crashing_fleet& site, int lost)
+{
+    constexpr int at_a_time = 10;
+    // Callers that stay.
+    std::vector<first_try> tries;
+    site.work = 300ms;
+    site.repair = 200ms;
+    for (int number = 0; number < lost; ++number) {
+        for (std::size_t host = 0; host < site.fleet.hosts.size(); ++host) {
+            std::string const body =
+                "sound" + std::to_string(number) + "-" + std::to_string(host);
+            tries.push_back(site.repeat(host, {"/book/", body}));
+        }
+        if (number % at_a_time == at_a_time - 1) {
+            site.fleet.run_for(100ms);
+            for (std::size_t engine = 0; engine < engines; ++engine) {
+                site.crash(engine);
+            }
+            site.fleet.run_for(500ms);
+        }
+    }
+    site.work = 0ms;
+}
+
+bool is_quarantined(first_try const& made)
+{
+    return made.caller->received_bytes.find("quarantined") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a request that each host sends until it has counted itself.
+TEST_CASE("a request that crashes engines is stopped over all hosts")
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.crashing_bodies = {guilty_body};
+    site.repair = 900ms;
+    auto const tries = repeat(site, booked, 12, 400ms);
+    check_arrivals(site);
+    CHECK(tries.back().says_not_run());
+    CHECK(is_quarantined(tries.back()));
+}
+
+// Guards against evidence that is crowded out by requests which were in flight
+// at crashes of other causes.
+TEST_CASE("a request that crashes engines is stopped whatever crashed before"
+          * doctest::skip())
+{
+    crashing_fleet site(seven_hosts, engines);
+    crash_with_requests_in_flight(site, 120);
+    site.repair = 900ms;
+    std::vector<std::string> const bodies{"crash 1", "crash 2", "crash 3"};
+    site.crashing_bodies = {bodies.begin(), bodies.end()};
+    std::vector<first_try> tries;
+    for (std::size_t number = 0; number < 24; ++number) {
+        std::size_t const host = number / bodies.size() % seven_hosts.size();
+        tries.push_back(
+            site.repeat(host, {"/book/", bodies[number % bodies.size()]}));
+        site.fleet.run_for(400ms);
+    }
+    CHECK(site.arrivals().size() <= max_arrivals * bodies.size());
+    CHECK(is_quarantined(tries.back()));
+}
+
+// Guards against evidence that is lost with the hosts that saw it.
+TEST_CASE("a request that crashes engines is stopped when its witnesses end"
+          * doctest::skip())
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.crashing_bodies = {guilty_body};
+    site.repair = 900ms;
+    repeat(site, booked, 3, 400ms);
+    for (std::size_t witness = 0; witness < 3; ++witness) {
+        site.fleet.kill(witness);
+    }
+    // Until nothing of them counts any more.
+    site.fleet.run_for(3s);
+    repeat(site, booked, 14, 400ms);
+    check_arrivals(site);
+}
+
+// Guards against crashes that are seen through another host alone.
+TEST_CASE("a request that crashes engines through another host is stopped"
+          * doctest::skip())
+{
+    crashing_fleet site({"a", "a", "a"}, engines);
+    site.crashing_bodies = {guilty_body};
+    site.repair = 900ms;
+    site.fleet.set_links(0, path_state::resetting);
+    // Until the host has noticed.
+    for (int number = 0; number < 4; ++number) {
+        auto const made =
+            site.repeat(0, {"/view/", "sound" + std::to_string(number)});
+        site.fleet.run_for(50ms);
+    }
+    site.only_host = 0;
+    repeat(site, booked, 12, 400ms);
+    CHECK(site.arrivals().size() >= 3);
+    check_arrivals(site);
+}
+
+// Guards against a count that begins again with another key of the caller.
+TEST_CASE("a request that crashes engines is stopped under another key"
+          * doctest::skip())
+{
+    crashing_fleet site(seven_hosts, engines);
+    auto lists = test_configuration();
+    lists.version = 2;
+    lists.teams = {{"desk", {"secret", "rotated"}, {}}};
+    for (auto const& host : site.fleet.hosts) {
+        host->context.table =
+            std::make_shared<routing::route_table const>(lists);
+    }
+    site.crashing_bodies = {guilty_body};
+    site.repair = 900ms;
+    repeat(site, booked, 4, 400ms);
+    auto rotated = booked;
+    rotated.key = "rotated";
+    repeat(site, rotated, 8, 400ms);
+    check_arrivals(site);
+}
+
+// Guards against an engine that ends without a word: no connection breaks.
+TEST_CASE("a request that silences engines is stopped" * doctest::skip())
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.crashing_bodies = {guilty_body};
+    site.way = crash_way::falls_silent;
+    site.repair = 2'500ms;
+    repeat(site, booked, 12, 760ms);
+    CHECK(site.late_arrivals(grace) <= 3);
+}
+
+// Guards against sound requests that are refused because engines crash for
+// other reasons.
+TEST_CASE("pages that all callers look at are served while engines crash"
+          * doctest::skip())
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.work = 300ms;
+    site.repair = 700ms;
+    std::vector<first_try> tries;
+    auto const until = site.fleet.loop.now() + 8s;
+    auto next_crash = site.fleet.loop.now() + 400ms;
+    for (std::size_t number = 0; site.fleet.loop.now() < until; ++number) {
+        std::string const page = "page" + std::to_string(number % 5);
+        tries.push_back(
+            site.repeat(number % seven_hosts.size(), {"/view/", page}));
+        if (site.fleet.loop.now() >= next_crash) {
+            site.crash(number % engines);
+            next_crash += 400ms;
+        }
+        site.fleet.run_for(12ms);
+    }
+    site.fleet.run_for(1s);
+    std::size_t refused = 0;
+    for (first_try const& made : tries) {
+        refused += is_quarantined(made) ? 1U : 0U;
+    }
+    CHECK(tries.size() > 300);
+    CHECK(refused == 0);
+}
