Tell a host that asks of crashes that others have seen

With two crashes known and no verdict yet, hosts that were replaced one after the other counted anew. Cause: a host that starts asks three others, and each told it the crashes that it had seen itself, but not those that it had heard of. With the last witness the evidence was gone. Change: the answer has all crashes that are not answered for, with up to 256 candidates, those at most crashes first. Evidence: "a host that asks is told of crashes that others have seen, too" failed before (0 crashes of 1). The play of seven hosts that are replaced passed before as well (4 arrivals of 4; now 3); its bound was not made for this.

--- a/src/proxy/part_exchange.cpp
+++ b/src/proxy/part_exchange.cpp
@@ -21,6 +21,8 @@
 /// Crashes in a round.
 constexpr model::milliseconds crash_retention{30'000};
 constexpr std::size_t max_own_crashes = 8;
+/// Candidates of crashes that a host is told of when it asks.
+constexpr std::size_t max_candidates_for_one = 256;
 
 template <typename Item>
 void append(std::vector<Item>& to, std::vector<Item> const& more)
@@ -108,7 +110,10 @@
     }
     record(*message);
     if (message->asks) {
-        m_send(from, encode_part_message(summary(), m_context.loop.now()));
+        part_message known = summary();
+        known.crashes =
+            m_context.parts.unanswered_crashes(max_candidates_for_one);
+        m_send(from, encode_part_message(known, m_context.loop.now()));
     }
     forward(std::move(*message), from);
 }
--- a/src/routing/crash_table.cpp
+++ b/src/routing/crash_table.cpp
@@ -1,7 +1,9 @@
 #include "routing/crash_table.hpp"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
+#include <utility>
 
 namespace caperjunction::routing {
 namespace {
@@ -99,7 +101,7 @@
             auto const last = against.sightings.empty()
                                   ? model::time_point{}
                                   : against.sightings.back().at;
-            list.push_back({unanswered(against), last, part});
+            list.push_back({count_unanswered(against), last, part});
         }
     }
     std::size_t const excess =
@@ -111,7 +113,7 @@
     });
 }
 
-std::size_t crash_table::unanswered(evidence const& against)
+std::size_t crash_table::count_unanswered(evidence const& against)
 {
     return static_cast<std::size_t>(
         std::count_if(against.sightings.begin(),
@@ -121,6 +123,45 @@
                       }));
 }
 
+std::vector<upstream_crash>
+crash_table::unanswered(std::size_t max_candidates) const
+{
+    using entry = std::pair<std::size_t, shared_part>;
+    std::vector<entry> order;
+    for (auto const& [part, against] : m_parts) {
+        order.emplace_back(count_unanswered(against), part);
+    }
+    std::sort(order.begin(), order.end(), [](entry const& a, entry const& b) {
+        return a.first > b.first;
+    });
+    std::map<std::pair<std::uint64_t, std::uint64_t>, upstream_crash> crashes;
+    std::size_t candidates = 0;
+    for (auto const& [count, part] : order) {
+        evidence const& against = m_parts.at(part);
+        for (sighting const& item : against.sightings) {
+            if (is_answered(against, item) || candidates >= max_candidates) {
+                continue;
+            }
+            ++candidates;
+            upstream_crash& crash = crashes[{item.start, part.service}];
+            crash.start = item.start;
+            crash.service = part.service;
+            crash.version = item.version;
+            crash.at = item.at;
+            crash.candidates.push_back({part.id,
+                                        item.sent_at,
+                                        against.is_trusted,
+                                        item.has_begun,
+                                        part.kind});
+        }
+    }
+    std::vector<upstream_crash> list;
+    for (auto const& [key, crash] : crashes) {
+        list.push_back(crash);
+    }
+    return list;
+}
+
 bool crash_table::is_answered(evidence const& against, sighting const& item)
 {
     return std::any_of(against.answers.begin(),
--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -109,6 +109,10 @@
     /// Returns whether all of these sorted parts were in flight at one crash.
     bool has_crash_of(parts const& all) const;
 
+    /// Returns the crashes since the last answers of the parts in them, with up
+    /// to `max_candidates` in all: those at most crashes first.
+    std::vector<upstream_crash> unanswered(std::size_t max_candidates) const;
+
     bool is_empty() const
     {
         return m_parts.empty();
@@ -150,7 +154,7 @@
     };
 
     void forget_weakest();
-    static std::size_t unanswered(evidence const& against);
+    static std::size_t count_unanswered(evidence const& against);
     static bool is_answered(evidence const& against, sighting const& item);
     void add(upstream_crash const& seen, crash_candidate const& candidate);
     std::size_t verdict_threshold(shared_part const& part,
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -129,6 +129,14 @@
         return in_sequence(part).size();
     }
 
+    /// Returns the crashes that are not answered for, for a host that has just
+    /// come into touch; see `crash_table::unanswered`.
+    std::vector<upstream_crash>
+    unanswered_crashes(std::size_t max_candidates) const
+    {
+        return m_crashes.unanswered(max_candidates);
+    }
+
     /// Returns the parts of which only one request at a time runs.
     std::size_t parts_on_trial() const;
 
--- a/tests/proxy/crashing_fleet.cpp
+++ b/tests/proxy/crashing_fleet.cpp
@@ -47,7 +47,9 @@
 {
     std::vector<model::endpoint> seeds;
     for (auto const& host : fleet.hosts) {
-        seeds.push_back(host->context.settings.peer_listen);
+        if (host) {
+            seeds.push_back(host->context.settings.peer_listen);
+        }
     }
     fleet.hosts.push_back(
         std::make_unique<host_fleet::host>(fleet, data_centre, seeds, 0));
--- a/tests/proxy/part_exchange_test.cpp
+++ b/tests/proxy/part_exchange_test.cpp
@@ -190,6 +190,27 @@
     CHECK(host.sent.back().first == peer);
 }
 
+// Guards against a host that starts and counts anew.
+TEST_CASE("a host that asks is told of crashes that others have seen, too")
+{
+    exchange_host host;
+    host.add_peer(peer);
+    host.parts.sweep();
+    auto const at = host.fixture.loop.now();
+    host.fixture.context.parts.record_crash(crash_of(1, at - 2s));
+    auto answered = crash_of(2, at - 1s);
+    answered.candidates[0].id = 9;
+    host.fixture.context.parts.record_crash(answered);
+    host.fixture.context.parts.record_answer({{2, 9}, 3, at});
+    host.sent.clear();
+    proxy::part_message question;
+    question.asks = true;
+    host.parts.receive(proxy::encode_part_message(question, at), peer);
+    REQUIRE(host.last().crashes.size() == 1);
+    CHECK(host.last().crashes[0].start == 1);
+    CHECK(host.last().crashes[0].candidates.size() == 1);
+}
+
 // Guards against crashes that are unknown to hosts which were out of touch.
 TEST_CASE("crashes that a host has seen are told again in rounds")
 {
--- a/tests/proxy/relay_repeat_test.cpp
+++ b/tests/proxy/relay_repeat_test.cpp
@@ -169,6 +169,23 @@
     check_arrivals(site);
 }
 
+// Guards against evidence that is lost when hosts are replaced one by one.
+TEST_CASE("a request that crashes engines is stopped while hosts are replaced")
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.crashing_bodies = {guilty_body};
+    site.repair = 900ms;
+    repeat(site, booked, 2, 400ms);
+    for (std::size_t host = 0; host < seven_hosts.size(); ++host) {
+        site.add_host(seven_hosts[host]);
+        site.fleet.run_for(500ms);
+        site.fleet.kill(host);
+    }
+    repeat(site, booked, 28, 200ms);
+    CHECK(site.arrivals().size() >= 3);
+    check_arrivals(site);
+}
+
 // Guards against crashes that are seen through another host alone.
 TEST_CASE("a request that crashes engines through another host is stopped")
 {
