--- a/src/program/routed_host_log.cpp
+++ b/src/program/routed_host_log.cpp
@@ -88,7 +88,7 @@
         .field("status", ended.status)
         .field("outcome", ended.outcome)
         .field("reason", ended.reason)
-        .field("request",
+        .field("requests",
                ids_of(ended.refused_parts, routing::part_kind::request))
         .field("parts", ids_of(ended.refused_parts, routing::part_kind::prompt))
         .field("last_try", ended.last_attempt)
--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -137,6 +137,8 @@
                 std::function<bool(shared_part const&)> const& is_kept);
 
 private:
+    static constexpr std::size_t max_parts = 4'096;
+
     struct last_answer
     {
         std::uint64_t version = 0;
