serve: keep and tell the strongest evidence against requests that crash engines

Cause: once 4,096 records were kept, a new request was not recorded at all for up to five minutes; and a digest took 48 records in the order of a hash table. Change: a full table forgets the weakest and oldest quarter; a digest begins with those with the most evidence. Why it works: what crashes engines gets a second record soon; what was beside it doesn't.

--- a/src/decide/core_peer.cpp
+++ b/src/decide/core_peer.cpp
@@ -260,21 +260,16 @@
 
 void core::add_suspects(digest& load) const
 {
-    for (auto const& record : m_quarantine.records()) {
-        // Only crashes seen by this host. If hosts forwarded what they
-        // received, they would keep each other's suspicions alive forever.
-        if (record.second.last_engine == no_index) {
-            continue;
-        }
-        if (load.suspects.size() >= max_digest_suspects) {
-            return;
-        }
+    // Only crashes seen by this host. If hosts forwarded what they received,
+    // they would keep each other's suspicions alive forever.
+    for (auto const& [fingerprint, record] :
+         m_quarantine.seen_here(max_digest_suspects)) {
         auto const remaining = std::chrono::ceil<std::chrono::seconds>(
-            m_quarantine.remaining(record.first, m_now));
+            m_quarantine.remaining(fingerprint, m_now));
         load.suspects.push_back(
-            {record.first,
-             saturate<std::uint8_t>(record.second.evidence),
-             record.second.running_on,
+            {fingerprint,
+             saturate<std::uint8_t>(record.evidence),
+             record.running_on,
              saturate<std::uint16_t>(
                  static_cast<std::size_t>(remaining.count()))});
     }
--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -1,6 +1,7 @@
 #include "decide/quarantine.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace caperjunction::decide {
 
@@ -20,8 +21,43 @@
 // Maximum number of records, however many engines crash.
 constexpr std::size_t max_records = 4096;
 
+bool has_more_evidence(quarantine::item const& a, quarantine::item const& b)
+{
+    return std::tie(a.record.evidence, a.record.last_evidence)
+           > std::tie(b.record.evidence, b.record.last_evidence);
+}
+
 } // namespace
 
+// Each crash leaves a record of all that was in flight there. Those of chance
+// get no second one.
+void quarantine::forget_weakest()
+{
+    std::vector<item> all;
+    for (auto const& [fingerprint, record] : m_records) {
+        all.push_back({fingerprint, record});
+    }
+    auto const kept =
+        all.begin() + static_cast<std::ptrdiff_t>(max_records / 4 * 3);
+    std::nth_element(all.begin(), kept, all.end(), has_more_evidence);
+    std::for_each(kept, all.end(), [this](item const& weak) {
+        m_records.erase(weak.fingerprint);
+    });
+}
+
+std::vector<quarantine::item> quarantine::seen_here(std::size_t max_count) const
+{
+    std::vector<item> list;
+    for (auto const& [fingerprint, record] : m_records) {
+        if (record.last_engine != no_index) {
+            list.push_back({fingerprint, record});
+        }
+    }
+    std::sort(list.begin(), list.end(), has_more_evidence);
+    list.resize(std::min(list.size(), max_count));
+    return list;
+}
+
 bool quarantine::record_crash(std::uint64_t fingerprint,
                               index engine,
                               bool is_strong,
@@ -29,7 +65,7 @@
 {
     if (m_records.size() >= max_records
         && m_records.find(fingerprint) == m_records.end()) {
-        return false;
+        forget_weakest();
     }
     suspect_record& record = m_records[fingerprint];
     if (record.last_engine == engine
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -4,6 +4,7 @@
 #include "decide/indices.hpp"
 #include "model/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -69,12 +70,19 @@
     /// Removes old records; checks at most 4096.
     void expire(model::time_point now);
 
-    std::unordered_map<std::uint64_t, suspect_record> const& records() const
+    struct item
     {
-        return m_records;
-    }
+        std::uint64_t fingerprint = 0;
+        suspect_record record;
+    };
+
+    /// Returns up to `max_count` records with a crash that this host has seen:
+    /// those with the most evidence first, and of these the latest.
+    std::vector<item> seen_here(std::size_t max_count) const;
 
 private:
+    void forget_weakest();
+
     std::unordered_map<std::uint64_t, suspect_record> m_records;
 };
 
