--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -34,7 +34,7 @@
 
 def site(requests, runs, **more):
     values = dict(requests=requests, runs=runs, revoked_keys={}, moves=[], stops=[], drained_at={}, engines=[],
-                  limits=[], partitions=[], brittle_times=[], part_crashes=[], host_faults=[], had_other_fault=lambda begin, end: False, reloads=[], configurations=[(0.0, 2.5)], had_fault=lambda begin, end: False,
+                  limits=[], partitions=[], brittle_times=[], part_crashes=[], request_crashes=[], host_faults=[], had_other_fault=lambda begin, end: False, reloads=[], configurations=[(0.0, 2.5)], had_fault=lambda begin, end: False,
                   now=lambda: 200.0)
     values.update(more)
     return types.SimpleNamespace(**values)
@@ -87,6 +87,21 @@
         excused = site(sent, late, part_crashes=crashes, host_faults=[("h0", 104.0, 106.0)])
         self.assertFalse(checks.guilty_parts_are_stopped(excused))
 
+    def test_late_repeats_of_a_guilty_request_are_found(self):
+        crashes = [100.0, 100.2, 100.4]
+        ids = [f"r{n}" for n in range(4)]
+        sent = [request(i, is_guilty=True) for i in ids]
+        late = [run(i, is_guilty=True, started=105.0) for i in ids]
+        self.assertTrue(checks.guilty_requests_are_stopped(site(sent, late, request_crashes=crashes)))
+        self.assertFalse(checks.guilty_requests_are_stopped(site(sent, late[:3], request_crashes=crashes)))
+        self.assertFalse(checks.guilty_requests_are_stopped(site(sent, late, request_crashes=crashes[:2])))
+
+    def test_sound_requests_that_are_quarantined_are_found(self):
+        refused = request(status=503, body=b'{"reason":"quarantined"}')
+        self.assertTrue(checks.sound_requests_are_not_quarantined(site([refused], [])))
+        refused.is_guilty = True
+        self.assertFalse(checks.sound_requests_are_not_quarantined(site([refused], [])))
+
     def test_sound_parts_that_are_kept_back_are_found(self):
         refused = request(path="/prompt/x", status=503, body=b'{"reason":"part_kept_back"}')
         self.assertTrue(checks.sound_parts_are_served(site([refused], [])))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -85,6 +85,18 @@
     return [caller.run(until) for caller in site.prompt_callers(6)]
 
 
+def has_crashing_request(seed):
+    """Every fifth seed has engines that crash at one request, which its caller repeats."""
+    return seed % 5 == 4
+
+
+def repeats(site, seed, until):
+    if not has_crashing_request(seed):
+        return []
+    faults.crash_at_request(site)
+    return [site.repeating_caller().run(until)]
+
+
 async def run_seed_in_time(seed, options, folder):
     """A seed that doesn't end is a failure of the soak: prints where its tasks wait."""
     run = asyncio.ensure_future(run_seed(seed, options, folder))
@@ -108,7 +120,7 @@
     # them, since limits apply too.
     more_faults = faults.partition_hosts if seed % 2 else faults.make_brittle
     engines = options.engines + (0 if seed % 2 else BRITTLE_SEED_ENGINES)
-    engines += PART_SEED_ENGINES if has_crashing_parts(seed) else 0
+    engines += PART_SEED_ENGINES if has_crashing_parts(seed) or has_crashing_request(seed) else 0
     site = Site(random.Random(seed), options.program, folder, options.hosts, engines, options.flag)
     try:
         await site.start()
@@ -124,6 +136,7 @@
                              inject_in_turn(site, seed + 1, until - 6.0, faults.leave_unheard),
                              inject_in_turn(site, seed + 2, until - 2.0, faults.ask_for_pause),
                              *rollouts(site, seed, until), *parts(site, seed, until),
+                             *repeats(site, seed, until),
                              *drills(site, seed, until), *tasks)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
@@ -133,7 +146,7 @@
     served = sum(t.status == 200 and t.complete for t in site.requests)
     print(f"soak: seed={seed} requests={len(site.requests)} served={served} runs={len(site.runs)} "
           f"harms={len(site.fault_periods)} stops={len(site.stops)} taken_up={taken} went_on={went_on} "
-          f"part_crashes={len(site.part_crashes)} "
+          f"part_crashes={len(site.part_crashes)} request_crashes={len(site.request_crashes)} "
           f"findings={len(found)}", flush=True)
     for line in found[:10]:
         print(f"  {line}", flush=True)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -83,16 +83,32 @@
     return not any(h == host and begin <= at <= end for h, begin, end in site.host_faults)
 
 
-def guilty_parts_are_stopped(site):
-    """Three requests at most reach engines later than CONTACT after the fifth crash, from hosts without a fault."""
-    if len(site.part_crashes) < 5:
+def late_guilty_runs(site, crashes, graced):
+    """Runs that crash engines, sent by hosts without a fault later than CONTACT after so many crashes."""
+    if len(crashes) < graced:
         return []
-    bound = site.part_crashes[4] + CONTACT + SCHEDULING_SLACK
+    bound = crashes[graced - 1] + CONTACT + SCHEDULING_SLACK
     hosts = {t.id: t.host for t in site.requests}
-    late = [r for r in site.runs if r.is_guilty and r.started > bound and was_in_touch(site, hosts[r.id], r.started)]
+    return [r for r in site.runs if r.is_guilty and r.started > bound and was_in_touch(site, hosts[r.id], r.started)]
+
+
+def guilty_parts_are_stopped(site):
+    """Three requests at most reach engines later than CONTACT after the fifth crash, from hosts without a fault."""
+    late = late_guilty_runs(site, site.part_crashes, 5)
     return [f"{len(late)} requests with a part that crashes engines ran after its fifth crash"] if len(late) > 3 else []
 
 
+def guilty_requests_are_stopped(site):
+    """A request that crashes engines reaches three at most later than CONTACT after the third crash."""
+    late = late_guilty_runs(site, site.request_crashes, 3)
+    return [f"a request that crashes engines ran {len(late)} times after its third crash"] if len(late) > 3 else []
+
+
+def sound_requests_are_not_quarantined(site):
+    return [f"{t.id} ({t.path}) was refused: {t.body[:80]!r}" for t in site.requests
+            if not t.is_guilty and b"quarantined" in t.body]
+
+
 def sound_parts_are_served(site):
     """No request without such a part is kept from the engines."""
     return [f"{t.id} was refused for a part: {t.body[:80]!r}" for t in site.requests
@@ -403,6 +419,8 @@
     taken_up_streams_go_on,
     guilty_parts_are_stopped,
     sound_parts_are_served,
+    guilty_requests_are_stopped,
+    sound_requests_are_not_quarantined,
     requests_are_answered,
 )
 
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -73,6 +73,8 @@
         self.rejections, self.crashes, self.on_crash = [], [], None
         # Parts of prompts at which it crashes, and what is called then.
         self.crashing_parts, self.on_part_crash = (), None
+        # Beginnings of the paths of requests at which it crashes, and what is called then.
+        self.crashing_paths, self.on_request_crash = (), None
         self.running, self.down_until = 0, 0.0
         self.silent_until = 0.0
         # It says so in all its answers: (time, request) of each.
@@ -183,6 +185,11 @@
         mark = mark + [f"Response-Seal: {self.name}"]
         # A third of the answers end with their connections.
         is_framed = self.framing_random.random() < 2 / 3
+        if path.startswith(self.crashing_paths):
+            run.is_guilty = True
+            await asyncio.sleep(TIME_TO_CRASH)
+            asyncio.ensure_future(self.on_request_crash(self))
+            return False
         if any(part in headers.get("prompt-prefix", "") for part in self.crashing_parts):
             run.is_guilty = True
             writer.write("\r\n".join(["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", *mark, "", ""]).encode())
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -134,6 +134,16 @@
         engine.crashing_parts, engine.on_part_crash = (f"{site.guilty_part}:",), crash
 
 
+def crash_at_request(site):
+    """Engines crash at one request that its caller repeats, and are back after some seconds."""
+    async def crash(engine):
+        site.request_crashes.append(site.now())
+        await crash_engine(site, engines.CRASH_SECONDS, engine)
+
+    for engine in site.engines:
+        engine.crashing_paths, engine.on_request_crash = (site.guilty_path,), crash
+
+
 async def silence_engine(site, rng):
     """A sound engine stops for a second and goes on. That excuses nothing."""
     rng.choice(site.engines).silent_until = site.now() + rng.uniform(0.5, 1.5)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -106,6 +106,8 @@
         self.engines = []
         # The part of prompts that crashes engines, and when it did; (host, begin, end) of faults of hosts.
         self.guilty_part, self.part_crashes, self.host_faults = "d", [], []
+        # The path of the request that crashes engines, and when it did.
+        self.guilty_path, self.request_crashes = "/view/crash", []
         # Faults that were started, as tasks.
         self.actions = []
         self.paths = {}
@@ -247,6 +249,10 @@
         """Callers with prompts, one of them with a part that crashes engines."""
         return [Caller(self, self.random, ("/prompt/",), is_guilty=n == 0) for n in range(count)]
 
+    def repeating_caller(self):
+        """A caller that repeats the request that crashes engines, with any key of its team, at any host."""
+        return Caller(self, self.random, (self.guilty_path,), is_guilty=True)
+
     def callers(self, count):
         """Callers of all kinds, among them some that delay the stop of a host."""
         ordinary = [Caller(self, self.random, uses_stopping_hosts=n % 5 == 0, waits=n % 10 != 0) for n in range(count)]
