An engine that has answered others since is not gone; names of the diff

Cause: attempts at an engine whose entry had gone were counted before those were dropped at which the engine had sent something since. Change: the order; the key of a request has a name of its own beside the caller's; one function more.

--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -70,6 +70,7 @@
     /// Removes old records; checks at most 4096.
     void expire(model::time_point now);
 
+    /// A record and whose it is.
     struct item
     {
         std::uint64_t fingerprint = 0;
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -202,7 +202,7 @@
     std::shared_ptr<upstream_connection> m_connection;
     routing::pick m_pick;
     model::time_point m_sent_at{};
-    /// That it was broken off has been recorded.
+    /// It has been recorded that the current attempt was broken off.
     bool m_is_break_recorded = false;
     /// Its upstream has begun to answer, if only to refuse it.
     bool m_has_received = false;
@@ -222,7 +222,7 @@
     std::string m_through;
     bool m_may_have_run = false;
     /// From `routing::request_key`, once it was asked for.
-    std::optional<std::uint64_t> m_key;
+    std::optional<std::uint64_t> m_request_key;
     /// What other requests may share of it, once that was asked for.
     std::optional<std::vector<routing::shared_part>> m_shared_parts;
     /// Parts of which the current attempt is the trial.
--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -29,7 +29,7 @@
 
 std::uint64_t exchange::request_key()
 {
-    if (!m_key) {
+    if (!m_request_key) {
         routing::repeated_request repeated;
         repeated.method = m_head.method;
         repeated.authority = m_metadata.authority;
@@ -37,9 +37,9 @@
         repeated.caller =
             m_team.empty() ? m_metadata.key : std::string_view(m_team);
         repeated.body = m_body;
-        m_key = routing::request_key(repeated);
+        m_request_key = routing::request_key(repeated);
     }
-    return *m_key;
+    return *m_request_key;
 }
 
 routing::shared_part exchange::whole_request()
--- a/src/proxy/part_crashes.cpp
+++ b/src/proxy/part_crashes.cpp
@@ -95,6 +95,23 @@
     tell(context, news);
 }
 
+/// Records that an upstream has crashed while attempts were unanswered there.
+void record_silent_end(relay_context& context,
+                       routing::upstream_state const& upstream)
+{
+    broken_upstream ended = describe(upstream);
+    ended.has_crashed = true;
+    for (broken_attempt const& attempt :
+         context.unanswered.take(ended.crash.start, model::time_point{})) {
+        ended.crash.at = std::max(ended.crash.at, attempt.sent_at);
+        add_candidates(context, ended.crash, attempt);
+    }
+    if (context.on_crashed) {
+        context.on_crashed(ended);
+    }
+    record_crash(context, ended.crash);
+}
+
 void conclude(relay_context& context, std::uint64_t start, bool has_crashed)
 {
     auto const found = context.broken_upstreams.find(start);
@@ -175,6 +192,12 @@
 
 void record_ended_upstreams(relay_context& context)
 {
+    context.unanswered.expire(
+        context.loop.now(),
+        [](broken_attempt const& attempt, model::time_point ended_at) {
+            // It has answered others since.
+            return attempt.upstream->received_at > ended_at;
+        });
     std::map<std::uint64_t, routing::upstream_ptr> ended;
     context.unanswered.each([&](broken_attempt const& attempt) {
         routing::upstream_state const& at = *attempt.upstream;
@@ -186,24 +209,8 @@
         }
     });
     for (auto const& [start, upstream] : ended) {
-        broken_upstream silent = describe(*upstream);
-        silent.has_crashed = true;
-        for (broken_attempt const& attempt :
-             context.unanswered.take(start, model::time_point{})) {
-            silent.crash.at = std::max(silent.crash.at, attempt.sent_at);
-            add_candidates(context, silent.crash, attempt);
-        }
-        if (context.on_crashed) {
-            context.on_crashed(silent);
-        }
-        record_crash(context, silent.crash);
+        record_silent_end(context, *upstream);
     }
-    context.unanswered.expire(
-        context.loop.now(),
-        [](broken_attempt const& attempt, model::time_point ended_at) {
-            // It has answered others since.
-            return attempt.upstream->received_at > ended_at;
-        });
 }
 
 void record_unanswered_at(relay_context& context,
--- a/src/proxy/unanswered_attempts.hpp
+++ b/src/proxy/unanswered_attempts.hpp
@@ -24,6 +24,8 @@
     /// Above the time after which the entry of an upstream that is gone lapses.
     static constexpr model::milliseconds retention{8'000};
 
+    /// Records an attempt that ended at `now`; the oldest goes if there are too
+    /// many.
     void record(broken_attempt attempt, model::time_point now);
 
     /// Removes and returns the attempts at one start of an upstream, as
