--- a/src/routing/crash_table_bounds.cpp
+++ b/src/routing/crash_table_bounds.cpp
@@ -87,6 +87,7 @@
         }
     }
     std::vector<upstream_crash> list;
+    list.reserve(crashes.size());
     for (auto const& [key, crash] : crashes) {
         list.push_back(crash);
     }
--- a/tests/routing/poison_parts_test.cpp
+++ b/tests/routing/poison_parts_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <numeric>
 #include <vector>
 
 using namespace caperjunction;
@@ -346,10 +347,9 @@
     parts.record_crash(crash_of_requests(2, start + 1s, {5}));
     std::uint64_t id = 100;
     for (std::uint64_t engine = 3; engine < 90; ++engine) {
-        std::vector<std::uint64_t> in_flight;
-        for (int count = 0; count < 128; ++count) {
-            in_flight.push_back(++id);
-        }
+        std::vector<std::uint64_t> in_flight(128);
+        std::iota(in_flight.begin(), in_flight.end(), id);
+        id += in_flight.size();
         auto const at = start + 2s + engine * 10ms;
         parts.record_crash(crash_of_requests(engine, at, in_flight));
     }
