A reader that was held up does not call a document slow

For users: a host that was frozen for 5 s or more drops the store, or the peer, whose answer lies in its own socket, and asks for the list again.

Cause: the speed of a document was judged after each piece of its body, over the time since the request. After a pause of this process the first piece, one byte here, was measured against the whole pause.

The new test plays it on the test clock and failed before (`slow`); it passes.

Why it works: speed is checked on a timer, eight times in `slow_start`, and time is counted in checks that ran, so that a pause counts once. A document that trickles is given up as before (its test is unchanged).

No bound on what callers get changed.

--- a/src/proxy/http_get.cpp
+++ b/src/proxy/http_get.cpp
@@ -5,6 +5,11 @@
 #include <utility>
 
 namespace caperjunction::proxy {
+namespace {
+
+constexpr int speed_checks_per_slow_start = 8;
+
+} // namespace
 
 http_get::http_get(runtime::event_loop& loop)
     : m_loop(loop)
@@ -19,6 +24,7 @@
 void http_get::stop()
 {
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_speed_timer);
     record_end();
     if (auto const connection = std::exchange(m_connection, nullptr)) {
         connection->close();
@@ -58,13 +64,19 @@
     return {m_bytes, since(m_started_at), since(m_last_byte_at)};
 }
 
-bool http_get::is_too_slow() const
+// Time is counted in checks that ran: after a freeze of this process the answer
+// lies in the socket, and none of it is read yet.
+void http_get::check_speed()
 {
-    auto const elapsed = m_loop.now() - m_started_at;
-    double const expected =
-        m_request.min_bytes_per_second * model::seconds(elapsed).count();
-    return elapsed > m_request.slow_start
-           && static_cast<double>(m_bytes) < expected;
+    ++m_speed_checks;
+    auto const slow_start = model::seconds(m_request.slow_start).count();
+    double const elapsed =
+        m_speed_checks * slow_start / speed_checks_per_slow_start;
+    if (elapsed > slow_start
+        && static_cast<double>(m_bytes)
+               < m_request.min_bytes_per_second * elapsed) {
+        fail("slow");
+    }
 }
 
 void http_get::handle_body(std::string_view bytes)
@@ -75,10 +87,6 @@
         fail("too_long");
         return;
     }
-    if (is_too_slow()) {
-        fail("slow");
-        return;
-    }
     m_body.append(bytes);
     set_timeout(m_request.idle_timeout);
 }
@@ -102,6 +110,12 @@
     m_started_at = m_loop.now();
     m_last_byte_at = m_started_at;
     set_timeout(request.first_byte_timeout);
+    m_loop.cancel(m_speed_timer);
+    m_speed_checks = 0;
+    m_speed_timer =
+        m_loop.every(request.slow_start / speed_checks_per_slow_start, [this] {
+            check_speed();
+        });
     m_connection->send(
         fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n{}\r\n",
                     request.target,
@@ -119,6 +133,7 @@
          },
          [this] {
              m_loop.cancel(m_timer);
+             m_loop.cancel(m_speed_timer);
              record_end();
              auto const body = std::exchange(m_body, {});
              auto const answered = std::exchange(m_hooks, {});
--- a/src/proxy/http_get.hpp
+++ b/src/proxy/http_get.hpp
@@ -31,6 +31,7 @@
     model::milliseconds idle_timeout{700};
     /// Time after which an answer has to have come at `min_bytes_per_second`. A
     /// server that sends a byte now and then would hold the client forever.
+    /// Time in which this process was held up doesn't count.
     model::milliseconds slow_start{5'000};
     double min_bytes_per_second = 1'000.0;
     /// Far above the largest list: a fifth of the memory of a small host.
@@ -89,7 +90,7 @@
 
 private:
     void handle_body(std::string_view bytes);
-    bool is_too_slow() const;
+    void check_speed();
     void set_timeout(model::milliseconds timeout);
     void record_end();
     void fail(std::string_view reason);
@@ -98,6 +99,9 @@
     std::shared_ptr<upstream_connection> m_connection;
     hooks m_hooks;
     runtime::timer_handle m_timer;
+    runtime::timer_handle m_speed_timer;
+    /// Speed checks so far, each of which stands for one period.
+    int m_speed_checks = 0;
     get_request m_request;
     std::string m_body;
     std::size_t m_bytes = 0;
--- a/tests/proxy/http_get_test.cpp
+++ b/tests/proxy/http_get_test.cpp
@@ -1,6 +1,7 @@
 #include "proxy/http_get.hpp"
 
 #include "proxy/scripted_upstream.hpp"
+#include "runtime/manual_clock.hpp"
 
 #include <doctest/doctest.h>
 
@@ -42,7 +43,8 @@
                       [&outcome](std::string_view reason) {
                           outcome = reason;
                       }});
-        auto const limit = loop.now() + 3s;
+        // Far above what it takes on a busy machine.
+        auto const limit = loop.now() + 60s;
         while ((outcome.empty() || server.connections_ended == 0)
                && loop.now() < limit) {
             loop.run_once();
@@ -97,6 +99,40 @@
     CHECK(fixture.server.connections_ended == 1);
 }
 
+// Guards against a host that was frozen and drops the reader, or the peer, that
+// had long answered it.
+TEST_CASE("a reader that was held up does not call the document slow")
+{
+    runtime::manual_clock clock;
+    runtime::event_loop loop(clock.as_clock());
+    script plan{"HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n"};
+    plan.remainder = std::string(3'000, 'x');
+    plan.piece_bytes = 300;
+    plan.delay = 10ms;
+    scripted_upstream server(loop, [&clock, &plan](received const&) {
+        clock.advance(600ms);
+        return plan;
+    });
+    proxy::get_request request;
+    request.at = server.at();
+    request.target = "/";
+    request.slow_start = 400ms;
+    proxy::http_get client{loop};
+    std::string outcome;
+    client.start(request,
+                 {[&outcome](int, std::string const&) {
+                      outcome = "answered";
+                  },
+                  [&outcome](std::string_view reason) {
+                      outcome = reason;
+                  }});
+    for (int i = 0; i < 2'000 && outcome.empty(); ++i) {
+        loop.poll();
+        clock.advance(1ms);
+    }
+    CHECK(outcome == "answered");
+}
+
 TEST_CASE("a document that is slow but comes is taken")
 {
     script plan{"HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n"};
