Crashes seen while out of touch are told once a host is back

Cause: rounds repeat a host's own crashes for 30 s. One that was cut off, or frozen, for longer asks the others what they know, but tells nobody what it has seen itself. Evidence counts for 600 s everywhere else.

Evidence: "crashes that a host saw while out of touch are told when it is back" failed before (0 crashes told of 1).

Why it works: own crashes (at most eight) are kept as long as evidence counts; rounds have them for 30 s after the latest one and, new, for 30 s after a host has come back. The second new test guards the bound: none is told after that.

--- a/src/proxy/part_exchange.cpp
+++ b/src/proxy/part_exchange.cpp
@@ -18,8 +18,9 @@
 constexpr std::size_t max_heard = 1'024;
 /// Interval in which verdicts and crashes are sent to some hosts.
 constexpr model::milliseconds round_interval{1'000};
-/// Crashes in a round.
-constexpr model::milliseconds crash_retention{30'000};
+/// Time in which rounds have crashes, after the last one or after a host has
+/// come back.
+constexpr model::milliseconds repeat_time{30'000};
 constexpr std::size_t max_own_crashes = 8;
 /// Candidates of crashes that a host is told of when it asks.
 constexpr std::size_t max_candidates_for_one = 256;
@@ -66,6 +67,7 @@
             return item.start == crash.start;
         });
         m_own_crashes.push_back(crash);
+        m_repeats_until = std::max(m_repeats_until, crash.at + repeat_time);
     }
     if (m_own_crashes.size() > max_own_crashes) {
         m_own_crashes.pop_front();
@@ -98,7 +100,9 @@
 {
     part_message message;
     message.verdicts = m_context.parts.verdicts();
-    message.crashes.assign(m_own_crashes.begin(), m_own_crashes.end());
+    if (m_context.loop.now() < m_repeats_until) {
+        message.crashes.assign(m_own_crashes.begin(), m_own_crashes.end());
+    }
     return message;
 }
 
@@ -211,8 +215,13 @@
         send_to_some(question);
     }
     m_has_asked = has_peers;
+    if (m_context.peers.alive() > m_alive) {
+        m_repeats_until = now + repeat_time;
+    }
+    m_alive = m_context.peers.alive();
     while (!m_own_crashes.empty()
-           && now - m_own_crashes.front().at > crash_retention) {
+           && now - m_own_crashes.front().at
+                  > routing::poison_limits{}.retention) {
         m_own_crashes.pop_front();
     }
     part_message round = summary();
--- a/src/proxy/part_exchange.hpp
+++ b/src/proxy/part_exchange.hpp
@@ -18,8 +18,9 @@
 /// takes up what they have seen.
 ///
 /// News go out at once: until the others know of a crash, they send requests
-/// that may cause the next one. Rounds repeat the verdicts and this host's last
-/// crashes to some hosts, for those that were out of touch.
+/// that may cause the next one. Rounds repeat the verdicts to some hosts and,
+/// for some time after news or after a host has come back, this host's last
+/// crashes: some hosts may have been out of touch.
 ///
 /// Thread safety: none; owned by the loop's task.
 class part_exchange
@@ -53,8 +54,10 @@
     relay_context& m_context;
     sender m_send;
     part_message m_untold;
-    /// What this host has seen of late: others may have been out of touch.
     std::deque<routing::upstream_crash> m_own_crashes;
+    /// Rounds have crashes until this time.
+    model::time_point m_repeats_until{};
+    std::size_t m_alive = 0;
     runtime::timer_handle m_batch_timer;
     bool m_has_asked = false;
     model::time_point m_round_at{};
--- a/tests/proxy/part_exchange_test.cpp
+++ b/tests/proxy/part_exchange_test.cpp
@@ -3,6 +3,7 @@
 #include "proxy/part_crashes.hpp"
 #include "proxy/part_exchange.hpp"
 #include "proxy/relay_fixture.hpp"
+#include "runtime/manual_clock.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -28,8 +29,9 @@
 /// One host, and what it has sent to others.
 struct exchange_host
 {
-    exchange_host()
-        : parts(fixture.context,
+    explicit exchange_host(runtime::clock clock = {})
+        : fixture(std::move(clock))
+        , parts(fixture.context,
                 [this](model::endpoint const& to, std::string const& bytes) {
                     sent.emplace_back(to, bytes);
                 })
@@ -232,6 +234,48 @@
     CHECK(host.sent.empty());
 }
 
+// Guards against evidence of a host that was cut off, or frozen, for longer
+// than others are told of a crash again.
+TEST_CASE("crashes that a host saw while out of touch are told when it is back")
+{
+    exchange_host host;
+    proxy::part_message news;
+    news.crashes = {crash_of(1, host.fixture.loop.now() - 40s)};
+    host.fixture.context.tell_parts(news);
+    host.fixture.run_for(20ms);
+    host.parts.sweep();
+    CHECK(host.sent.empty());
+    host.add_peer(peer);
+    host.parts.sweep();
+    REQUIRE(host.last().crashes.size() == 1);
+    CHECK(host.last().crashes[0].start == 1);
+}
+
+// Guards against messages that go on for as long as evidence is kept.
+TEST_CASE("old crashes are told again only once a host has come back")
+{
+    runtime::manual_clock clock;
+    exchange_host host(clock.as_clock());
+    host.add_peer(peer);
+    host.parts.sweep();
+    proxy::part_message news;
+    news.crashes = {crash_of(1, clock.now())};
+    host.fixture.context.tell_parts(news);
+    clock.advance(40s);
+    host.fixture.loop.poll();
+    host.sent.clear();
+    host.parts.sweep();
+    CHECK(host.sent.empty());
+    host.add_peer({"127.0.0.3", 7'000});
+    host.parts.sweep();
+    CHECK(host.last().crashes.size() == 1);
+    clock.advance(10min);
+    host.add_peer({"127.0.0.4", 7'000});
+    host.sent.clear();
+    host.parts.sweep();
+    CHECK(host.sent.empty());
+}
+
 TEST_CASE("a host answers for parts that another one has never seen answered")
 {
     exchange_host host;
--- a/tests/proxy/relay_fixture.cpp
+++ b/tests/proxy/relay_fixture.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace caperjunction::test {
 namespace {
 
@@ -52,17 +54,18 @@
     return result;
 }
 
-relay_fixture::relay_fixture()
-    : context(
-        loop,
-        names,
-        test_settings(),
-        [this] {
-            return loop.now() + boot_offset;
-        },
-        [](std::string const&) {
-            return routing::location{};
-        })
+relay_fixture::relay_fixture(runtime::clock clock)
+    : loop(std::move(clock))
+    , context(
+          loop,
+          names,
+          test_settings(),
+          [this] {
+              return loop.now() + boot_offset;
+          },
+          [](std::string const&) {
+              return routing::location{};
+          })
     , relay(context)
 {
     context.table =
--- a/tests/proxy/relay_fixture.hpp
+++ b/tests/proxy/relay_fixture.hpp
@@ -39,7 +39,7 @@
 class relay_fixture
 {
 public:
-    relay_fixture();
+    explicit relay_fixture(runtime::clock clock = {});
 
     /// Adds an upstream of `service` that answers with `answer`.
     scripted_upstream& add(std::string const& id,
