serve: a broken answer that waits ends once its version has gone

What callers saw: an answer that broke off waits for an engine of the software version that began it. If the last of these left while it waited, it ended at its maximum wait (up to 30 s) rather than at once.

Cause: the version was looked up only when the attempt ended.

Why it works: a list of engines is the only way in which a version goes, and each one is followed by a look at the answers that wait.

--- a/src/decide/core.cpp
+++ b/src/decide/core.cpp
@@ -78,6 +78,7 @@
 {
     m_engines.apply(input.upstreams, m_policy.shares(), m_now);
     m_services.apply(input.upstreams);
+    end_waits_for_gone_versions();
     for (index group = 0; group < m_engines.groups().size(); ++group) {
         dispatch_queued(group);
     }
--- a/src/decide/core.hpp
+++ b/src/decide/core.hpp
@@ -70,6 +70,8 @@
     // Admission.
     entry& add_entry(request const& arriving);
     bool refuse_quarantined(entry& waiting);
+    bool refuse_version_gone(entry& waiting);
+    void end_waits_for_gone_versions();
     bool refuse_over_limit(entry& waiting);
     bool refuse_early(entry& waiting);
     bool try_hand_over(entry& waiting, std::string const& reason);
--- a/src/decide/core_retry.cpp
+++ b/src/decide/core_retry.cpp
@@ -118,14 +118,7 @@
         dispatch_service_call(waiting);
         return;
     }
-    if (waiting.software != no_index
-        && !m_engines.has_software(waiting.group, waiting.software)) {
-        refuse_request(waiting,
-                       model::error_kind::upstream_failed,
-                       model::milliseconds{0},
-                       "version_gone",
-                       "send it anew: no engine of the version that began the "
-                       "answer is left");
+    if (refuse_version_gone(waiting)) {
         return;
     }
     if (hand_over_unreachable(waiting)) {
@@ -140,4 +133,38 @@
     dispatch_queued(group);
 }
 
+bool core::refuse_version_gone(entry& waiting)
+{
+    if (waiting.software == no_index
+        || m_engines.has_software(waiting.group, waiting.software)) {
+        return false;
+    }
+    refuse_request(waiting,
+                   model::error_kind::upstream_failed,
+                   model::milliseconds{0},
+                   "version_gone",
+                   "send it anew: no engine of the version that began the "
+                   "answer is left");
+    return true;
+}
+
+void core::end_waits_for_gone_versions()
+{
+    std::vector<model::request_id> waiting_for_version;
+    for (auto const& [id, waiting] : m_entries) {
+        if (waiting.phase == phase::queued && waiting.software != no_index) {
+            waiting_for_version.push_back(id);
+        }
+    }
+    // The same order on each replay of the events.
+    std::sort(waiting_for_version.begin(), waiting_for_version.end());
+    for (model::request_id const id : waiting_for_version) {
+        entry& waiting = *find(id);
+        if (!m_engines.has_software(waiting.group, waiting.software)) {
+            dequeue(waiting);
+            refuse_version_gone(waiting);
+        }
+    }
+}
+
 } // namespace caperjunction::decide
