Tests: a crashing request of any size, kind and service, and no engine left

No product change.

`repeat_in_turn`, `is_quarantined` and the bounds are shared by both files; `host_fleet::connect` is split from `send` for a body that comes in halves.

--- a/tests/proxy/crashing_fleet.cpp
+++ b/tests/proxy/crashing_fleet.cpp
@@ -32,8 +32,10 @@
 } // namespace
 
 crashing_fleet::crashing_fleet(std::vector<std::string> const& data_centres,
-                               std::size_t engines)
-    : fleet(data_centres, engines)
+                               std::size_t engines,
+                               std::size_t others)
+    : fleet(data_centres, engines, others)
+    , m_others(others)
 {
     fleet.answer = [this](received const& request) {
         return answer(request);
@@ -51,8 +53,8 @@
             seeds.push_back(host->context.settings.peer_listen);
         }
     }
-    fleet.hosts.push_back(
-        std::make_unique<host_fleet::host>(fleet, data_centre, seeds, 0));
+    fleet.hosts.push_back(std::make_unique<host_fleet::host>(
+        fleet, data_centre, seeds, m_others));
     for (std::size_t engine = 0; engine < fleet.upstreams.size(); ++engine) {
         fleet.set_version(engine, "v1");
     }
@@ -150,6 +152,22 @@
     return fleet.send(host, repeated.path, id, "", repeated.body, repeated.key);
 }
 
+std::vector<first_try> crashing_fleet::repeat_in_turn(
+    repeated_request const& repeated, int times, model::milliseconds gap)
+{
+    std::vector<first_try> tries;
+    for (int number = 0; number < times; ++number) {
+        std::size_t host =
+            static_cast<std::size_t>(number) % fleet.hosts.size();
+        host = only_host.value_or(host);
+        if (fleet.hosts[host]) {
+            tries.push_back(repeat(host, repeated));
+        }
+        fleet.run_for(gap);
+    }
+    return tries;
+}
+
 std::size_t crashing_fleet::late_arrivals(model::milliseconds grace) const
 {
     constexpr std::size_t graced_crashes = 3;
@@ -208,6 +226,11 @@
            != std::string::npos;
 }
 
+bool is_quarantined(first_try const& made)
+{
+    return made.caller->received_bytes.find("quarantined") != std::string::npos;
+}
+
 std::size_t refused(std::vector<crashing_fleet::prompt_request> const& requests)
 {
     return static_cast<std::size_t>(
--- a/tests/proxy/crashing_fleet.hpp
+++ b/tests/proxy/crashing_fleet.hpp
@@ -37,8 +37,11 @@
         bool is_guilty = false;
     };
 
+    /// The last `others` of the engines are of service `other`, the rest of
+    /// service `ledger`.
     crashing_fleet(std::vector<std::string> const& data_centres,
-                   std::size_t engines);
+                   std::size_t engines,
+                   std::size_t others = 0);
 
     /// Starts one more host.
     void add_host(std::string const& data_centre);
@@ -54,6 +57,11 @@
     /// Sends a repeated request to a host.
     first_try repeat(std::size_t host, repeated_request const& repeated);
 
+    /// Sends it to the hosts in turn, once each `gap`, or to the only one.
+    std::vector<first_try> repeat_in_turn(repeated_request const& repeated,
+                                          int times,
+                                          model::milliseconds gap);
+
     /// Returns when engines received one of the requests that crash them.
     std::vector<model::time_point> const& arrivals() const
     {
@@ -105,6 +113,7 @@
     void end_later(std::size_t engine);
     bool is_guilty(std::string const& prompt) const;
 
+    std::size_t m_others = 0;
     int m_next_id = 0;
     std::vector<model::time_point> m_arrivals;
 };
@@ -116,6 +125,9 @@
 /// Whether a request was refused because of a part of its prompt.
 bool is_refused_for_parts(crashing_fleet::prompt_request const& request);
 
+/// Whether a request was refused because it crashes engines.
+bool is_quarantined(first_try const& made);
+
 /// Returns the number of requests that were refused without a run.
 std::size_t
 refused(std::vector<crashing_fleet::prompt_request> const& requests);
--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -148,12 +148,7 @@
     }
 }
 
-first_try host_fleet::send(std::size_t host,
-                           std::string const& path,
-                           std::string const& id,
-                           std::string const& more,
-                           std::string const& body,
-                           std::string const& key)
+first_try host_fleet::connect(std::size_t host, std::string const& id)
 {
     hosts[host]->context.keys.renew(loop.now());
     first_try made;
@@ -174,7 +169,19 @@
                                         raw->closed = true;
                                     },
                                     nullptr});
-    raw->stream->write(relay_fixture::request(path, made.id, more, body, key));
+    return made;
+}
+
+first_try host_fleet::send(std::size_t host,
+                           std::string const& path,
+                           std::string const& id,
+                           std::string const& more,
+                           std::string const& body,
+                           std::string const& key)
+{
+    first_try made = connect(host, id);
+    made.caller->stream->write(
+        relay_fixture::request(path, id, more, body, key));
     return made;
 }
 
--- a/tests/proxy/host_fleet.hpp
+++ b/tests/proxy/host_fleet.hpp
@@ -64,6 +64,9 @@
     /// start of it.
     void set_version(std::size_t upstream, std::string const& version);
 
+    /// Connects a caller to a host.
+    first_try connect(std::size_t host, std::string const& id);
+
     /// Sends a request to a host, on a connection of its own. `more`: further
     /// headers.
     first_try send(std::size_t host,
--- a/tests/proxy/relay_repeat_test.cpp
+++ b/tests/proxy/relay_repeat_test.cpp
@@ -1,4 +1,5 @@
 #include "proxy/crashing_fleet.hpp"
+#include "proxy/repeat_play.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,43 +11,8 @@
 
 namespace {
 
-/// Arrivals of one request at engines, in all and from `grace` after the third
-/// crash on.
-constexpr std::size_t max_arrivals = 4;
-constexpr std::size_t max_late_arrivals = 0;
-constexpr model::milliseconds grace{1'000};
-
-constexpr std::size_t engines = 12;
-std::vector<std::string> const seven_hosts{"a", "a", "a", "b", "b", "c", "c"};
-std::string const guilty_body = "crashes";
-
 crashing_fleet::repeated_request const booked{"/book/", guilty_body};
 
-/// Sends a request to the hosts in turn, once each `gap`.
-std::vector<first_try> repeat(crashing_fleet& site,
-                              crashing_fleet::repeated_request const& repeated,
-                              int times,
-                              model::milliseconds gap)
-{
-    std::vector<first_try> tries;
-    for (int number = 0; number < times; ++number) {
-        std::size_t host =
-            static_cast<std::size_t>(number) % site.fleet.hosts.size();
-        host = site.only_host.value_or(host);
-        if (site.fleet.hosts[host]) {
-            tries.push_back(site.repeat(host, repeated));
-        }
-        site.fleet.run_for(gap);
-    }
-    return tries;
-}
-
-void check_arrivals(crashing_fleet const& site)
-{
-    CHECK(site.arrivals().size() <= max_arrivals);
-    CHECK(site.late_arrivals(grace) <= max_late_arrivals);
-}
-
 /// Ends all engines again and again, until each host has lost about `lost`
 /// requests there.
 void crash_with_requests_in_flight(crashing_fleet& site, int lost)
@@ -73,11 +39,6 @@
     site.work = 0ms;
 }
 
-bool is_quarantined(first_try const& made)
-{
-    return made.caller->received_bytes.find("quarantined") != std::string::npos;
-}
-
 } // namespace
 
 // Guards against a request that each host sends until it has counted itself.
@@ -86,7 +47,7 @@
     crashing_fleet site(seven_hosts, engines);
     site.crashing_bodies = {guilty_body};
     site.repair = 900ms;
-    auto const tries = repeat(site, booked, 12, 400ms);
+    auto const tries = site.repeat_in_turn(booked, 12, 400ms);
     check_arrivals(site);
     CHECK(tries.back().says_not_run());
     CHECK(is_quarantined(tries.back()));
@@ -159,13 +120,13 @@
     crashing_fleet site(seven_hosts, engines);
     site.crashing_bodies = {guilty_body};
     site.repair = 900ms;
-    repeat(site, booked, 3, 400ms);
+    site.repeat_in_turn(booked, 3, 400ms);
     for (std::size_t witness = 0; witness < 3; ++witness) {
         site.fleet.kill(witness);
     }
     // Until nothing of them counts any more.
     site.fleet.run_for(3s);
-    repeat(site, booked, 14, 400ms);
+    site.repeat_in_turn(booked, 14, 400ms);
     check_arrivals(site);
 }
 
@@ -175,13 +136,13 @@
     crashing_fleet site(seven_hosts, engines);
     site.crashing_bodies = {guilty_body};
     site.repair = 900ms;
-    repeat(site, booked, 2, 400ms);
+    site.repeat_in_turn(booked, 2, 400ms);
     for (std::size_t host = 0; host < seven_hosts.size(); ++host) {
         site.add_host(seven_hosts[host]);
         site.fleet.run_for(500ms);
         site.fleet.kill(host);
     }
-    repeat(site, booked, 28, 200ms);
+    site.repeat_in_turn(booked, 28, 200ms);
     CHECK(site.arrivals().size() >= 3);
     check_arrivals(site);
 }
@@ -200,7 +161,7 @@
         site.fleet.run_for(50ms);
     }
     site.only_host = 0;
-    repeat(site, booked, 12, 400ms);
+    site.repeat_in_turn(booked, 12, 400ms);
     CHECK(site.arrivals().size() >= 3);
     check_arrivals(site);
 }
@@ -218,10 +179,10 @@
     }
     site.crashing_bodies = {guilty_body};
     site.repair = 900ms;
-    repeat(site, booked, 4, 400ms);
+    site.repeat_in_turn(booked, 4, 400ms);
     auto rotated = booked;
     rotated.key = "rotated";
-    repeat(site, rotated, 8, 400ms);
+    site.repeat_in_turn(rotated, 8, 400ms);
     check_arrivals(site);
 }
 
@@ -232,7 +193,7 @@
     site.crashing_bodies = {guilty_body};
     site.way = crash_way::falls_silent;
     site.repair = 2'500ms;
-    repeat(site, booked, 12, 760ms);
+    site.repeat_in_turn(booked, 12, 760ms);
     CHECK(site.late_arrivals(grace) <= 3);
 }
 
