A watch that waits for long is not a slow document

What callers would see: where keys are valid for more than 8.3 s, a watch waits for more than 5 s for a change. Its answer was then judged by its speed since the request, and dropped as `slow`: the reader counted a failure of the store, backed off, and asked again later. Keys were confirmed late, changes late.

Why it works: speed counts from the answer's head. Until then the limit is that of the first byte, which knows of the watch's wait.

--- a/src/proxy/http_get.cpp
+++ b/src/proxy/http_get.cpp
@@ -64,6 +64,16 @@
     return {m_bytes, since(m_started_at), since(m_last_byte_at)};
 }
 
+void http_get::watch_speed()
+{
+    m_loop.cancel(m_speed_timer);
+    m_speed_checks = 0;
+    m_speed_timer = m_loop.every(
+        m_request.slow_start / speed_checks_per_slow_start, [this] {
+            check_speed();
+        });
+}
+
 // Time is counted in checks that ran: after a freeze of this process the answer
 // lies in the socket, and none of it is read yet.
 void http_get::check_speed()
@@ -111,11 +121,6 @@
     m_last_byte_at = m_started_at;
     set_timeout(request.first_byte_timeout);
     m_loop.cancel(m_speed_timer);
-    m_speed_checks = 0;
-    m_speed_timer =
-        m_loop.every(request.slow_start / speed_checks_per_slow_start, [this] {
-            check_speed();
-        });
     m_connection->send(
         fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n{}\r\n",
                     request.target,
@@ -127,6 +132,7 @@
         {[this](message_head&& head) {
              m_head = std::move(head);
              set_timeout(m_request.idle_timeout);
+             watch_speed();
          },
          [this](std::string_view bytes) {
              handle_body(bytes);
--- a/src/proxy/http_get.hpp
+++ b/src/proxy/http_get.hpp
@@ -29,9 +29,10 @@
     /// dropped midway is requested again from its first byte, and over a
     /// saturated link it would never arrive.
     model::milliseconds idle_timeout{700};
-    /// Time after which an answer has to have come at `min_bytes_per_second`. A
-    /// server that sends a byte now and then would hold the client forever.
-    /// Time in which this process was held up doesn't count.
+    /// Time from an answer's head after which it has to have come at
+    /// `min_bytes_per_second`. A server that sends a byte now and then would
+    /// hold the client forever. Time in which this process was held up doesn't
+    /// count.
     model::milliseconds slow_start{5'000};
     double min_bytes_per_second = 1'000.0;
     /// Far above the largest list: a fifth of the memory of a small host.
@@ -90,6 +91,7 @@
 
 private:
     void handle_body(std::string_view bytes);
+    void watch_speed();
     void check_speed();
     void set_timeout(model::milliseconds timeout);
     void record_end();
--- a/tests/proxy/http_get_test.cpp
+++ b/tests/proxy/http_get_test.cpp
@@ -133,6 +133,17 @@
     CHECK(outcome == "answered");
 }
 
+// Guards against a watch without news that counts as a failure of the store.
+TEST_CASE("an answer that is awaited for long is not slow")
+{
+    script plan;
+    plan.remainder = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    plan.delay = 600ms;
+    endless_server fixture(plan);
+    fixture.server.connections_ended = 1;
+    CHECK(fixture.run() == "answered");
+}
+
 TEST_CASE("a document that is slow but comes is taken")
 {
     script plan{"HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n"};
