A crash that is told again takes no other one's place

What callers would see: nothing yet; by reading. A host that knows of 512 crashes forgot the oldest whenever one of them was told again, though nothing was added. A part whose crashes it explained was then judged anew.

Evidence: the new test failed before (crash 1 of 512 gone after crash 512 was told again) and passes.

Why it works: room is made only for a crash that isn't known.

--- a/src/routing/crash_table.cpp
+++ b/src/routing/crash_table.cpp
@@ -20,7 +20,7 @@
 
 crash_table::crash const& crash_table::record(upstream_crash const& seen)
 {
-    if (m_order.size() >= max_crashes) {
+    if (m_order.size() >= max_crashes && !knows(seen.start)) {
         m_crashes.erase(m_order.front());
         m_order.pop_front();
     }
