--- a/src/proxy/part_exchange.cpp
+++ b/src/proxy/part_exchange.cpp
@@ -69,7 +69,7 @@
         m_own_crashes.push_back(crash);
         m_repeats_until = std::max(m_repeats_until, crash.at + repeat_time);
     }
-    if (m_own_crashes.size() > max_own_crashes) {
+    while (m_own_crashes.size() > max_own_crashes) {
         m_own_crashes.pop_front();
     }
     append(m_untold.answers, news.answers);
