serve: an instance that is down no longer gets the next call

What callers saw: while one of three instances of a plain service was down and still listed, each booking at a host was refused as `instance_unreachable`, and a fifth of the repeatable calls, whose retries ran out.

Cause: calls go to the instance with the fewest, and one that is down has none. For engines that was known (`mark_lost`), for services it wasn't.

Why it works: an instance that could not be reached gets calls for 1 s only if no other one is left; a service of one instance is tried as before.

--- a/src/decide/core_attempt.cpp
+++ b/src/decide/core_attempt.cpp
@@ -73,9 +73,11 @@
         end_complete(*running, input);
         break;
     case attempt_end::unreachable:
-        if (!is_service) {
-            // No other attempt may be in flight to report that the engine is
-            // gone. Without this, it looks the least loaded to each retry.
+        // No other attempt may be in flight to report that the upstream is
+        // gone. Without this, it looks the least loaded to each retry.
+        if (is_service) {
+            m_services.record_unreachable(upstream, m_now);
+        } else {
             mark_lost(upstream);
         }
         end_not_run(*running, upstream);
--- a/src/decide/service_table.cpp
+++ b/src/decide/service_table.cpp
@@ -1,5 +1,9 @@
 #include "decide/service_table.hpp"
 
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
 namespace caperjunction::decide {
 
 namespace {
@@ -9,6 +13,10 @@
 // would be lost with it.
 constexpr std::uint32_t max_outstanding = 256;
 
+// Then one call tries whether the instance is back. A booking that finds it
+// down is refused.
+constexpr model::milliseconds unreachable_time{1'000};
+
 } // namespace
 
 service_table::service_table(std::string region)
@@ -49,6 +57,23 @@
     paused = std::max(paused, until);
 }
 
+void service_table::record_unreachable(index instance_index,
+                                       model::time_point now)
+{
+    m_instances[instance_index].avoided_until = now + unreachable_time;
+}
+
+bool service_table::is_preferred(instance const& left,
+                                 instance const& right,
+                                 model::time_point now)
+{
+    auto const rank = [now](instance const& item) {
+        return std::tuple(
+            now < item.avoided_until, !item.own_region, item.outstanding);
+    };
+    return rank(left) < rank(right);
+}
+
 index service_table::choose(index service,
                             index avoided,
                             model::time_point now) const
@@ -60,15 +85,8 @@
             || candidate.outstanding >= max_outstanding) {
             continue;
         }
-        if (best == no_index) {
-            best = instance_index;
-            continue;
-        }
-        instance const& current = m_instances[best];
-        bool const is_nearer = candidate.own_region && !current.own_region;
-        bool const same_distance = candidate.own_region == current.own_region;
-        if (is_nearer
-            || (same_distance && candidate.outstanding < current.outstanding)) {
+        if (best == no_index
+            || is_preferred(candidate, m_instances[best], now)) {
             best = instance_index;
         }
     }
--- a/src/decide/service_table.hpp
+++ b/src/decide/service_table.hpp
@@ -28,14 +28,20 @@
         return m_services.find(service);
     }
 
-    /// The instance with the fewest calls, preferring this region; `no_index`
-    /// if all are full or paused, or only `avoided` is left.
+    /// The instance with the fewest calls, preferring those that were reachable
+    /// of late, then this region; `no_index` if all are full or paused, or only
+    /// `avoided` is left.
     index choose(index service, index avoided, model::time_point now) const;
 
     /// Sends an instance no calls until then, or longer if it is paused
     /// already.
     void pause(index instance_index, model::time_point until);
 
+    /// Records that an instance could not be reached. For some time it gets
+    /// calls only if no other one is left: it has none, and would look the
+    /// least loaded.
+    void record_unreachable(index instance_index, model::time_point now);
+
     bool has_instances(index service) const;
 
     void record_start(index instance_index);
@@ -56,8 +62,13 @@
         bool listed = false;
         std::uint32_t outstanding = 0;
         model::time_point paused_until{};
+        model::time_point avoided_until{};
     };
 
+    static bool is_preferred(instance const& left,
+                             instance const& right,
+                             model::time_point now);
+
     std::string m_region;
     name_table m_services;
     name_table m_names;
