serve: a call that breaks at three instances goes to no fourth

What callers saw: a repeatable call of a plain service that crashes its instances was sent to up to five of them, before its caller sent it again.

Cause: requests at engines are ended by the quarantine at the second crash, and five attempts are the limit behind it. Calls of services are never in quarantine, so that this limit was all there was.

Evidence: the new test failed before (five dispatches of three allowed) and passes; test_decide passes.

Why it works: calls of services have a limit of their own.

--- a/src/decide/core_retry.cpp
+++ b/src/decide/core_retry.cpp
@@ -9,6 +9,8 @@
 // Attempts of one request. Beyond this number the cause is most likely the
 // request or the whole fleet, and retries only add load.
 constexpr std::uint32_t max_broken_attempts = 5;
+// The same for calls of services: no quarantine ends them before.
+constexpr std::uint32_t max_broken_calls = 3;
 // Includes attempts that were not run, which cost only time.
 constexpr std::uint32_t max_attempts = 12;
 // Broken attempts kept until it is known whether the engine was lost.
@@ -101,8 +103,9 @@
     if (refuse_quarantined(waiting)) {
         return;
     }
-    if (waiting.broken_attempts >= max_broken_attempts
-        || waiting.attempt >= max_attempts
+    std::uint32_t const max_broken =
+        waiting.is_service ? max_broken_calls : max_broken_attempts;
+    if (waiting.broken_attempts >= max_broken || waiting.attempt >= max_attempts
         || !m_retries[waiting.class_id].try_acquire(m_now)) {
         refuse_request(waiting,
                        model::error_kind::upstream_failed,
--- a/tests/decide/service_instance_test.cpp
+++ b/tests/decide/service_instance_test.cpp
@@ -105,3 +105,24 @@
     CHECK(fixture.decisions_of<decide::dispatch>().back().upstream
           == "instance-1");
 }
+
+// Guards against a call that crashes one instance after the other.
+TEST_CASE("a call that breaks at three instances is not sent to a fourth")
+{
+    service_fixture fixture(6);
+    decide::request request = fixture.make_request(1, "counter");
+    request.model.clear();
+    request.service = "orders";
+    fixture.handle(decide::request_arrived{request});
+    for (int attempt = 0; attempt < 6; ++attempt) {
+        auto const at =
+            fixture.decisions_of<decide::dispatch>().back().upstream;
+        fixture.end_attempt({1}, at, decide::attempt_end::broken);
+        fixture.advance_time(100ms);
+    }
+    CHECK(fixture.decisions_of<decide::dispatch>().size() == 3);
+    auto const refused = fixture.decisions_of<decide::refuse>();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason == "broken_too_often");
+    CHECK(refused[0].retry_after > 0ms);
+}
