--- a/tests/proxy/http_get_test.cpp
+++ b/tests/proxy/http_get_test.cpp
@@ -6,8 +6,10 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 using namespace caperjunction;
 using namespace caperjunction::test;
@@ -18,11 +20,15 @@
 std::string const endless_body =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// A client and a server that sends without end.
-struct endless_server
+/// A client and a server with one answer.
+struct get_fixture
 {
-    explicit endless_server(script const& plan)
-        : server(loop, [plan](received const&) {
+    explicit get_fixture(script const& plan, runtime::clock clock = {})
+        : loop(std::move(clock))
+        , server(loop, [this, plan](received const&) {
+            if (on_request) {
+                on_request();
+            }
             return plan;
         })
     {
@@ -32,17 +38,21 @@
         request.slow_start = 400ms;
     }
 
-    /// Returns how the request ended.
-    std::string run()
+    void start()
     {
-        std::string outcome;
         client.start(request,
-                     {[&outcome](int, std::string const&) {
+                     {[this](int, std::string const&) {
                           outcome = "answered";
                       },
-                      [&outcome](std::string_view reason) {
+                      [this](std::string_view reason) {
                           outcome = reason;
                       }});
+    }
+
+    /// Returns how the request ended, once the server knows of an end as well.
+    std::string run()
+    {
+        start();
         // Far above what it takes on a busy machine.
         auto const limit = loop.now() + 60s;
         while ((outcome.empty() || server.connections_ended == 0)
@@ -53,9 +63,11 @@
     }
 
     runtime::event_loop loop;
+    std::function<void()> on_request;
     scripted_upstream server;
     proxy::get_request request;
     proxy::http_get client{loop};
+    std::string outcome;
 };
 
 script endless(std::string const& begin,
@@ -73,7 +85,7 @@
 // Guards against a store, or another host, that fills the memory of a host.
 TEST_CASE("a document without end is given up at a limit")
 {
-    endless_server fixture(endless(endless_body, "1\r\nx\r\n"));
+    get_fixture fixture(endless(endless_body, "1\r\nx\r\n"));
     CHECK(fixture.run() == "too_long");
     CHECK(fixture.server.connections_ended == 1);
     CHECK(fixture.client.progress().bytes <= 1'100'000);
@@ -84,7 +96,7 @@
     std::string const zeros(4'096, '0');
     for (script const& plan : {endless("HTTP/1.1 200 OK\r\nX: ", zeros),
                                endless(endless_body, zeros)}) {
-        endless_server fixture(plan);
+        get_fixture fixture(plan);
         CHECK(fixture.run() == "broken");
         CHECK(fixture.server.connections_ended == 1);
     }
@@ -94,7 +106,7 @@
 // then keeps it busy.
 TEST_CASE("a document that trickles without end is given up")
 {
-    endless_server fixture(endless(endless_body, "1\r\nx\r\n", 20ms));
+    get_fixture fixture(endless(endless_body, "1\r\nx\r\n", 20ms));
     CHECK(fixture.run() == "slow");
     CHECK(fixture.server.connections_ended == 1);
 }
@@ -104,33 +116,20 @@
 TEST_CASE("a reader that was held up does not call the document slow")
 {
     runtime::manual_clock clock;
-    runtime::event_loop loop(clock.as_clock());
     script plan{"HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n"};
     plan.remainder = std::string(3'000, 'x');
     plan.piece_bytes = 300;
     plan.delay = 10ms;
-    scripted_upstream server(loop, [&clock, &plan](received const&) {
+    get_fixture fixture(plan, clock.as_clock());
+    fixture.on_request = [&clock] {
         clock.advance(600ms);
-        return plan;
-    });
-    proxy::get_request request;
-    request.at = server.at();
-    request.target = "/";
-    request.slow_start = 400ms;
-    proxy::http_get client{loop};
-    std::string outcome;
-    client.start(request,
-                 {[&outcome](int, std::string const&) {
-                      outcome = "answered";
-                  },
-                  [&outcome](std::string_view reason) {
-                      outcome = reason;
-                  }});
-    for (int i = 0; i < 2'000 && outcome.empty(); ++i) {
-        loop.poll();
+    };
+    fixture.start();
+    for (int i = 0; i < 2'000 && fixture.outcome.empty(); ++i) {
+        fixture.loop.poll();
         clock.advance(1ms);
     }
-    CHECK(outcome == "answered");
+    CHECK(fixture.outcome == "answered");
 }
 
 // Guards against a watch without news that counts as a failure of the store.
@@ -139,7 +138,7 @@
     script plan;
     plan.remainder = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
     plan.delay = 600ms;
-    endless_server fixture(plan);
+    get_fixture fixture(plan);
     fixture.server.connections_ended = 1;
     CHECK(fixture.run() == "answered");
 }
@@ -150,7 +149,7 @@
     plan.remainder = std::string(3'000, 'x');
     plan.piece_bytes = 300;
     plan.delay = 100ms;
-    endless_server fixture(plan);
+    get_fixture fixture(plan);
     fixture.server.connections_ended = 1;
     CHECK(fixture.run() == "answered");
 }
