Soak: all hosts read one address of an upstream

What it hid: each host read other addresses of the engines, while lists that hosts tell each other carry the teller's.

Change: an upstream has one port for all.

--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -26,10 +26,9 @@
         self.copies = []
         self.changed = asyncio.Event()
 
-    async def start_view(self, rewrite):
-        """Starts a port at which the values of keys are read as `rewrite(key, value)`. Returns its number."""
-        server = await asyncio.start_server(
-            lambda reader, writer: self.serve(reader, writer, rewrite), "127.0.0.1", 0)
+    async def start(self):
+        """Returns the number of its port."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         return server.sockets[0].getsockname()[1]
 
     def put(self, key, value):
@@ -75,13 +74,12 @@
         return [f"Store-Era: {self.era}"]
 
     @staticmethod
-    def encode(item, rewrite):
+    def encode(item):
         if item.get("tombstone"):
             return item
-        value = rewrite(item["key"], item["value"])
-        return {**item, "value": base64.b64encode(json.dumps(value).encode()).decode()}
+        return {**item, "value": base64.b64encode(json.dumps(item["value"]).encode()).decode()}
 
-    async def serve(self, reader, writer, rewrite):
+    async def serve(self, reader, writer):
         try:
             while (head := await read_head(reader)) is not None:
                 if self.mode == SILENT:
@@ -93,26 +91,26 @@
                 if self.mode == BUSY:
                     writer.write(make_response(503))
                 elif url.path == "/kv-range":
-                    writer.write(self.read_range(query, rewrite))
+                    writer.write(self.read_range(query))
                 else:
-                    writer.write(await self.watch(query, rewrite))
+                    writer.write(await self.watch(query))
                 await writer.drain()
         except (ConnectionError, OSError):
             pass
 
-    def read_range(self, query, rewrite):
+    def read_range(self, query):
         keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-        body = {"items": [self.encode(self.items[k], rewrite) for k in keys], "more_pages": False, "store_revision": self.revision}
+        body = {"items": [self.encode(self.items[k]) for k in keys], "more_pages": False, "store_revision": self.revision}
         return make_response(200, json.dumps(body).encode(), self.headers())
 
-    async def watch(self, query, rewrite):
+    async def watch(self, query):
         after, era = int(query["after"]), self.era
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             if after < self.compacted_revision or after > self.revision or era != self.era:
                 return make_response(410, b"{}", self.headers())
             is_deaf = time.monotonic() < self.deaf_until
-            events = [] if is_deaf else [self.encode(e, rewrite) for e in self.log if e["revision"] > after]
+            events = [] if is_deaf else [self.encode(e) for e in self.log if e["revision"] > after]
             remaining = until - time.monotonic()
             if events or remaining <= 0:
                 body = {"events": events, "store_revision": self.revision}
