An upstream that goes on has not crashed

Cause: a host whose links are reset and then refused takes that for a crash. Two reports of one start, 0.7 s apart, were joined to one crash, with the time of the first and the request of the second: that request seemed to have been sent after crashes that it had nothing to do with.

Why it works: a start crashes once. One that has begun a request sent later than that has not crashed then: what was seen of it is dropped, whichever report comes first. News of others may be 250 ms late, and count as before within that.

--- a/src/routing/crash_table.cpp
+++ b/src/routing/crash_table.cpp
@@ -7,6 +7,21 @@
 
 constexpr std::size_t max_crashes = 512;
 constexpr std::size_t max_sightings = 16;
+/// Times of other hosts may be late by this: the age of news counts from when
+/// they were sent.
+constexpr model::milliseconds max_delay_of_news{250};
+
+/// Returns the last time at which an upstream took a request that it has begun.
+model::time_point alive_at(upstream_crash const& seen)
+{
+    model::time_point latest{};
+    for (crash_candidate const& candidate : seen.candidates) {
+        if (candidate.has_begun) {
+            latest = std::max(latest, candidate.sent_at);
+        }
+    }
+    return latest;
+}
 
 void add_once(std::vector<shared_part>& to, shared_part const& part)
 {
@@ -25,11 +40,20 @@
         m_order.pop_front();
     }
     auto const [found, is_new] = m_crashes.try_emplace(
-        seen.start, crash{seen.at, seen.service, seen.version, {}});
+        seen.start, crash{seen.at, {}, seen.service, seen.version, {}});
     crash& known = found->second;
     if (is_new) {
         m_order.push_back(seen.start);
     }
+    known.alive_at = std::max(known.alive_at, alive_at(seen));
+    if (known.alive_at > seen.at + max_delay_of_news) {
+        return known;
+    }
+    if (known.alive_at > known.at + max_delay_of_news) {
+        refute(seen.start, known.alive_at);
+        known.at = seen.at;
+        known.candidates.clear();
+    }
     known.at = std::min(known.at, seen.at);
     for (crash_candidate const& candidate : seen.candidates) {
         add_once(known.candidates, seen.part_of(candidate));
--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -41,6 +41,8 @@
     struct crash
     {
         model::time_point at{};
+        /// Until then its upstream has surely lived.
+        model::time_point alive_at{};
         std::uint64_t service = 0;
         std::uint64_t version = 0;
         /// Sorted.
@@ -58,6 +60,9 @@
 
     /// Records what a host has seen and returns what is known of that crash,
     /// until the next call.
+    ///
+    /// A host that loses its links to an upstream takes that for a crash. If
+    /// the upstream has begun a request that was sent later, it was none.
     crash const& record(upstream_crash const& seen);
 
     /// Records an answer that began at `answer.began_at`: it clears its part of
@@ -156,6 +161,8 @@
     };
 
     void forget_weakest();
+    /// Forgets what was seen of a crash of this upstream before `alive_at`.
+    void refute(std::uint64_t start, model::time_point alive_at);
     static std::size_t count_unanswered(evidence const& against);
     static bool is_answered(evidence const& against, sighting const& item);
     void add(upstream_crash const& seen, crash_candidate const& candidate);
--- a/src/routing/crash_table_bounds.cpp
+++ b/src/routing/crash_table_bounds.cpp
@@ -44,6 +44,15 @@
     });
 }
 
+void crash_table::refute(std::uint64_t start, model::time_point alive_at)
+{
+    for (auto& [part, against] : m_parts) {
+        std::erase_if(against.sightings, [&](sighting const& item) {
+            return item.start == start && item.at < alive_at;
+        });
+    }
+}
+
 std::size_t crash_table::count_unanswered(evidence const& against)
 {
     return static_cast<std::size_t>(
--- a/tests/routing/crash_table_test.cpp
+++ b/tests/routing/crash_table_test.cpp
@@ -7,24 +7,88 @@
 using namespace caperjunction;
 using namespace std::chrono_literals;
 
+namespace {
+
+model::time_point const start{std::chrono::hours(1)};
+routing::shared_part const guilty{1, 5};
+
+/// A crash at which a part was in flight, sent `before` it.
+routing::upstream_crash crash_of(std::uint64_t engine,
+                                 model::time_point at,
+                                 model::milliseconds before,
+                                 std::uint64_t part = guilty.id)
+{
+    return {engine, 1, 1, at, {{part, at - before, false, true}}};
+}
+
+std::size_t crashes_in_sequence(routing::crash_table const& table)
+{
+    return table
+        .in_sequence(guilty,
+                     [](auto const&) {
+                         return false;
+                     })
+        .size();
+}
+
+} // namespace
+
 // Guards against evidence that goes each time another host tells of a crash
 // again.
 TEST_CASE("a crash that is told again takes no other one's place")
 {
     constexpr std::uint64_t kept = 512;
-    model::time_point const start{std::chrono::hours(1)};
-    auto const crash_of = [start](std::uint64_t engine) {
-        auto const at = start + engine * 100ms;
-        return routing::upstream_crash{
-            engine, 1, 1, at, {{engine, at - 50ms, false, true}}};
+    auto const crash_at = [](std::uint64_t engine) {
+        return crash_of(engine, start + engine * 100ms, 50ms, engine);
     };
     routing::crash_table table{routing::poison_limits{}};
     for (std::uint64_t engine = 1; engine <= kept; ++engine) {
-        table.record(crash_of(engine));
+        table.record(crash_at(engine));
     }
-    table.record(crash_of(kept));
+    table.record(crash_at(kept));
     CHECK(table.knows(1));
-    table.record(crash_of(kept + 1));
+    table.record(crash_at(kept + 1));
     CHECK_FALSE(table.knows(1));
     CHECK(table.knows(2));
 }
+
+// Guards against sound requests that are refused because hosts lost their links
+// to upstreams, twice in a row.
+TEST_CASE("an upstream that goes on has not crashed")
+{
+    routing::crash_table table{routing::poison_limits{}};
+    auto const first_cut = crash_of(1, start, 150ms);
+    auto const second_cut = crash_of(1, start + 700ms, 50ms, 6);
+    SUBCASE("told in this order")
+    {
+        table.record(first_cut);
+        CHECK(crashes_in_sequence(table) == 1);
+        table.record(second_cut);
+    }
+    SUBCASE("told in the other order")
+    {
+        table.record(second_cut);
+        table.record(first_cut);
+    }
+    CHECK(crashes_in_sequence(table) == 0);
+}
+
+TEST_CASE("links that are lost twice to two upstreams are no sequence")
+{
+    routing::crash_table table{routing::poison_limits{}};
+    for (auto const at : {start, start + 700ms}) {
+        table.record(crash_of(1, at, 50ms));
+        table.record(crash_of(2, at + 15ms, 50ms));
+    }
+    table.record(crash_of(3, start + 5s, 50ms));
+    CHECK(crashes_in_sequence(table) == 2);
+}
+
+// News of others take their time.
+TEST_CASE("a request that was sent just before a crash is in flight at it")
+{
+    routing::crash_table table{routing::poison_limits{}};
+    table.record(crash_of(1, start, 150ms, 6));
+    table.record(crash_of(1, start + 120ms, 20ms));
+    CHECK(crashes_in_sequence(table) == 1);
+}
