--- a/tools/soak/link.py
+++ b/tools/soak/link.py
@@ -14,7 +14,8 @@
     silent, not answered; open ones are silent, reset, or live on."""
 
     def __init__(self, target_port, port):
-        super().__init__(target_port, port)
+        super().__init__(target_port)
+        self.port = port
         self.state, self.is_target_up = OPEN, True
         self.fillers = []
         # Changes of state overlap; two at a time would both listen on the port.
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -12,16 +12,15 @@
 class FaultProxy:
     """Forwards one port to another. `mode` also applies to open connections."""
 
-    def __init__(self, target_port, port=0):
-        """`port`: its own; 0 for any that is free."""
+    def __init__(self, target_port):
         self.target_port = target_port
         self.mode = PASS
         self.writers = set()
         self.server = None
-        self.port = port
+        self.port = 0
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
         # Small buffers propagate the back-pressure of a caller that does not read.
         self.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -10,16 +10,15 @@
 from .caller import Caller
 from .engine import SLOTS, Engine
 from .link import OPEN, Link
-from .ports import MAX_HOSTS, PortBlock, link_offset
+from .ports import PortBlock
 from .proxy import FaultProxy
 from .store import Store
 from .streams import versions
 
 
 class Host:
-    def __init__(self, name, data_centre, program, folder, ports, number):
+    def __init__(self, name, data_centre, program, folder, ports):
         self.name = name
-        self.number = number
         self.data_centre = data_centre
         self.program = program
         self.log_path = os.path.join(folder, f"{name}.log")
@@ -27,9 +26,6 @@
         with open(self.settings_path, "w", encoding="utf-8") as settings:
             settings.write("--stop_limit=8s\n")
         self.listen, self.admin, self.peer, self.tunnels = (ports.allocate() for _ in range(4))
-        # All hosts read the same address of an upstream; connections of this one are led to its own link.
-        link_map = os.path.join(os.path.dirname(program), "link_map.so")
-        self.environment = {**os.environ, "LD_PRELOAD": link_map, "LINK_MAP": ports.mapping_of(number)}
         # Its links to upstreams, by their names, and the state that they are put in together.
         self.links, self.link_state = {}, OPEN
         self.front = FaultProxy(self.listen)
@@ -53,7 +49,7 @@
             return
         self.is_stopping = False
         with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(arguments, stdout=log, stderr=log, env=self.environment)
+            self.process = subprocess.Popen(arguments, stdout=log, stderr=log)
 
     def is_running(self):
         return self.process is not None and self.process.poll() is None
@@ -62,6 +58,11 @@
         if self.is_running():
             self.process.send_signal(number)
 
+    def rewrite(self, key, value):
+        """The address of an upstream as this host reads it from the store: that of its own link."""
+        name = key.removeprefix("servers/")
+        return {**value, "address": f"127.0.0.1:{self.links[name].port}"} if name in self.links else value
+
     async def cut_links(self, state):
         self.link_state = state
         # An engine that is added meanwhile adds a link.
@@ -112,11 +113,7 @@
         self.paths = {}
         ports = PortBlock()
         self.ports = ports
-        if hosts > MAX_HOSTS:
-            raise ValueError(f"at most {MAX_HOSTS} hosts")
-        if not os.path.exists(os.path.join(os.path.dirname(program), "link_map.so")):
-            raise ValueError("link_map.so is not beside the program; build it")
-        self.hosts = [Host(f"h{n}", "abc"[n % 3], program, folder, ports, n) for n in range(hosts)]
+        self.hosts = [Host(f"h{n}", "abc"[n % 3], program, folder, ports) for n in range(hosts)]
         self.engine_count = engines
         self.flags = list(flags)
         self.version = 1
@@ -186,11 +183,10 @@
         engine = Engine(f"i-{len(self.engines)}", service, self.runs, engine_seed, self.ports.allocate())
         engine.version = version
         await engine.start()
-        port = self.ports.allocate_upstream(len(self.hosts))
-        self.paths[engine] = FaultProxy(engine.port, port)
+        self.paths[engine] = FaultProxy(engine.port)
         await self.paths[engine].start()
         for host in self.hosts:
-            await host.add_link(engine.name, Link(port, port + link_offset(host.number)))
+            await host.add_link(engine.name, Link(self.paths[engine].port, self.ports.allocate()))
         self.engines.append(engine)
         self.register(engine)
         return engine
@@ -199,10 +195,9 @@
         for number in range(self.engine_count):
             await self.add_engine("s0" if number % 2 == 0 else "s1")
         self.publish()
-        store = await self.store.start()
         for host in self.hosts:
             await host.front.start()
-            host.store_path = FaultProxy(store)
+            host.store_path = FaultProxy(await self.store.start_view(host.rewrite))
             await host.store_path.start()
             self.start_host(host)
         asyncio.ensure_future(self.poll_readiness())
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -26,9 +26,10 @@
         self.copies = []
         self.changed = asyncio.Event()
 
-    async def start(self):
-        """Returns the number of its port."""
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start_view(self, rewrite):
+        """Starts a port at which the values of keys are read as `rewrite(key, value)`. Returns its number."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self.serve(reader, writer, rewrite), "127.0.0.1", 0)
         return server.sockets[0].getsockname()[1]
 
     def put(self, key, value):
@@ -74,12 +75,13 @@
         return [f"Store-Era: {self.era}"]
 
     @staticmethod
-    def encode(item):
+    def encode(item, rewrite):
         if item.get("tombstone"):
             return item
-        return {**item, "value": base64.b64encode(json.dumps(item["value"]).encode()).decode()}
+        value = rewrite(item["key"], item["value"])
+        return {**item, "value": base64.b64encode(json.dumps(value).encode()).decode()}
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, rewrite):
         try:
             while (head := await read_head(reader)) is not None:
                 if self.mode == SILENT:
@@ -91,26 +93,26 @@
                 if self.mode == BUSY:
                     writer.write(make_response(503))
                 elif url.path == "/kv-range":
-                    writer.write(self.read_range(query))
+                    writer.write(self.read_range(query, rewrite))
                 else:
-                    writer.write(await self.watch(query))
+                    writer.write(await self.watch(query, rewrite))
                 await writer.drain()
         except (ConnectionError, OSError):
             pass
 
-    def read_range(self, query):
+    def read_range(self, query, rewrite):
         keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-        body = {"items": [self.encode(self.items[k]) for k in keys], "more_pages": False, "store_revision": self.revision}
+        body = {"items": [self.encode(self.items[k], rewrite) for k in keys], "more_pages": False, "store_revision": self.revision}
         return make_response(200, json.dumps(body).encode(), self.headers())
 
-    async def watch(self, query):
+    async def watch(self, query, rewrite):
         after, era = int(query["after"]), self.era
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             if after < self.compacted_revision or after > self.revision or era != self.era:
                 return make_response(410, b"{}", self.headers())
             is_deaf = time.monotonic() < self.deaf_until
-            events = [] if is_deaf else [self.encode(e) for e in self.log if e["revision"] > after]
+            events = [] if is_deaf else [self.encode(e, rewrite) for e in self.log if e["revision"] > after]
             remaining = until - time.monotonic()
             if events or remaining <= 0:
                 body = {"events": events, "store_revision": self.revision}
