Known red: a sound request is refused after links that one host lost

Seen by a test that was written for it: links of one of seven hosts are reset and refused for 300 ms, five times, 1 s apart, with the same booking in flight.

--- a/tests/proxy/relay_repeat_kinds_test.cpp
+++ b/tests/proxy/relay_repeat_kinds_test.cpp
@@ -179,3 +179,25 @@
     CHECK(again.back().is_served());
     CHECK(again[1].is_served());
 }
+
+// Guards against a host that takes links which it alone has lost for crashes.
+TEST_CASE("a request that lost links break off is served later"
+          * doctest::skip())
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.work = 300ms;
+    crashing_fleet::repeated_request const sound{"/book/", "sound"};
+    std::vector<first_try> tries;
+    for (int cut = 0; cut < 5; ++cut) {
+        tries.push_back(site.repeat(0, sound));
+        site.fleet.run_for(50ms);
+        site.fleet.set_links(0, path_state::resetting);
+        site.fleet.run_for(300ms);
+        site.fleet.set_links(0, path_state::open);
+        site.fleet.run_for(700ms);
+    }
+    auto const last = site.repeat(3, sound);
+    site.fleet.run_for(1s);
+    CHECK(std::none_of(tries.begin(), tries.end(), is_quarantined));
+    CHECK(last.is_served());
+}
