Known red: an answer of other content, once, in the soak

Its first attempt broke 19 ms after the head, before anything had gone to the caller; the second ended as served 243 ms later, and what its caller got differs from what an engine sends.

The check stays as it is and says now how much came and how much of it is right, so that a cut can be told from a mix.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -73,7 +73,8 @@
         else:
             got, want = t.body.decode(), plain_answer(t.path, t.id)
         if got != want:
-            found.append(f"{t.id} ({t.path}) got {t.body[:80]!r}")
+            same = next((n for n, (a, b) in enumerate(zip(got, want)) if a != b), min(len(got), len(want)))
+            found.append(f"{t.id} ({t.path}) got {len(got)} of {len(want)} characters, the first {same} right: {t.body[:80]!r}")
         if not t.service:
             found.append(f"{t.id} got 200 without a Response-Seal")
     return found
