Soak: a connection that is closing is reset, too

Cause, suspected for that answer, shown for the mechanism: `reset` left out SO_LINGER where the connection was closing already. What it had not sent was dropped, and the system ended it with a FIN. A third of the soak's answers end with their connections: such a cut looks whole to every reader, a host as well. The FaultProxy of an upstream closes its side as soon as the engine has, with up to 64 kB unsent, and faults reset it then.

Evidence: the new test (16 MB, closed, then reset) failed before: the reader got an end without an error.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -12,6 +12,7 @@
 
 from tools.soak import checks  # noqa: E402
 from tools.soak.engine import Engine  # noqa: E402
+from tools.soak.http import reset  # noqa: E402
 from tools.soak.link import OPEN, REFUSING_NEW, Link  # noqa: E402
 from tools.soak.site import Site  # noqa: E402
 
@@ -311,5 +312,27 @@
         self.assertTrue(checks.requests_are_answered(site([request(status=503)], [])))
 
 
+class ResetTest(unittest.TestCase):
+    """Guards against a cut answer without a length that its reader takes for a whole one."""
+
+    def test_a_connection_that_is_closing_is_reset(self):
+        async def play():
+            async def cut(reader, writer):
+                writer.write(b"x" * 16_000_000)
+                writer.close()
+                reset(writer)
+
+            server = await asyncio.start_server(cut, "127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+            try:
+                with self.assertRaises(ConnectionResetError):
+                    await reader.read()
+            finally:
+                writer.close()
+                server.close()
+
+        asyncio.run(play())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/http.py
+++ b/tools/soak/http.py
@@ -49,9 +49,10 @@
 
 
 def reset(writer):
-    """Ends a connection with a reset. Without the option the system closes it as if all had been sent."""
+    """Ends a connection with a reset. Without the option the system closes it as if all had been sent, also one that is
+    closing and has not sent all."""
     connection = writer.transport.get_extra_info("socket")
-    if connection is not None and not writer.transport.is_closing():
+    if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
