--- a/tests/proxy/part_exchange_test.cpp
+++ b/tests/proxy/part_exchange_test.cpp
@@ -61,6 +61,18 @@
 
 model::endpoint const peer{"127.0.0.2", 7'000};
 
+/// Adds an upstream that refuses connections.
+routing::upstream_ptr add_gone_upstream(proxy::relay_context& context)
+{
+    routing::upstream gone;
+    gone.id = "i-1";
+    gone.service = "ledger";
+    // Nothing listens there.
+    gone.at = {"127.0.0.1", 1};
+    context.directory.put(gone);
+    return context.directory.find(gone.id);
+}
+
 void run_for(exchange_host& host,
              runtime::manual_clock& clock,
              model::milliseconds time)
@@ -140,13 +152,7 @@
     exchange_host host(clock.as_clock());
     host.add_peer(peer);
     proxy::relay_context& context = host.fixture.context;
-    routing::upstream gone;
-    gone.id = "i-1";
-    gone.service = "ledger";
-    // Nothing listens there.
-    gone.at = {"127.0.0.1", 1};
-    context.directory.put(gone);
-    auto const upstream = context.directory.find("i-1");
+    auto const upstream = add_gone_upstream(context);
     routing::shared_part known{
         upstream->software.service, 42, routing::part_kind::request};
     auto const sent_at = context.loop.now();
@@ -181,13 +187,7 @@
     exchange_host host(clock.as_clock());
     host.add_peer(peer);
     proxy::relay_context& context = host.fixture.context;
-    routing::upstream gone;
-    gone.id = "i-1";
-    gone.service = "ledger";
-    // Nothing listens there.
-    gone.at = {"127.0.0.1", 1};
-    context.directory.put(gone);
-    auto const upstream = context.directory.find("i-1");
+    auto const upstream = add_gone_upstream(context);
     routing::shared_part const part{
         upstream->software.service, 42, routing::part_kind::request};
     proxy::record_broken_attempt(
