--- a/src/proxy/broken_attempt_report.hpp
+++ b/src/proxy/broken_attempt_report.hpp
@@ -2,9 +2,9 @@
 #define CAPERJUNCTION_PROXY_BROKEN_ATTEMPT_REPORT_HPP
 
 #include "model/time.hpp"
+#include "routing/crash_counts.hpp"
 #include "routing/prompt.hpp"
 
-#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -17,7 +17,7 @@
     /// Identifies the request at all hosts, however often it is repeated.
     std::uint64_t request = 0;
     /// Crashes at which it was in flight, as far as this host knew before.
-    std::size_t known_crashes = 0;
+    routing::crash_counts known_crashes;
     std::string_view route;
     std::string_view service;
     std::string_view upstream;
--- a/src/proxy/exchange_end.cpp
+++ b/src/proxy/exchange_end.cpp
@@ -126,7 +126,7 @@
     broken_attempt_report report;
     report.id = m_metadata.id;
     report.request = request_key();
-    report.known_crashes = m_context.parts.crashes_of(whole_request());
+    report.known_crashes = m_context.parts.counts_of(whole_request());
     report.route = m_route->name;
     report.service = m_service;
     report.upstream = m_upstream->description.id;
--- a/src/routing/crash_table.cpp
+++ b/src/routing/crash_table.cpp
@@ -198,39 +198,48 @@
     return list;
 }
 
-bool crash_table::is_cause(shared_part const& part,
-                           is_explained const& explained) const
+crash_counts crash_table::counts_of(shared_part const& part,
+                                    is_explained const& explained) const
 {
+    crash_counts result;
     auto const found = m_parts.find(part);
     if (found == m_parts.end()) {
-        return false;
+        return result;
     }
     evidence const& against = found->second;
-    std::size_t const sequence = in_sequence(part, explained).size();
-    std::size_t const needed = verdict_threshold(part, against);
-    if (against.is_trusted) {
-        return sequence >= needed;
-    }
-    auto const in_all = static_cast<std::size_t>(
+    result.in_all = static_cast<std::size_t>(
         std::count_if(against.sightings.begin(),
                       against.sightings.end(),
                       [&](sighting const& item) {
                           return counts(against, item, explained);
                       }));
-    return sequence >= needed
-           || (sequence + 1 >= needed
-               && in_all >= m_limits.overlapping + needed - m_limits.verdict);
+    result.in_sequence = in_sequence(part, explained).size();
+    result.without = crashes_without(part, against);
+    result.is_trusted = against.is_trusted;
+    return result;
+}
+
+bool crash_table::is_cause(shared_part const& part,
+                           is_explained const& explained) const
+{
+    crash_counts const counted = counts_of(part, explained);
+    std::size_t const needed = verdict_threshold(part.kind, counted);
+    if (counted.in_sequence >= needed) {
+        return true;
+    }
+    return !counted.is_trusted && counted.in_sequence + 1 >= needed
+           && counted.in_all
+                  >= m_limits.overlapping + needed - m_limits.verdict;
 }
 
-std::size_t crash_table::verdict_threshold(shared_part const& part,
-                                           evidence const& against) const
+std::size_t crash_table::verdict_threshold(part_kind kind,
+                                           crash_counts const& counted) const
 {
-    if (against.is_trusted) {
+    if (counted.is_trusted) {
         return m_limits.trusted_verdict;
     }
-    bool const may_be_chance =
-        part.kind == part_kind::request
-        && crashes_without(part, against) >= m_limits.chance_crashes;
+    bool const may_be_chance = kind == part_kind::request
+                               && counted.without >= m_limits.chance_crashes;
     return m_limits.verdict + (may_be_chance ? 1 : 0);
 }
 
--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -2,6 +2,7 @@
 #define CAPERJUNCTION_ROUTING_CRASH_TABLE_HPP
 
 #include "model/time.hpp"
+#include "routing/crash_counts.hpp"
 #include "routing/part_evidence.hpp"
 #include "routing/poison_limits.hpp"
 
@@ -115,6 +116,10 @@
     std::vector<sighting> in_sequence(shared_part const& part,
                                       is_explained const& explained) const;
 
+    /// Returns how many crashes count against a part.
+    crash_counts counts_of(shared_part const& part,
+                           is_explained const& explained) const;
+
     /// Returns whether the crashes show that the part has caused them.
     bool is_cause(shared_part const& part, is_explained const& explained) const;
 
@@ -181,8 +186,8 @@
     static std::size_t count_unanswered(evidence const& against);
     static bool is_answered(evidence const& against, sighting const& item);
     void add(upstream_crash const& seen, crash_candidate const& candidate);
-    std::size_t verdict_threshold(shared_part const& part,
-                                  evidence const& against) const;
+    std::size_t verdict_threshold(part_kind kind,
+                                  crash_counts const& counted) const;
     std::size_t crashes_without(shared_part const& part,
                                 evidence const& against) const;
     bool counts(evidence const& against,
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -221,6 +221,13 @@
     });
 }
 
+crash_counts poison_parts::counts_of(shared_part const& part) const
+{
+    return m_crashes.counts_of(part, [this](crash_table::crash const& seen) {
+        return is_explained(seen);
+    });
+}
+
 bool poison_parts::is_cause(shared_part const& part) const
 {
     return m_crashes.is_cause(part, [this](crash_table::crash const& seen) {
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -133,6 +133,9 @@
         return in_sequence(part).size();
     }
 
+    /// Returns how many crashes count against a part, by kind.
+    crash_counts counts_of(shared_part const& part) const;
+
     /// Returns the crashes that are not answered for, for a host that has just
     /// come into touch; see `crash_table::unanswered`.
     std::vector<upstream_crash>
