A stream is taken up at the only known version only with a recent list

Cause, by reading and then by a test: a host that knew one version claimed that it had begun every stream, as long as its list had been confirmed within the lifetime of keys (5 s), and went there without asking anybody. Class: an absence is taken from a list that may be older than what it is asked about.

Change: that claim, a host's own or its reply to another one, needs a list that was confirmed within 1 s, in which changes arrive. A host whose list is older asks the others, and waits up to 1.5 s for the next confirmation of the store before it refuses with Retry-After. A host without others needs none.

The fixture tells other hosts the revision of a change, as lists do. Left: a release, the begin of a stream, its break and its taking up, all within the second after the host was cut off.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -45,7 +45,7 @@
     m_context.loop.cancel(m_deadline_timer);
     m_context.loop.cancel(m_silence_timer);
     m_context.loop.cancel(m_withdrawal_timer);
-    m_context.loop.cancel(m_verdict_timer);
+    m_context.loop.cancel(m_wait_timer);
 }
 
 bool exchange::waits_for_lists() const
@@ -248,6 +248,17 @@
     }
 }
 
+void exchange::run_later(model::milliseconds delay,
+                         std::function<void()> const& then)
+{
+    m_wait_timer = m_context.loop.after(delay, [weak = weak_from_this(), then] {
+        auto const self = weak.lock();
+        if (self && !self->m_ended) {
+            then();
+        }
+    });
+}
+
 void exchange::end(std::string_view outcome, bool complete)
 {
     if (m_ended) {
@@ -258,7 +269,7 @@
     m_context.loop.cancel(m_deadline_timer);
     m_context.loop.cancel(m_silence_timer);
     m_context.loop.cancel(m_withdrawal_timer);
-    m_context.loop.cancel(m_verdict_timer);
+    m_context.loop.cancel(m_wait_timer);
     leave_host_queue();
     end_trial();
     record_if_late();
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -133,12 +133,15 @@
     void record_written_parts();
     void record_answered_parts();
 
+    /// Calls `then` after `delay` unless the request has ended by then.
+    void run_later(model::milliseconds delay,
+                   std::function<void()> const& then);
+
     // exchange_trial.cpp
     std::vector<routing::shared_part> suspects();
     bool may_overtake();
     trial_step next_trial_step();
     void claim_trial();
-    void place_after(model::milliseconds delay);
     routing::upstream_state const* upstream_for_trial();
     bool is_trial_possible();
     bool choose_for_trial();
@@ -200,6 +203,7 @@
     bool takes_up_stream() const;
     void find_software();
     void take_up(std::optional<routing::software> const& found);
+    bool waits_for_list();
     bool continues_stream() const;
     bool has_expected_software() const;
     bool knows_software() const;
@@ -290,7 +294,10 @@
     std::vector<routing::software> m_kept_from;
     /// The only upstream that a trial may go to; null: any.
     routing::upstream_state const* m_only_upstream = nullptr;
-    runtime::timer_handle m_verdict_timer;
+    /// Of a request that waits for what other hosts or the store tell.
+    runtime::timer_handle m_wait_timer;
+    /// Since when it waits for a recent list, to take up a stream.
+    std::optional<model::time_point> m_waits_for_list_since;
     /// Since when it waits for another request's trial.
     std::optional<model::time_point> m_waits_since;
     /// It was in flight when an upstream broke its connection.
--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -118,20 +118,13 @@
         refuse_for_parts();
         return;
     }
-    auto const weak = weak_from_this();
     std::uint64_t const spread =
         XXH3_64bits_withSeed(
             m_metadata.id.data(),
             m_metadata.id.size(),
             static_cast<std::uint64_t>(now.time_since_epoch().count()))
         % verdict_poll_spread_ms;
-    model::milliseconds const poll(min_verdict_poll_ms + spread);
-    m_verdict_timer = m_context.loop.after(poll, [weak, then] {
-        auto const self = weak.lock();
-        if (self && !self->m_ended) {
-            then();
-        }
-    });
+    run_later(model::milliseconds(min_verdict_poll_ms + spread), then);
 }
 
 /// Whether it is kept back as a whole, rather than for a part that others have
--- a/src/proxy/exchange_take_up.cpp
+++ b/src/proxy/exchange_take_up.cpp
@@ -5,6 +5,13 @@
 #include <algorithm>
 
 namespace caperjunction::proxy {
+namespace {
+
+/// Longer than most watches of the store, each of which confirms the list.
+constexpr model::milliseconds max_list_wait{1'500};
+constexpr model::milliseconds list_poll{100};
+
+} // namespace
 
 bool exchange::takes_up_stream() const
 {
@@ -34,6 +41,12 @@
 
 void exchange::take_up(std::optional<routing::software> const& found)
 {
+    if (!found && waits_for_list()) {
+        run_later(list_poll, [this] {
+            find_software();
+        });
+        return;
+    }
     if (!found) {
         refuse(reason_code::version_unknown);
         return;
@@ -53,6 +66,17 @@
     place();
 }
 
+// A list that the store confirms from now on shows whether another version has
+// served.
+bool exchange::waits_for_list()
+{
+    auto const now = m_context.loop.now();
+    m_waits_for_list_since = m_waits_for_list_since.value_or(now);
+    return !has_recent_list(m_context) && !m_context.is_stopping
+           && now - *m_waits_for_list_since < max_list_wait
+           && time_left() > max_list_wait;
+}
+
 // Whether the caller has events, of this answer or of an earlier attempt.
 bool exchange::continues_stream() const
 {
--- a/src/proxy/exchange_trial.cpp
+++ b/src/proxy/exchange_trial.cpp
@@ -67,17 +67,9 @@
     m_claim = static_cast<std::uint32_t>(
         1 + random % std::numeric_limits<std::uint32_t>::max());
     proxy::claim_trial(m_context, m_tried_parts, m_claim);
-    place_after(claim_delay);
-}
-
-void exchange::place_after(model::milliseconds delay)
-{
     leave_host_queue();
-    m_verdict_timer = m_context.loop.after(delay, [weak = weak_from_this()] {
-        auto const self = weak.lock();
-        if (self && !self->m_ended) {
-            self->place();
-        }
+    run_later(claim_delay, [this] {
+        place();
     });
 }
 
--- a/src/proxy/stream_software.cpp
+++ b/src/proxy/stream_software.cpp
@@ -25,6 +25,11 @@
            || context.loop.now() - *context.list_behind_since < max_list_lag;
 }
 
+bool has_other_hosts(relay_context const& context)
+{
+    return context.peers.alive() > 0 || !context.settings.seeds.empty();
+}
+
 void observe(relay_context& context)
 {
     context.software.observe(context.directory, context.loop.now());
@@ -68,6 +73,13 @@
     return !may_have_started_again;
 }
 
+bool has_recent_list(relay_context const& context)
+{
+    return has_current_list(context)
+           && (!has_other_hosts(context)
+               || context.keys.age(context.boot_now()) <= max_list_lag);
+}
+
 bool serves_one_version_each(relay_context const& context,
                              routing::route const& route)
 {
@@ -114,7 +126,7 @@
         return {origin_knowledge::several, {}};
     }
     auto const newest = context.software.newest(asked.service);
-    if (served == served_software::one && newest && has_current_list(context)) {
+    if (served == served_software::one && newest && has_recent_list(context)) {
         return {origin_knowledge::only_software, *newest};
     }
     return {};
--- a/src/proxy/stream_software.hpp
+++ b/src/proxy/stream_software.hpp
@@ -12,6 +12,10 @@
 /// timeout of a route whose streams may be.
 model::milliseconds takeover_window(relay_context const& context);
 
+/// Returns whether this host has the changes that others have read: what its
+/// list lacks, no other host can have used. Without other hosts, always.
+bool has_recent_list(relay_context const& context);
+
 /// Returns whether the software of an upstream is known from its entry: the
 /// list is current, and if it was not confirmed a moment ago, no connection to
 /// the upstream has broken since, as it does when one starts again under its
--- a/tests/proxy/host_fleet.cpp
+++ b/tests/proxy/host_fleet.cpp
@@ -140,14 +140,16 @@
 void host_fleet::set_version(std::size_t upstream, std::string const& version)
 {
     ++m_starts;
-    for (auto const& item : hosts) {
-        if (item) {
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        auto const& item = hosts[host];
+        if (item && host != out_of_step) {
             auto described = item->context.directory
                                  .find("i-" + std::to_string(upstream + 1))
                                  ->description;
             described.software_version = version;
             described.started = m_starts;
             item->context.directory.put(described);
+            item->context.known.upstreams = m_starts;
         }
     }
 }
@@ -168,7 +170,9 @@
 
 first_try host_fleet::connect(std::size_t host, std::string const& id)
 {
-    hosts[host]->context.keys.renew(loop.now());
+    if (host != out_of_step) {
+        hosts[host]->context.keys.renew(loop.now());
+    }
     first_try made;
     made.id = id;
     made.host = host;
--- a/tests/proxy/host_fleet.hpp
+++ b/tests/proxy/host_fleet.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -117,6 +118,8 @@
 
     runtime::event_loop loop;
     proxy::wire_names names = platform::wire_names();
+    /// The host that reads nothing of the store; no value: none.
+    std::optional<std::size_t> out_of_step;
     /// How upstreams answer; that of sound ones at first.
     std::function<script(received const&)> answer;
     std::vector<std::unique_ptr<scripted_upstream>> upstreams;
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -362,6 +362,56 @@
     CHECK(test.went_on >= streams * 9 / 10);
 }
 
+// Guards against a host that missed the begin of a release, and takes the only
+// version that it knows for the one that began a stream.
+TEST_CASE("a host out of step during a release takes up no stream by guess")
+{
+    constexpr std::size_t late = 3;
+    version_fleet test({"a", "a", "b", "b"});
+    auto& hosts = test.fleet.hosts;
+    std::vector<routing::upstream> joining;
+    for (std::size_t engine = 0; engine < 4; ++engine) {
+        test.set_version(engine, "v1");
+    }
+    for (auto const& host : hosts) {
+        auto& directory = host->context.directory;
+        for (std::string const id : {"i-3", "i-4"}) {
+            joining.push_back(directory.find(id)->description);
+            directory.remove(id, test.fleet.loop.now());
+        }
+        make_history(host->context, 1min);
+        host->context.keys.renew(test.fleet.loop.now());
+    }
+    test.fleet.out_of_step = late;
+    test.fleet.run_for(1'500ms);
+    test.versions = {"v1", "v1", "v2", "v2"};
+    for (std::size_t number = 0; number < 2 * late; ++number) {
+        auto& joined = joining[number];
+        joined.software_version = "v2";
+        joined.started = 100;
+        hosts[number / 2]->context.directory.put(joined);
+        hosts[number / 2]->context.known.upstreams = joined.started;
+    }
+    test.begin(0, 2 * streams);
+    CHECK(std::any_of(
+        test.begun.begin(), test.begun.end(), [](first_try const& made) {
+            return has_event_of(*made.caller, "v2");
+        }));
+    SUBCASE("it stood still")
+    {
+    }
+    SUBCASE("it is cut off from the others")
+    {
+        for (std::size_t host = 0; host < late; ++host) {
+            test.fleet.kill(host);
+        }
+        // Nothing that they have told has come.
+        hosts[late]->context.origins = {};
+    }
+    test.take_up({late});
+    CHECK(test.mixed == 0);
+}
+
 // Guards against a host that goes by an old list: an engine may have started
 // again under its id since, with other software.
 TEST_CASE("hosts whose lists are old take no stream up")
