One odd entry spoils neither its numbers nor its page

Cause: numbers were narrowed without a check (port read as 80, slots of as 4, of 2^63 as none), ports were read by atoi (80x, +80), any text counted as an address, and one item that could not be decoded threw away the whole page of the store, so that the read began again for ever. Class: a fault of one item that is taken for a fault of all.

An item whose fields can't be read keeps its key, without a value: an upstream that can't be read, not a removed one, and no page is lost. An item without a key still is the store's fault. A nesting of 100,000 ended no process before either; it is a test now.

--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -136,6 +136,76 @@
     }));
 }
 
+// Guards against numbers that are read as other ones: a port as its remainder,
+// slots as none or as thousands of millions.
+TEST_CASE("an upstream's entry with an odd number or address is unreadable")
+{
+    auto const entry = [](std::string const& address,
+                          std::string const& slots) {
+        return R"({"service":"s","address":")" + address
+               + R"(","zone":"z","version":"1.4","state":"ready","slots":)"
+               + slots + "}";
+    };
+    REQUIRE(platform::decode_upstream("i-1", entry("10.0.0.9:8080", "4")));
+    for (std::string const address : {"10.0.0.9:4294967376",
+                                      "10.0.0.9:65536",
+                                      "10.0.0.9:0",
+                                      "10.0.0.9:80x",
+                                      "10.0.0.9:+80",
+                                      "10.0.0.9: 80",
+                                      "10.0.0.9:",
+                                      "10.0.0.999:80",
+                                      "10.0.0:80",
+                                      "engine:80",
+                                      ":80"}) {
+        CAPTURE(address);
+        CHECK_FALSE(platform::decode_upstream("i-1", entry(address, "4")));
+    }
+    for (std::string const slots : {"4294967296",
+                                    "4294967300",
+                                    "9223372036854775808",
+                                    "18446744073709551615",
+                                    "18446744073709551616",
+                                    "65537",
+                                    "-1",
+                                    "1e3"}) {
+        CAPTURE(slots);
+        CHECK_FALSE(
+            platform::decode_upstream("i-1", entry("10.0.0.9:8080", slots)));
+    }
+    constexpr std::size_t depth = 100'000;
+    CHECK_FALSE(platform::decode_upstream("i-1", std::string(depth, '[')));
+    CHECK_FALSE(platform::decode_upstream(
+        "i-1",
+        entry("10.0.0.9:8080",
+              std::string(depth, '[') + std::string(depth, ']'))));
+}
+
+// Guards against one odd item that makes a whole page unreadable, so that the
+// host stops following the list.
+TEST_CASE("an item that can't be read spoils no other one of its page")
+{
+    auto const codec = platform::store_codec();
+    for (std::string const odd :
+         {R"("revision":5,"value":"not base64!")",
+          R"("revision":5,"value":7)",
+          R"("revision":5,"value":"e30=","tombstone":"yes")",
+          R"("revision":"5","value":"e30=")",
+          R"("revision":1e300,"value":"e30=")",
+          R"("value":"e30=")"}) {
+        CAPTURE(odd);
+        auto const read = codec.read_range(
+            R"({"store_revision":9,"items":[{"key":"servers/odd",)" + odd
+            + R"(},{"key":"servers/i-1","revision":6,"value":"e30="}]})");
+        REQUIRE(read.items.size() == 2);
+        CHECK(std::holds_alternative<proxy::unreadable_upstream>(
+            codec.decode(read.items[0])));
+        CHECK(read.items[0].revision >= 5);
+        CHECK(read.items[1].key == "servers/i-1");
+        CHECK(read.items[1].value == "{}");
+    }
+}
+
 TEST_CASE("store items become records")
 {
     auto const codec = platform::store_codec();
