--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -95,6 +95,9 @@
     if not has_crashing_request(seed):
         return []
     faults.crash_at_request(site)
+    # In every other one, three hosts or fewer get it at the same moment.
+    if seed % 10 == 4:
+        return [site.repeating_caller(step=2.0).run(until) for _ in range(3)]
     return [site.repeating_caller().run(until)]
 
 
--- a/tools/soak/caller.py
+++ b/tools/soak/caller.py
@@ -41,7 +41,7 @@
     counter = itertools.count(1)
 
     def __init__(self, site, rng, prefixes=("/book/", "/book/", "/view/", "/stream/", "/resume/"),
-                 uses_stopping_hosts=False, waits=True, is_guilty=False, key=None, interval=(0.02, 0.12)):
+                 uses_stopping_hosts=False, waits=True, is_guilty=False, key=None, interval=(0.02, 0.12), step=None):
         self.site = site
         self.random = rng
         self.prefixes = prefixes
@@ -58,12 +58,16 @@
         self.is_guilty = is_guilty
         # The only key that it sends; None: any. Bounds of the pause before a request (s).
         self.key, self.interval = key, interval
+        # It sends at multiples of this time (s), as do others with the same; None: at any.
+        self.step = step
 
     async def run(self, until):
         while time.monotonic() < until:
             is_idle = self.random.random() < 0.02
             await asyncio.sleep(self.random.uniform(0.5, 1.5) if is_idle else self.random.uniform(*self.interval))
-            if self.is_guilty:
+            if self.step is not None:
+                await asyncio.sleep(self.step - time.monotonic() % self.step)
+            elif self.is_guilty:
                 await asyncio.sleep(0.4)
             if self.waits and not self.is_guilty:
                 await asyncio.sleep(min(self.retry_after, 1.0))
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -282,9 +282,10 @@
         """Callers with prompts, one of them with a part that crashes engines."""
         return [Caller(self, self.random, ("/prompt/",), is_guilty=n == 0) for n in range(count)]
 
-    def repeating_caller(self):
-        """A caller that repeats the request that crashes engines, with any key of its team, at any host."""
-        return Caller(self, self.random, (self.guilty_path,), is_guilty=True)
+    def repeating_caller(self, step=None):
+        """A caller that repeats the request that crashes engines, with any key of its team, at any host; `step` as for
+        `Caller`."""
+        return Caller(self, self.random, (self.guilty_path,), is_guilty=True, step=step)
 
     def callers(self, count):
         """Callers of all kinds, among them some that delay the stop of a host."""
