--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -248,17 +248,6 @@
     }
 }
 
-void exchange::run_later(model::milliseconds delay,
-                         std::function<void()> const& then)
-{
-    m_wait_timer = m_context.loop.after(delay, [weak = weak_from_this(), then] {
-        auto const self = weak.lock();
-        if (self && !self->m_ended) {
-            then();
-        }
-    });
-}
-
 void exchange::end(std::string_view outcome, bool complete)
 {
     if (m_ended) {
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -8,6 +8,8 @@
 #include "proxy/message_head.hpp"
 #include "proxy/relay_context.hpp"
 #include "proxy/request_metadata.hpp"
+#include "proxy/trial_state.hpp"
+#include "proxy/trial_step.hpp"
 #include "proxy/upstream_connection.hpp"
 #include "routing/admission.hpp"
 #include "routing/load_ticket.hpp"
@@ -72,21 +74,6 @@
 
     /// Reserved before the deadline for sending a final answer.
     static constexpr model::milliseconds return_margin{20};
-    /// An upstream that a part crashes ends soon after it has begun to write.
-    /// One that has written for this time is not crashed by this answer.
-    static constexpr model::milliseconds crash_delay{500};
-
-    /// What a request does that may have to run as a trial.
-    enum class trial_step : std::uint8_t
-    {
-        /// It needs none.
-        none,
-        run,
-        /// It must claim its trial first.
-        claim,
-        /// Another trial runs, or no upstream is free for one.
-        wait,
-    };
 
     // exchange_place.cpp
     void place();
@@ -132,8 +119,6 @@
     void record_unanswered();
     void record_written_parts();
     void record_answered_parts();
-
-    /// Calls `then` after `delay` unless the request has ended by then.
     void run_later(model::milliseconds delay,
                    std::function<void()> const& then);
 
@@ -144,7 +129,6 @@
     void claim_trial();
     routing::upstream_state const* upstream_for_trial();
     bool is_trial_possible();
-    bool choose_for_trial();
     void begin_trial();
     void end_trial();
 
@@ -287,19 +271,11 @@
     std::optional<std::uint64_t> m_request_key;
     /// What other requests may share of it, once that was asked for.
     std::optional<std::vector<routing::shared_part>> m_shared_parts;
-    /// Parts of which the current attempt is the trial, or will be.
-    std::vector<routing::shared_part> m_tried_parts;
-    /// Its claim of that trial; 0: none.
-    std::uint32_t m_claim = 0;
+    trial_state m_trial;
     std::vector<routing::software> m_kept_from;
-    /// The only upstream that a trial may go to; null: any.
-    routing::upstream_state const* m_only_upstream = nullptr;
-    /// Of a request that waits for what other hosts or the store tell.
     runtime::timer_handle m_wait_timer;
     /// Since when it waits for a recent list, to take up a stream.
     std::optional<model::time_point> m_waits_for_list_since;
-    /// Since when it waits for another request's trial.
-    std::optional<model::time_point> m_waits_since;
     /// It was in flight when an upstream broke its connection.
     bool m_was_broken = false;
     /// The current attempt's answer has shown that its parts are sound.
--- a/src/proxy/exchange_parts.cpp
+++ b/src/proxy/exchange_parts.cpp
@@ -107,14 +107,27 @@
     return awaits;
 }
 
+/// Calls `then` after `delay` unless the request has ended by then.
+void exchange::run_later(model::milliseconds delay,
+                         std::function<void()> const& then)
+{
+    m_wait_timer = m_context.loop.after(delay, [weak = weak_from_this(), then] {
+        auto const self = weak.lock();
+        if (self && !self->m_ended) {
+            then();
+        }
+    });
+}
+
 // A sound request goes on as soon as the trial has been answered.
 void exchange::wait_for_verdict(std::function<void()> const& then)
 {
     auto const now = m_context.loop.now();
-    if (!m_waits_since) {
-        m_waits_since = now;
+    if (!m_trial.waits_since) {
+        m_trial.waits_since = now;
     }
-    if (now - *m_waits_since >= max_verdict_wait || m_context.is_stopping) {
+    if (now - *m_trial.waits_since >= max_verdict_wait
+        || m_context.is_stopping) {
         refuse_for_parts();
         return;
     }
@@ -165,8 +178,8 @@
     m_was_broken = true;
     m_is_break_recorded = true;
     broken_attempt attempt = current_attempt();
-    attempt.tried = std::exchange(m_tried_parts, {});
-    m_claim = 0;
+    attempt.tried = std::exchange(m_trial.parts, {});
+    m_trial.claim = 0;
     record_broken_attempt(m_context, attempt);
 }
 
--- a/src/proxy/exchange_place.cpp
+++ b/src/proxy/exchange_place.cpp
@@ -22,7 +22,7 @@
     request.attempted = &m_attempted;
     request.homes = &m_homes;
     request.kept_from = &m_kept_from;
-    request.only = m_only_upstream;
+    request.only = m_trial.only_upstream;
     request.software = m_software;
     request.is_software_certain = [this](routing::upstream_state const& state) {
         return is_software_certain(m_context, state);
--- a/src/proxy/exchange_trial.cpp
+++ b/src/proxy/exchange_trial.cpp
@@ -1,5 +1,6 @@
 #include "proxy/exchange.hpp"
 #include "proxy/part_crashes.hpp"
+#include "proxy/part_trials.hpp"
 
 #include "routing/usable_upstreams.hpp"
 
@@ -30,18 +31,19 @@
 {
     // A copy that crashes its upstream has done so by then.
     constexpr model::milliseconds max_wait = claim_delay + crash_delay;
-    return m_waits_since && m_context.loop.now() - *m_waits_since >= max_wait
+    return m_trial.waits_since
+           && m_context.loop.now() - *m_trial.waits_since >= max_wait
            && m_context.parts.may_overtake(suspects());
 }
 
-exchange::trial_step exchange::next_trial_step()
+trial_step exchange::next_trial_step()
 {
-    if (m_claim != 0) {
-        if (m_context.parts.holds_claim(m_tried_parts, m_claim)) {
+    if (m_trial.claim != 0) {
+        if (m_context.parts.holds_claim(m_trial.parts, m_trial.claim)) {
             return is_trial_possible() ? trial_step::run : trial_step::wait;
         }
-        m_claim = 0;
-        m_tried_parts.clear();
+        m_trial.claim = 0;
+        m_trial.parts.clear();
     }
     auto const judged = judge_parts(m_pick.to->software);
     if (judged == part_judgement::free || may_overtake()) {
@@ -58,15 +60,15 @@
 void exchange::claim_trial()
 {
     auto const now = m_context.loop.now();
-    m_waits_since = m_waits_since.value_or(now);
-    m_tried_parts = suspects();
+    m_trial.waits_since = m_trial.waits_since.value_or(now);
+    m_trial.parts = suspects();
     std::uint64_t const random = XXH3_64bits_withSeed(
         m_metadata.id.data(),
         m_metadata.id.size(),
         static_cast<std::uint64_t>(now.time_since_epoch().count()));
-    m_claim = static_cast<std::uint32_t>(
+    m_trial.claim = static_cast<std::uint32_t>(
         1 + random % std::numeric_limits<std::uint32_t>::max());
-    proxy::claim_trial(m_context, m_tried_parts, m_claim);
+    proxy::claim_trial(m_context, m_trial.parts, m_trial.claim);
     leave_host_queue();
     run_later(claim_delay, [this] {
         place();
@@ -109,34 +111,31 @@
     if (awaits_result(m_context, list)) {
         return false;
     }
-    return m_context.parts.may_overtake(list) || choose_for_trial();
-}
-
-/// Returns false if no upstream is free for a trial.
-bool exchange::choose_for_trial()
-{
-    m_only_upstream = upstream_for_trial();
-    if (m_only_upstream == nullptr) {
+    if (m_context.parts.may_overtake(list)) {
+        return true;
+    }
+    m_trial.only_upstream = upstream_for_trial();
+    if (m_trial.only_upstream == nullptr) {
         return false;
     }
     m_pick = choose();
-    m_only_upstream = nullptr;
+    m_trial.only_upstream = nullptr;
     return m_pick.to != nullptr;
 }
 
 void exchange::begin_trial()
 {
-    m_tried_parts = suspects();
-    proxy::begin_trial(m_context, m_tried_parts, *m_pick.to, m_claim);
+    m_trial.parts = suspects();
+    proxy::begin_trial(m_context, m_trial.parts, *m_pick.to, m_trial.claim);
     if (m_context.on_trial) {
-        m_context.on_trial(m_metadata.id, m_tried_parts);
+        m_context.on_trial(m_metadata.id, m_trial.parts);
     }
 }
 
 void exchange::end_trial()
 {
-    auto const claim = std::exchange(m_claim, 0);
-    auto const tried = std::exchange(m_tried_parts, {});
+    auto const claim = std::exchange(m_trial.claim, 0);
+    auto const tried = std::exchange(m_trial.parts, {});
     if (claim == 0 || m_context.parts.holds_claim(tried, claim)) {
         proxy::end_trial(m_context, tried);
     }
--- a/src/proxy/exchange_withdraw.cpp
+++ b/src/proxy/exchange_withdraw.cpp
@@ -61,7 +61,7 @@
     inputs.time_left =
         std::chrono::duration_cast<model::milliseconds>(m_deadline - now);
     inputs.is_stopping = m_context.is_stopping;
-    inputs.is_trial = !m_tried_parts.empty();
+    inputs.is_trial = !m_trial.parts.empty();
     inputs.has_retry = can_retry(attempt_end::withdrawn) && is_still_admitted();
     if (inputs.has_retry) {
         inputs.alternative = forecast_elsewhere();
--- a/tests/proxy/relay_part_test.cpp
+++ b/tests/proxy/relay_part_test.cpp
@@ -1,5 +1,6 @@
 #include "proxy/crashing_fleet.hpp"
 #include "proxy/part_crashes.hpp"
+#include "proxy/part_trials.hpp"
 
 #include <doctest/doctest.h>
 
