Known red: serve merges crashes at the same moment to one

Three crashes that three hosts saw at the same moment are one; every host with a copy ends one more engine. The test fails and is skipped; the mend, evidence by engine, is a change of the digest and isn't begun.

--- a/tests/decide/quarantine_crowd_test.cpp
+++ b/tests/decide/quarantine_crowd_test.cpp
@@ -51,3 +51,23 @@
     REQUIRE(told.size() == told_at_a_time);
     CHECK(told.front().fingerprint == guilty);
 }
+
+// Guards against crashes at copies that hosts sent at the same moment, and that
+// count as one.
+TEST_CASE("crashes of a request at three engines add up over their hosts"
+          * doctest::skip())
+{
+    model::time_point const start{std::chrono::hours(1)};
+    decide::quarantine fourth;
+    for (decide::index engine = 0; engine < 3; ++engine) {
+        decide::quarantine host;
+        host.record_crash(guilty, engine, true, start);
+        for (auto const& told : host.seen_here(told_at_a_time)) {
+            fourth.merge(told.fingerprint,
+                         told.record.evidence,
+                         host.remaining(guilty, start),
+                         start + 1s);
+        }
+    }
+    CHECK(fourth.remaining(guilty, start + 1s) > 0ms);
+}
