--- a/src/proxy/exchange_trial.cpp
+++ b/src/proxy/exchange_trial.cpp
@@ -18,6 +18,7 @@
 
 /// Time in which all hosts hear of a claim.
 constexpr model::milliseconds claim_delay{120};
+
 } // namespace
 
 std::vector<routing::shared_part> exchange::suspects()
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -406,7 +406,7 @@
             test.fleet.kill(host);
         }
         // Nothing that they have told has come.
-        hosts[late]->context.origins = {};
+        hosts[late]->context.origins = routing::stream_origins{};
     }
     test.take_up({late});
     CHECK(test.mixed == 0);
