Of requests at the same overlapping crashes the one at more is the cause

Cause, from its logs: the request was in flight at four of the five crashes of a request that three callers sent at once. Its host knew the last crash by its own attempt alone; the report of the other request at that engine came 4 ms later. Two crashes in sequence, four in all, spread over 2 s: a verdict, on the wrong one of two. Other hosts had the right one, and it was taken back 32 ms later. Class: a conclusion from a report of which others are still on the way.

Change: overlapping crashes show nothing about a request while another one that wasn't answered since was at all of them, or at all but one. Both run one at a time; an answer clears one, a third crash in sequence shows the other.

Cost: a crashing request beside which another one is always in flight ends one engine more before it is stopped.

--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -191,6 +191,10 @@
                                   crash_counts const& counted) const;
     bool suffices_with_overlaps(part_kind kind,
                                 crash_counts const& counted) const;
+    bool is_shadowed(shared_part const& part,
+                     std::size_t crashes,
+                     is_explained const& explained) const;
+    bool counts_at(shared_part const& part, std::uint64_t start) const;
     std::size_t crashes_without(shared_part const& part,
                                 evidence const& against) const;
     bool counts(evidence const& against,
--- a/src/routing/crash_table_cause.cpp
+++ b/src/routing/crash_table_cause.cpp
@@ -9,7 +9,47 @@
 {
     crash_counts const counted = counts_of(part, explained);
     return counted.in_sequence >= verdict_threshold(part.kind, counted)
-           || suffices_with_overlaps(part.kind, counted);
+           || (suffices_with_overlaps(part.kind, counted)
+               && !is_shadowed(part, counted.in_all, explained));
+}
+
+// Of requests that were in flight together at crashes, each but one is there by
+// chance. Others may not have told of the last crash yet.
+bool crash_table::is_shadowed(shared_part const& part,
+                              std::size_t crashes,
+                              is_explained const& explained) const
+{
+    if (part.kind != part_kind::request) {
+        return false;
+    }
+    evidence const& against = m_parts.at(part);
+    std::unordered_map<shared_part, std::size_t, shared_part_hash> together;
+    for (sighting const& item : against.sightings) {
+        auto const known = m_crashes.find(item.start);
+        if (known == m_crashes.end() || !counts(against, item, explained)) {
+            continue;
+        }
+        for (shared_part const& other : known->second.candidates) {
+            together[other] += other != part && counts_at(other, item.start);
+        }
+    }
+    return std::any_of(
+        together.begin(), together.end(), [crashes](auto const& item) {
+            return item.second + 1 >= crashes;
+        });
+}
+
+/// Returns whether a crash counts against a part: it wasn't answered since.
+bool crash_table::counts_at(shared_part const& part, std::uint64_t start) const
+{
+    auto const found = m_parts.find(part);
+    if (found == m_parts.end()) {
+        return false;
+    }
+    auto const& list = found->second.sightings;
+    return std::any_of(list.begin(), list.end(), [&](sighting const& item) {
+        return item.start == start && !is_answered(found->second, item);
+    });
 }
 
 bool crash_table::may_be_chance(part_kind kind,
