Known red: a team within its share is refused beside a burst (soak)

Traced by request_ended: all of them share=within, too_late, a forecast of 901 to 972 ms where 900 are allowed. It isn't mended here.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -601,7 +601,6 @@
     guilty_requests_are_stopped,
     sound_requests_are_not_quarantined,
     requests_are_answered,
-    teams_within_their_share_are_not_refused,
     accepted_requests_begin,
     waits_at_hosts_are_short,
     repeats_keep_to_attempts,
@@ -609,4 +608,4 @@
 )
 
 # Checks that fail because of known faults, listed in KNOWN-RED.txt.
-KNOWN_RED = ()
+KNOWN_RED = (teams_within_their_share_are_not_refused,)
