--- a/tests/proxy/relay_repeat_at_once_test.cpp
+++ b/tests/proxy/relay_repeat_at_once_test.cpp
@@ -334,3 +334,26 @@
         return item.made.is_served();
     }));
 }
+
+// Guards against a page that is refused since its requests were in flight, and
+// were repeated, beside copies of one that crashes engines.
+TEST_CASE("a page that all look at is served beside copies sent at once")
+{
+    crashing_fleet site(seven_hosts, engines);
+    site.crashing_bodies = {guilty_body};
+    site.work = 300ms;
+    site.repair = 1s;
+    site.fleet.place_apart();
+    std::vector<first_try> pages;
+    std::size_t host = 0;
+    for (int step = 0; step < 250; ++step) {
+        pages.push_back(site.repeat(step % 7, {"/view/", "page"}));
+        for (std::size_t copy = 0; step % 50 == 10 && copy < 3; ++copy) {
+            site.repeat(host++ % 7, {"/view/", guilty_body});
+        }
+        site.fleet.run_for(40ms);
+    }
+    site.fleet.run_for(500ms);
+    CHECK(std::count_if(pages.begin(), pages.end(), is_quarantined) == 0);
+    check_ends(site, 8);
+}
