A request beside another at the same crashes is refused only after a trial

A stream that callers of one key had open, and that hosts retried at the same engines, was in flight at all of them, three times "in sequence". Two hosts had a verdict on it at 47.679 s. That the other request had been at the same crashes, but for the newest, of which hosts were still telling, was in their tables and asked by nobody. Second: a verdict on two requests was narrowed to the one that a host told of first, though both were in flight at that crash. Class: a conclusion from the first of several reports on one event.

Change: a verdict on a whole request names all that were in flight, unanswered, at each of its crashes but the newest (crash_table::companions). A verdict on several keeps none of them back, as before: each runs one at a time; an answer clears it, a crash of one that was sent since narrows the verdict to it (crashes_since). This takes the place of is_shadowed, which gave no verdict.

Test: "a request beside another at all earlier crashes is not the cause" failed before (kept back, 3, instead of trial, 1).

--- a/src/routing/crash_table.hpp
+++ b/src/routing/crash_table.hpp
@@ -123,6 +123,13 @@
     /// Returns whether the crashes show that the part has caused them.
     bool is_cause(shared_part const& part, is_explained const& explained) const;
 
+    /// Returns the other requests that were in flight, and not answered since,
+    /// at all crashes that count against a request: each of them may be the
+    /// cause. The newest crash is left out, as hosts may not have told of it
+    /// yet.
+    parts companions(shared_part const& part,
+                     is_explained const& explained) const;
+
     /// Returns whether a crash of the upstream with this start is remembered
     /// and not refuted.
     bool knows(std::uint64_t start) const
@@ -191,9 +198,6 @@
                                   crash_counts const& counted) const;
     bool suffices_with_overlaps(part_kind kind,
                                 crash_counts const& counted) const;
-    bool is_shadowed(shared_part const& part,
-                     std::size_t crashes,
-                     is_explained const& explained) const;
     bool counts_at(shared_part const& part, std::uint64_t start) const;
     std::size_t crashes_without(shared_part const& part,
                                 evidence const& against) const;
--- a/src/routing/crash_table_cause.cpp
+++ b/src/routing/crash_table_cause.cpp
@@ -1,6 +1,7 @@
 #include "routing/crash_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace caperjunction::routing {
 
@@ -9,34 +10,41 @@
 {
     crash_counts const counted = counts_of(part, explained);
     return counted.in_sequence >= verdict_threshold(part.kind, counted)
-           || (suffices_with_overlaps(part.kind, counted)
-               && !is_shadowed(part, counted.in_all, explained));
+           || suffices_with_overlaps(part.kind, counted);
 }
 
-// Of requests that were in flight together at crashes, each but one is there by
-// chance. Others may not have told of the last crash yet.
-bool crash_table::is_shadowed(shared_part const& part,
-                              std::size_t crashes,
-                              is_explained const& explained) const
+crash_table::parts crash_table::companions(shared_part const& part,
+                                           is_explained const& explained) const
 {
-    if (part.kind != part_kind::request) {
-        return false;
-    }
-    evidence const& against = m_parts.at(part);
     std::unordered_map<shared_part, std::size_t, shared_part_hash> together;
-    for (sighting const& item : against.sightings) {
-        auto const known = m_crashes.find(item.start);
-        if (known == m_crashes.end() || !counts(against, item, explained)) {
+    std::size_t crashes = 0;
+    bool is_newest = true;
+    auto const found = m_parts.find(part);
+    if (part.kind != part_kind::request || found == m_parts.end()) {
+        return {};
+    }
+    auto const& list = found->second.sightings;
+    for (auto item = list.rbegin(); item != list.rend(); ++item) {
+        auto const known = m_crashes.find(item->start);
+        bool const is_reported = !std::exchange(is_newest, false);
+        if (known == m_crashes.end() || !is_reported
+            || !counts(found->second, *item, explained)) {
             continue;
         }
+        ++crashes;
         for (shared_part const& other : known->second.candidates) {
-            together[other] += other != part && counts_at(other, item.start);
+            bool const is_other =
+                other.kind == part_kind::request && other != part;
+            together[other] += is_other && counts_at(other, item->start);
+        }
+    }
+    parts result;
+    for (auto const& [other, count] : together) {
+        if (crashes > 0 && count == crashes) {
+            result.push_back(other);
         }
     }
-    return std::any_of(
-        together.begin(), together.end(), [crashes](auto const& item) {
-            return item.second + 1 >= crashes;
-        });
+    return result;
 }
 
 /// Returns whether a crash counts against a part: it wasn't answered since.
--- a/src/routing/poison_parts.cpp
+++ b/src/routing/poison_parts.cpp
@@ -86,12 +86,25 @@
     return requests > 1 ? 1 : m_limits.narrowing;
 }
 
+// Of whole requests those count that were sent as trials: hosts tell one after
+// another of what was in flight together at a crash.
+std::size_t poison_parts::crashes_since(part_verdict const& verdict,
+                                        shared_part const& part) const
+{
+    auto const list = in_sequence(part);
+    return static_cast<std::size_t>(
+        std::count_if(list.begin(), list.end(), [&](auto const& item) {
+            return part.kind != part_kind::request
+                   || item.sent_at > verdict.last_crash;
+        }));
+}
+
 bool poison_parts::narrow_verdicts(crash_table::crash const& seen)
 {
     for (part_verdict& verdict : m_verdicts) {
         for (shared_part const& part : verdict.parts) {
             if (contains(seen.candidates, part)
-                && in_sequence(part).size() >= narrowing_of(verdict)) {
+                && crashes_since(verdict, part) >= narrowing_of(verdict)) {
                 change(verdict, {part});
                 return true;
             }
@@ -131,7 +144,7 @@
     if (verdict.parts.empty()) {
         return;
     }
-    shared_part const& first = verdict.parts.front();
+    shared_part const first = verdict.parts.front();
     for (crash_table::sighting const& item : in_sequence(first)) {
         verdict.add_version(item.version);
         verdict.crashes.push_back(item.start);
@@ -139,6 +152,7 @@
     verdict.is_trusted = m_crashes.is_trusted(first);
     verdict.last_crash = seen.at;
     verdict.seen_at = seen.at;
+    verdict.parts = union_of(verdict.parts, companions(first));
     parts const found = verdict.parts;
     add_verdict(std::move(verdict));
     end_explained(found);
@@ -169,7 +183,11 @@
                                       && includes(seen.candidates, other.parts);
                            });
     };
-    return m_crashes.is_cause(verdict.parts.front(), explained);
+    return std::any_of(verdict.parts.begin(),
+                       verdict.parts.end(),
+                       [&](shared_part const& part) {
+                           return m_crashes.is_cause(part, explained);
+                       });
 }
 
 void poison_parts::change(part_verdict& verdict, parts const& to)
@@ -228,6 +246,16 @@
     });
 }
 
+parts poison_parts::companions(shared_part const& part) const
+{
+    auto list =
+        m_crashes.companions(part, [this](crash_table::crash const& seen) {
+            return is_explained(seen);
+        });
+    std::sort(list.begin(), list.end());
+    return list;
+}
+
 bool poison_parts::is_cause(shared_part const& part) const
 {
     return m_crashes.is_cause(part, [this](crash_table::crash const& seen) {
--- a/src/routing/poison_parts.hpp
+++ b/src/routing/poison_parts.hpp
@@ -182,6 +182,8 @@
     void trust(shared_part const& part);
     bool merge_into_verdicts(crash_table::crash const& seen);
     std::size_t narrowing_of(part_verdict const& verdict) const;
+    std::size_t crashes_since(part_verdict const& verdict,
+                              shared_part const& part) const;
     bool narrow_verdicts(crash_table::crash const& seen);
     void find_cause(crash_table::crash const& seen);
     parts strongest(parts const& candidates) const;
@@ -196,6 +198,7 @@
     bool is_explained(crash_table::crash const& seen) const;
     std::vector<crash_table::sighting>
     in_sequence(shared_part const& part) const;
+    parts companions(shared_part const& part) const;
     bool is_cause(shared_part const& part) const;
     std::size_t trial_threshold(shared_part const& part) const;
     bool is_suspected(shared_part const& part) const;
--- a/tests/routing/poison_fleet.hpp
+++ b/tests/routing/poison_fleet.hpp
@@ -78,6 +78,9 @@
     double sound_per_second = 100.0;
     /// Requests with a part that crashes engines, or repeats of one that does.
     double guilty_per_second = 2.0;
+    /// Hosts claim trials of whole requests before these run, and tell of each
+    /// crash once more in a round.
+    bool has_claims = false;
     /// Copies of a request that crashes engines, sent to as many hosts at the
     /// same moment, once in each interval.
     std::size_t copies = 0;
@@ -169,6 +172,7 @@
     void arrive(bool is_guilty);
     void arrive_at_once();
     void send(request made);
+    bool may_overtake_trial(request const& made) const;
     bool waits_for_trial(request& made, routing::part_judgement judged);
     void claim_trial(request made);
     void send_later(request made, model::milliseconds delay);
--- a/tests/routing/poison_fleet_test.cpp
+++ b/tests/routing/poison_fleet_test.cpp
@@ -230,6 +230,7 @@
                 load.is_of_requests = true;
                 load.guilty_per_second = 0.0;
                 load.copies = copies;
+                load.has_claims = true;
                 // Hosts with lossy links are not in touch.
                 load.loss = 0.0;
                 load.crashes_per_second = crashes_per_second;
--- a/tests/routing/poison_parts_test.cpp
+++ b/tests/routing/poison_parts_test.cpp
@@ -338,6 +338,34 @@
     CHECK(judge_whole(parts, 6, start + 6s) != part_judgement::kept_back);
 }
 
+// Guards against a sound request that is refused by a host that hears last of
+// the one that crashes engines, at the same crashes.
+TEST_CASE("a request beside another at all earlier crashes is not the cause")
+{
+    poison_parts parts;
+    parts.record_crash(crash_of_requests(1, start, {5, 6}));
+    parts.record_crash(crash_of_requests(2, start + 200ms, {5, 6}));
+    // What the host of request 5 tells of the third crash comes later.
+    parts.record_crash(crash_of_requests(3, start + 400ms, {6}));
+    CHECK(judge_whole(parts, 6, start + 500ms) == part_judgement::trial);
+    parts.record_crash(crash_of_requests(3, start + 400ms, {5}));
+    CHECK(judge_whole(parts, 6, start + 500ms) == part_judgement::trial);
+    // It was sent before the verdict, and told of one by one.
+    parts.record_crash(crash_of_requests(4, start + 410ms, {6}));
+    parts.record_crash(crash_of_requests(4, start + 410ms, {5}));
+    CHECK(judge_whole(parts, 6, start + 500ms) == part_judgement::trial);
+    SUBCASE("it is answered")
+    {
+        parts.record_answer({whole(6)}, version, start + 600ms);
+    }
+    SUBCASE("the other one crashes an engine")
+    {
+        parts.record_crash(crash_of_requests(5, start + 1s, {5}));
+    }
+    CHECK(judge_whole(parts, 5, start + 2s) == part_judgement::kept_back);
+    CHECK(judge_whole(parts, 6, start + 2s) != part_judgement::kept_back);
+}
+
 // Guards against evidence that is crowded out by requests beside crashes of
 // other causes.
 TEST_CASE("a request at two crashes is remembered among many at one each")
