--- a/tests/routing/poison_fleet.cpp
+++ b/tests/routing/poison_fleet.cpp
@@ -154,7 +154,7 @@
     return up[m_random() % std::max<std::size_t>(1, up.size() / 3)];
 }
 
-void poison_fleet::send_later(request made, model::milliseconds delay)
+void poison_fleet::send_later(request const& made, model::milliseconds delay)
 {
     at(m_now + delay, [this, made] {
         send(made);
@@ -177,7 +177,7 @@
 {
     made.claim = 1 + static_cast<std::uint32_t>(m_random());
     begin_trial(made, 0);
-    send_later(std::move(made), claim_delay);
+    send_later(made, claim_delay);
 }
 
 bool poison_fleet::may_overtake_trial(request const& made) const
@@ -226,8 +226,9 @@
     m_result.sound += made.is_guilty ? 0 : 1;
     m_result.sound_refused += is_refused && !made.is_guilty ? 1 : 0;
     if (!is_refused) {
-        run(std::move(made),
-            made.claim != 0 || judged == part_judgement::trial);
+        bool const is_trial =
+            made.claim != 0 || judged == part_judgement::trial;
+        run(std::move(made), is_trial);
     }
 }
 
--- a/tests/routing/poison_fleet.hpp
+++ b/tests/routing/poison_fleet.hpp
@@ -175,7 +175,7 @@
     bool may_overtake_trial(request const& made) const;
     bool waits_for_trial(request& made, routing::part_judgement judged);
     void claim_trial(request made);
-    void send_later(request made, model::milliseconds delay);
+    void send_later(request const& made, model::milliseconds delay);
     void run(request made, bool is_trial);
     void begin_trial(request& made, std::uint64_t engine);
     void begin(std::size_t engine, std::uint64_t number);
