--- a/src/routing/poison_limits.hpp
+++ b/src/routing/poison_limits.hpp
@@ -27,8 +27,8 @@
     /// often: its verdict needs one crash more.
     std::size_t chance_crashes = 4;
     model::milliseconds chance_window{30'000};
-    /// Crashes in all from which one less in sequence makes a verdict: several
-    /// requests may be on their way before the first crash is known.
+    /// Crashes in all from which one less in sequence makes a verdict on a part
+    /// of prompts: several may be on their way before the first crash is known.
     std::size_t overlapping = 4;
     /// Crashes of several upstreams within this time may have one cause.
     model::milliseconds outage_time{1'000};
