--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -112,7 +112,8 @@
             got, want = t.body.decode(), plain_answer(t.path, t.id)
         if got != want:
             same = next((n for n, (a, b) in enumerate(zip(got, want)) if a != b), min(len(got), len(want)))
-            found.append(f"{t.id} ({t.path}) got {len(got)} of {len(want)} characters, the first {same} right: {t.body[:80]!r}")
+            found.append(f"{t.id} ({t.path}) got {len(got)} of {len(want)} characters, the first {same} right, "
+                         f"then {got[same:same + 48]!r}")
         if not t.service:
             found.append(f"{t.id} got 200 without a Response-Seal")
     return found
