Review case 1: two runs joined in one answer that looks complete

Case: an engine breaks off the answer to an idempotent request in the middle (garble). The client gets 200 with the first half of this run and the whole of a second one behind it, framed as complete; where the answer has a length, a second head stands in the body, and bytes follow that no request waits for (MIXED).

Cause: may_retry() doesn't look at attempt_state::has_begun, so that an answer of more than 262,144 bytes, which is forwarded as it comes, is sent for again after its caller has part of it.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -10,6 +10,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -91,6 +92,14 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def reset(writer):
+    """Ends a connection with a reset."""
+    connection = writer.transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Store:
     """The platform's metadata store. `answer_status(path, query, peer)` may turn a call away with another status."""
 
