--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -252,6 +252,12 @@
             self.running -= 1
 
 
+def make_window_small(link):
+    """A client behind a slow link: small segments and a small window. Before it connects."""
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    link.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+
+
 class Answer:
     """What a client got: status 0 if its connection ended without a complete answer."""
 
@@ -267,8 +273,7 @@
     begun = time.monotonic()
     link = socket.socket()
     if small_window:
-        link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        link.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+        make_window_small(link)
     link.setblocking(False)
     writer = None
 
