Review case 5: too many changes in one answer are asked for again and again

Case: the store turns a host away for 9 s while 25 versions of 0.85 MB come. When it serves the host again, the changes come to 28 MB in one answer; the host drops it at 24 MB and asks for the same, twice a second, until the changes have left the store's history. Meanwhile it runs requests at the old service (CONFIG).

Cause: http_get gives up with too_long; store_reader takes that for a store that is away and never reads the list anew.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -103,9 +103,9 @@
 class Store:
     """The platform's metadata store. `answer_status(path, query, peer)` may turn a call away with another status."""
 
-    def __init__(self, record):
-        self.record = record
-        self.items, self.log, self.revision = {}, [], 10
+    def __init__(self, record, history_s=20.0):
+        self.record, self.history_s = record, history_s
+        self.items, self.log, self.revision, self.times = {}, [], 10, {}
         self.changed = asyncio.Event()
         self.answer_status = lambda path, query, peer: None
         self.on_call = lambda path, query, peer, status: None
@@ -126,14 +126,16 @@
         self.items[key] = item
         self.log.append(item)
         self.wake()
-        return time.monotonic()
+        self.times[self.revision] = time.monotonic()
+        return self.times[self.revision]
 
     def remove(self, key):
         self.revision += 1
         self.items.pop(key, None)
         self.log.append({"key": key, "revision": self.revision, "tombstone": True})
         self.wake()
-        return time.monotonic()
+        self.times[self.revision] = time.monotonic()
+        return self.times[self.revision]
 
     def wake(self):
         self.changed.set()
@@ -152,6 +154,8 @@
                 elif url.path == "/kv-range":
                     await asyncio.sleep(0.004)
                     writer.write(response(200, json.dumps(self.page(query)).encode(), ["Content-Type: application/json"]))
+                elif url.path == "/kv-watch" and int(query["after"]) < self.first_kept() - 1:
+                    writer.write(response(410, b"{}"))
                 elif url.path == "/kv-watch":
                     writer.write(response(200, json.dumps(await self.watch(query)).encode(),
                                           ["Content-Type: application/json"]))
@@ -163,6 +167,11 @@
         finally:
             writer.close()
 
+    def first_kept(self):
+        """The oldest change of the history that is left."""
+        oldest = time.monotonic() - self.history_s
+        return min((revision for revision, at in self.times.items() if at >= oldest), default=self.revision + 1)
+
     def page(self, query):
         """At most about 500 items or 1 MB."""
         prefix, after = query.get("prefix", ""), unquote(query.get("after", ""))
