--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -389,7 +389,8 @@
 
 
 def make_hosts(record, zones, store, folder):
-    addresses = [f"127.0.0.{10 + number}" for number in range(len(zones))]
+    network = f"127.{random.randrange(1, 255)}.{random.randrange(1, 255)}"
+    addresses = [f"{network}.{10 + number}" for number in range(len(zones))]
     base = free_ports(addresses, 24)
     hosts = [Host(record, number, zone, addresses, base, store, folder) for number, zone in enumerate(zones)]
     for host in hosts:
