Log of a complete read: pages, age of the first one, age of the confirmation

Three causes would look alike in a host's log: the list is confirmed as of a later moment than its first page; the lease is longer than it should be; a later watch confirms what it hasn't read. `store_read` now names how long ago the first page was requested and as of what moment the list is confirmed, which together with the age of the configuration in each request's line tells them apart.

No change of logic.

--- a/src/program/routed_host_store.cpp
+++ b/src/program/routed_host_store.cpp
@@ -10,13 +10,15 @@
     hooks.on_item = [this](proxy::store_item const& item) {
         m_replica.apply(item);
     };
-    hooks.on_complete = [this](std::vector<std::string> const& keys,
-                               routing::store_position at) {
+    hooks.on_complete = [this](proxy::store_list const& list) {
         runtime::log_line("store_read")
-            .field("era", at.era)
-            .field("revision", at.revision)
-            .field("keys", keys.size());
-        m_replica.retain_only(keys, at);
+            .field("era", list.at.era)
+            .field("revision", list.at.revision)
+            .field("keys", list.keys.size())
+            .field("pages", list.pages)
+            .field("first_page_age_ms", list.first_page_age.count())
+            .field("confirmed_age_ms", list.confirmed_age.count());
+        m_replica.retain_only(list.keys, list.at);
         record_first_read();
     };
     hooks.on_gap = [](proxy::revision_gap const& gap) {
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -98,6 +98,7 @@
 {
     if (after_key.empty()) {
         m_keys.clear();
+        m_pages = 0;
     }
     send_request(m_codec.range_target(m_prefix, after_key),
                  read_timeout,
@@ -130,7 +131,9 @@
             }
         }
         m_position.revision = page.revision;
+        m_first_page_at = m_sent_at;
     }
+    ++m_pages;
     handle_success();
     for (store_item& item : page.items) {
         item.era = m_position.era;
@@ -141,13 +144,28 @@
         read_page(m_keys.back());
         return;
     }
+    complete_list(m_sent_at);
+}
+
+void store_reader::complete_list(model::time_point as_of)
+{
     m_is_complete = true;
-    m_hooks.on_complete(m_keys, m_position);
-    m_confirmed = m_sent_at;
-    m_hooks.on_confirmed(m_confirmed, m_position);
+    m_confirmed = as_of;
+    m_hooks.on_complete({std::exchange(m_keys, {}),
+                         m_position,
+                         m_pages,
+                         age_of(m_first_page_at),
+                         age_of(as_of)});
+    m_hooks.on_confirmed(as_of, m_position);
     idle_or_watch();
 }
 
+model::milliseconds store_reader::age_of(model::time_point moment) const
+{
+    return std::chrono::duration_cast<model::milliseconds>(m_boot_now()
+                                                           - moment);
+}
+
 void store_reader::set_watching(bool on)
 {
     m_keeps_watching = on;
@@ -183,9 +201,8 @@
 // during frequent changes as without any.
 model::milliseconds store_reader::next_wait() const
 {
-    auto const age = std::chrono::duration_cast<model::milliseconds>(
-        m_boot_now() - m_confirmed);
-    return std::clamp(m_watch_wait - age, m_watch_wait / 8, m_watch_wait);
+    return std::clamp(
+        m_watch_wait - age_of(m_confirmed), m_watch_wait / 8, m_watch_wait);
 }
 
 void store_reader::watch()
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -36,6 +36,19 @@
     std::size_t missing = 0;
 };
 
+/// A complete read of the prefix, in pages that are not a snapshot.
+struct store_list
+{
+    /// All keys that exist. Changes after `at` may be missing.
+    std::vector<std::string> keys;
+    routing::store_position at;
+    std::size_t pages = 0;
+    /// Time since the first page was requested.
+    model::milliseconds first_page_age{0};
+    /// Time since the moment as of which the whole list is confirmed.
+    model::milliseconds confirmed_age{0};
+};
+
 /// An answer of the store that doesn't name its era as it should.
 struct era_fault
 {
@@ -51,11 +64,8 @@
 struct store_hooks
 {
     std::function<void(store_item const&)> on_item;
-    /// The complete prefix has been read again. `keys` are all keys that exist;
-    /// changes after `at` may be missing.
-    std::function<void(std::vector<std::string> const& keys,
-                       routing::store_position at)>
-        on_complete;
+    /// The complete prefix has been read again.
+    std::function<void(store_list const&)> on_complete;
     /// All changes up to `at` have been received, and the store had no others
     /// as of `as_of` (clock that includes suspended time).
     std::function<void(model::time_point as_of, routing::store_position at)>
@@ -130,6 +140,8 @@
     void read_again();
     void start_reading();
     void read_page(std::string const& after_key);
+    void complete_list(model::time_point as_of);
+    model::milliseconds age_of(model::time_point moment) const;
     model::milliseconds next_wait() const;
     void watch();
     void send_request(std::string const& target,
@@ -169,6 +181,9 @@
     bool m_is_idle = false;
     bool m_polls_once = false;
     std::vector<std::string> m_keys;
+    std::size_t m_pages = 0;
+    /// When the first page was requested.
+    model::time_point m_first_page_at{};
     std::uint32_t m_failures = 0;
     bool m_is_lost = false;
 };
--- a/tests/proxy/store_copy_test.cpp
+++ b/tests/proxy/store_copy_test.cpp
@@ -83,9 +83,8 @@
         made.on_item = [this](proxy::store_item const& read) {
             host.replica.apply(read);
         };
-        made.on_complete = [this](std::vector<std::string> const& keys,
-                                  routing::store_position at) {
-            host.replica.retain_only(keys, at);
+        made.on_complete = [this](proxy::store_list const& list) {
+            host.replica.retain_only(list.keys, list.at);
         };
         made.on_confirmed = [this](model::time_point,
                                    routing::store_position at) {
--- a/tests/proxy/store_reader_era_test.cpp
+++ b/tests/proxy/store_reader_era_test.cpp
@@ -8,43 +8,6 @@
 using namespace caperjunction;
 using namespace caperjunction::test;
 
-namespace {
-
-/// Returns `answer` with the header that names an era.
-std::string of_era(std::string const& era, std::string answer)
-{
-    std::string const first_line_end = " X\r\n";
-    return answer.insert(answer.find(first_line_end) + first_line_end.size(),
-                         "Store-Era: " + era + "\r\n");
-}
-
-std::string page(std::string const& key, int revision, bool has_more)
-{
-    return json(
-        fmt::format(R"({{"items":[{{"key":"{}","value":"","revision":4}}],)"
-                    R"("more_pages":{},"store_revision":{}}})",
-                    key,
-                    has_more,
-                    revision));
-}
-
-std::string change(std::string const& key, int revision)
-{
-    return json(
-        fmt::format(R"({{"events":[{{"key":"{}","value":"","revision":{}}}],)"
-                    R"("store_revision":{}}})",
-                    key,
-                    revision,
-                    revision));
-}
-
-bool is_complete_read(std::string const& target)
-{
-    return target == "/kv-range?prefix=";
-}
-
-} // namespace
-
 // The store has given out more revisions than the reader has: its watch gets no
 // 410, and the changes up to its revision would be missed.
 TEST_CASE("a new era is read completely though the watch is answered")
--- a/tests/proxy/store_reader_fixture.hpp
+++ b/tests/proxy/store_reader_fixture.hpp
@@ -30,6 +30,39 @@
 
 inline std::string const no_events = R"({"events":[],"store_revision":9})";
 
+/// Returns `answer` with the header that names an era.
+inline std::string of_era(std::string const& era, std::string answer)
+{
+    std::string const first_line_end = " X\r\n";
+    return answer.insert(answer.find(first_line_end) + first_line_end.size(),
+                         "Store-Era: " + era + "\r\n");
+}
+
+inline std::string page(std::string const& key, int revision, bool has_more)
+{
+    return json(
+        fmt::format(R"({{"items":[{{"key":"{}","value":"","revision":4}}],)"
+                    R"("more_pages":{},"store_revision":{}}})",
+                    key,
+                    has_more,
+                    revision));
+}
+
+inline std::string change(std::string const& key, int revision)
+{
+    return json(
+        fmt::format(R"({{"events":[{{"key":"{}","value":"","revision":{}}}],)"
+                    R"("store_revision":{}}})",
+                    key,
+                    revision,
+                    revision));
+}
+
+inline bool is_complete_read(std::string const& target)
+{
+    return target == "/kv-range?prefix=";
+}
+
 /// Returns `answer` as sent over a saturated link: in pieces, slowly.
 inline script in_pieces(std::string const& answer,
                         std::size_t pieces,
@@ -84,9 +117,9 @@
                  {[this](proxy::store_item const& item) {
                       events.push_back((item.removed ? "-" : "+") + item.key);
                   },
-                  [this](std::vector<std::string> const& keys,
-                         routing::store_position) {
-                      events.push_back("all " + std::to_string(keys.size()));
+                  [this](proxy::store_list const& list) {
+                      events.push_back("all "
+                                       + std::to_string(list.keys.size()));
                   },
                   [this](model::time_point as_of,
                          routing::store_position all_up_to) {
