A list of several pages is confirmed as of its first page, not its last

Cause: the configuration stands on the first page of the list, and the reader confirmed the whole list as of the moment at which it requested the last one. A refused page is asked for again, so that any time may lie between the two.

Evidence, with the fields that added to `store_read`: revision=12 pages=2 first_page_age_ms=3716 confirmed_age_ms=7, and from then on requests with config_age_ms counted from there. Ruled out: a lease that is too long (the key is refused 4.9 s after that confirmation), a watch that confirms what it hasn't read (the first one that is answered brings the change).

Failed before: "a list of several pages is confirmed as of its first page" in each of its forms (at the start, after a 410, after a gap, after revisions that went back), "a list of a new era is confirmed as of its first page".

Why it works: what the first page holds was read when it was requested, later pages later, and the watch goes on from the first page's revision; so all of the list is as of the first request at least, and nothing is known to be newer. A list that took long is followed by a watch that is answered at once, so that kept keys are renewed with the next answer of the store.

--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -144,7 +144,8 @@
         read_page(m_keys.back());
         return;
     }
-    complete_list(m_sent_at);
+    // What the first page holds may have changed since it was requested.
+    complete_list(m_first_page_at);
 }
 
 void store_reader::complete_list(model::time_point as_of)
@@ -157,7 +158,14 @@
                          age_of(m_first_page_at),
                          age_of(as_of)});
     m_hooks.on_confirmed(as_of, m_position);
-    idle_or_watch();
+    // Keys that were confirmed as of the begin of a long list may be refused by
+    // its end: the store is asked for an immediate answer.
+    m_polls_once = m_keeps_watching && age_of(as_of) >= m_watch_wait;
+    if (m_polls_once) {
+        watch();
+    } else {
+        idle_or_watch();
+    }
 }
 
 model::milliseconds store_reader::age_of(model::time_point moment) const
