A list that takes long follows the changes to what it has read

What callers saw: none of the kept keys is served, for good.

Cause: the list is confirmed as of its first page, 19 s before the last one. The watch from there gets a 410, and the list begins anew, again and again; each confirmation is out of date when it is made.

Failed before: "a list that takes longer than the history lasts gets confirmed" (three lists in 16 answers, the confirmation 27 s old) and "what was read of a long list follows changes before it is complete".

Why it works: once what has been read is 5 s old, the reader asks for the changes since then before it asks for the next page. That moves the position and the moment as of which the list is complete, within the history that is left. If those changes can't be had, the pages go on as before, so that a list always ends; after a refusal the next call is for the next page.

--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -9,9 +9,6 @@
 namespace caperjunction::proxy {
 namespace {
 
-/// Far above a round trip between regions. A slow store is given more time by
-/// later attempts, see `send_request`.
-constexpr model::milliseconds read_timeout{700};
 constexpr model::milliseconds connect_timeout{400};
 
 /// Delay between two attempts after a failure, doubled up to the maximum. The
@@ -30,9 +27,6 @@
 /// change must be in force. Without it, each change ends a watch.
 constexpr model::milliseconds batch_time{300};
 
-constexpr int ok = 200;
-constexpr int gone = 410;
-
 } // namespace
 
 store_reader::store_reader(runtime::event_loop& loop,
@@ -94,80 +88,6 @@
                  }});
 }
 
-void store_reader::read_page(std::string const& after_key)
-{
-    if (after_key.empty()) {
-        m_keys.clear();
-        m_pages = 0;
-    }
-    send_request(m_codec.range_target(m_prefix, after_key),
-                 read_timeout,
-                 [this](int status, std::string const& body) {
-                     handle_page(status, body);
-                 });
-}
-
-void store_reader::handle_page(int status, std::string const& body)
-{
-    if (status != ok) {
-        handle_failure(fmt::format("status_{}", status));
-        return;
-    }
-    store_answer page;
-    try {
-        page = m_codec.read_range(body);
-    } catch (std::exception const& unreadable) {
-        handle_failure(unreadable.what());
-        return;
-    }
-    bool const is_first = m_keys.empty();
-    if (is_first) {
-        // Pages are not a snapshot: changes since the first page are received
-        // by the watch.
-        if (has_gone_back(page.revision)) {
-            ++m_position.era;
-            if (m_hooks.on_era) {
-                m_hooks.on_era(m_position.era);
-            }
-        }
-        m_position.revision = page.revision;
-        m_first_page_at = m_sent_at;
-    }
-    ++m_pages;
-    handle_success();
-    for (store_item& item : page.items) {
-        item.era = m_position.era;
-        m_keys.push_back(item.key);
-        m_hooks.on_item(item);
-    }
-    if (page.has_more && !page.items.empty()) {
-        read_page(m_keys.back());
-        return;
-    }
-    // What the first page holds may have changed since it was requested.
-    complete_list(m_first_page_at);
-}
-
-void store_reader::complete_list(model::time_point as_of)
-{
-    m_is_complete = true;
-    m_confirmed = as_of;
-    m_hooks.on_complete({std::exchange(m_keys, {}),
-                         m_position,
-                         m_pages,
-                         age_of(m_first_page_at),
-                         age_of(as_of)});
-    m_hooks.on_confirmed(as_of, m_position);
-    // Keys that were confirmed as of the begin of a long list may be refused by
-    // its end: the store is asked for an immediate answer.
-    m_polls_once = m_keeps_watching && age_of(as_of) >= m_watch_wait;
-    if (m_polls_once) {
-        watch();
-    } else {
-        idle_or_watch();
-    }
-}
-
 model::milliseconds store_reader::age_of(model::time_point moment) const
 {
     return std::chrono::duration_cast<model::milliseconds>(m_boot_now()
@@ -218,7 +138,7 @@
     // After a failure the store is asked for an immediate answer: a long wait
     // would not show whether it is available again.
     bool const at_once = m_failures > 0 || m_polls_once;
-    auto const wait = at_once ? model::milliseconds{1} : next_wait();
+    auto const wait = at_once ? immediate_answer : next_wait();
     m_requested_wait = wait;
     send_request(m_codec.watch_target(m_prefix, m_position.revision, wait),
                  wait + read_timeout,
@@ -227,24 +147,33 @@
                  });
 }
 
-void store_reader::handle_changes(int status, std::string const& body)
+std::optional<store_answer> store_reader::parse_changes(int status,
+                                                        std::string const& body)
 {
-    if (status == gone) {
-        handle_success();
-        read_again();
-        return;
-    }
-    if (status != ok) {
+    if (status != status_ok) {
         handle_failure(fmt::format("status_{}", status));
-        return;
+        return std::nullopt;
     }
-    store_answer changes;
     try {
-        changes = m_codec.read_watch(body);
+        return m_codec.read_watch(body);
     } catch (std::exception const& unreadable) {
         handle_failure(unreadable.what());
+        return std::nullopt;
+    }
+}
+
+void store_reader::handle_changes(int status, std::string const& body)
+{
+    if (status == status_gone) {
+        handle_success();
+        read_again();
+        return;
+    }
+    auto parsed = parse_changes(status, body);
+    if (!parsed) {
         return;
     }
+    store_answer& changes = *parsed;
     handle_success();
     if (has_gone_back(changes.revision)) {
         read_again();
@@ -309,7 +238,7 @@
             // Continues at the refused page. If the read restarted after each
             // refusal, a large store would never be read completely while many
             // hosts read at once.
-            read_page(m_keys.empty() ? "" : m_keys.back());
+            read_page(m_last_key);
         }
     });
 }
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -9,7 +9,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -133,6 +135,14 @@
     void adopt_era(std::uint64_t era);
 
 private:
+    static constexpr int status_ok = 200;
+    static constexpr int status_gone = 410;
+    /// Far above a round trip between regions. A slow store is given more time
+    /// by later attempts, see `send_request`.
+    static constexpr model::milliseconds read_timeout{700};
+    /// Wait of a watch that is to be answered at once.
+    static constexpr model::milliseconds immediate_answer{1};
+
     void idle_or_watch();
     bool enter_era();
     bool has_gone_back(std::uint64_t revision) const;
@@ -148,7 +158,13 @@
                       model::milliseconds first_byte_timeout,
                       std::function<void(int, std::string const&)> on_answer);
     void handle_page(int status, std::string const& body);
+    void continue_list();
+    void handle_changes_in_list(int status, std::string const& body);
+    void apply_to_list(store_answer& changes);
+    std::optional<store_answer> parse_changes(int status,
+                                              std::string const& body);
     void handle_changes(int status, std::string const& body);
+    std::size_t count_missing(store_answer const& changes) const;
     bool must_read_for_gap(store_answer const& changes);
     void handle_failure(std::string_view reason);
     void handle_success();
@@ -180,10 +196,16 @@
     bool m_keeps_watching = true;
     bool m_is_idle = false;
     bool m_polls_once = false;
-    std::vector<std::string> m_keys;
+    /// The list that is being read: its keys so far, the last of its last page,
+    /// and as of when what has been read of it is known to be complete.
+    std::set<std::string> m_keys;
+    std::string m_last_key;
+    model::time_point m_list_as_of{};
     std::size_t m_pages = 0;
-    /// When the first page was requested.
+    /// When its first page was requested.
     model::time_point m_first_page_at{};
+    /// Changes since `m_list_as_of` can't be had from the store.
+    bool m_has_lost_changes = false;
     std::uint32_t m_failures = 0;
     bool m_is_lost = false;
 };
--- a/src/proxy/store_reader_era.cpp
+++ b/src/proxy/store_reader_era.cpp
@@ -115,20 +115,9 @@
         });
 }
 
-void store_reader::start_reading()
-{
-    m_loop.cancel(m_delay_timer);
-    m_awaits_peers = false;
-    m_is_idle = false;
-    m_is_complete = false;
-    read_page("");
-}
-
 // Each change has a revision of its own, and this reader sees all keys: a
-// revision without a change in the answer is a change that was not received. A
-// reader that moved on would never hear of it. A store that has such answers
-// all the time is read again now and then only.
-bool store_reader::must_read_for_gap(store_answer const& changes)
+// revision without a change in the answer is a change that was not received.
+std::size_t store_reader::count_missing(store_answer const& changes) const
 {
     std::set<std::uint64_t> received;
     for (store_item const& item : changes.items) {
@@ -139,13 +128,19 @@
     }
     std::uint64_t const expected =
         changes.revision - std::min(changes.revision, m_position.revision);
-    if (expected == received.size()) {
+    return static_cast<std::size_t>(expected) - received.size();
+}
+
+// A reader that moved on would never hear of what is missing. A store that has
+// such answers all the time is read again now and then only.
+bool store_reader::must_read_for_gap(store_answer const& changes)
+{
+    std::size_t const missing = count_missing(changes);
+    if (missing == 0) {
         return false;
     }
     if (m_hooks.on_gap) {
-        m_hooks.on_gap({m_position.revision,
-                        changes.revision,
-                        static_cast<std::size_t>(expected) - received.size()});
+        m_hooks.on_gap({m_position.revision, changes.revision, missing});
     }
     auto const now = m_loop.now();
     if (now < m_next_gap_read) {
--- a/tests/proxy/store_reader_confirm_test.cpp
+++ b/tests/proxy/store_reader_confirm_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <string>
 
@@ -34,6 +36,35 @@
     CHECK(*fixture.confirmed >= earliest);
 }
 
+/// A store of six pages in which an item changes with each call, and that keeps
+/// its history for `history` revisions.
+std::string answer_of_short_history(std::string const& target,
+                                    std::uint64_t& revision,
+                                    std::uint64_t history)
+{
+    constexpr int pages = 6;
+    ++revision;
+    if (target.find("/kv-watch") == std::string::npos) {
+        std::string const last =
+            is_complete_read(target) ? "0" : target.substr(target.size() - 1);
+        int const number = std::stoi(last) + 1;
+        return page(
+            std::to_string(number), static_cast<int>(revision), number < pages);
+    }
+    auto const after = std::stoull(target.substr(target.find("after=") + 6));
+    if (after + history < revision) {
+        return json("{}", 410);
+    }
+    std::string events;
+    for (std::uint64_t at = after + 1; at <= revision; ++at) {
+        events += fmt::format(R"({}{{"key":"1","value":"","revision":{}}})",
+                              events.empty() ? "" : ",",
+                              at);
+    }
+    return json(fmt::format(
+        R"({{"events":[{}],"store_revision":{}}})", events, revision));
+}
+
 } // namespace
 
 // Guards against keys that are used after their revocation: the store turned
@@ -94,3 +125,77 @@
     CHECK(*fixture.confirmed >= fixture.loop.now() - 50ms);
     CHECK(fixture.targets[6] != immediate);
 }
+
+TEST_CASE("what was read of a long list follows changes before it is complete")
+{
+    reader_fixture fixture(
+        {page("a", 9, true),
+         page("b", 9, true),
+         json(R"({"events":[{"key":"aa","value":"","revision":10},)"
+              R"({"key":"a","revision":11,"tombstone":true}],)"
+              R"("store_revision":11})"),
+         page("c", 12, false)});
+    fixture.time_per_answer = 3s;
+    REQUIRE(fixture.run_until_requested(3));
+    auto const changes_requested = fixture.now() - fixture.time_per_answer;
+    REQUIRE(fixture.run_until_requested(5));
+    CHECK(fixture.targets[2] == "/kv-watch?prefix=&after=9&wait_ms=1");
+    CHECK(fixture.targets[3] == "/kv-range?prefix=&after=b");
+    CHECK(fixture.events
+          == std::vector<std::string>{"+a", "+b", "+aa", "-a", "+c", "all 3"});
+    CHECK(fixture.targets[4].find("after=11&") != std::string::npos);
+    CHECK(fixture.revision == 11);
+    CHECK(*fixture.confirmed <= changes_requested);
+    CHECK(*fixture.confirmed >= changes_requested - 100ms);
+}
+
+// Guards against a list that never becomes complete because the store refuses
+// or has lost what it is to be brought up to date with.
+TEST_CASE("a long list goes on without changes that can't be had")
+{
+    std::string const gap = json(R"({"events":[],"store_revision":12})");
+    for (std::string const& answer : {json("{}", 410), gap}) {
+        CAPTURE(answer);
+        reader_fixture fixture({page("a", 9, true),
+                                page("b", 9, true),
+                                answer,
+                                page("c", 12, true),
+                                page("d", 12, false)});
+        fixture.time_per_answer = 3s;
+        REQUIRE(fixture.run_until_requested(6));
+        CHECK(fixture.targets[4] == "/kv-range?prefix=&after=c");
+        CHECK(fixture.targets[5].find("after=9&") != std::string::npos);
+        CHECK(fixture.revision == 9);
+        CHECK(*fixture.confirmed <= fixture.now() - 15s);
+    }
+    reader_fixture fixture({page("a", 9, true),
+                            page("b", 9, true),
+                            refused,
+                            page("c", 9, true),
+                            refused,
+                            page("d", 9, false)});
+    fixture.time_per_answer = 3s;
+    REQUIRE(fixture.run_until_requested(6));
+    CHECK(fixture.targets[3] == "/kv-range?prefix=&after=b");
+    CHECK(fixture.targets[5] == "/kv-range?prefix=&after=c");
+}
+
+// Guards against a host that refuses all keys for good: the store takes longer
+// for its list than it keeps its history, and each confirmation is out of date.
+TEST_CASE("a list that takes longer than the history lasts gets confirmed")
+{
+    constexpr std::uint64_t history = 4;
+    reader_fixture fixture({});
+    std::uint64_t revision = 100;
+    fixture.answer_to = [&revision](std::string const& target) {
+        return answer_of_short_history(target, revision, history);
+    };
+    fixture.time_per_answer = 3s;
+    REQUIRE(fixture.run_until_requested(16));
+    CHECK(std::count_if(
+              fixture.targets.begin(), fixture.targets.end(), is_complete_read)
+          == 1);
+    REQUIRE(fixture.confirmed);
+    CHECK(fixture.now() - *fixture.confirmed
+          <= 2 * fixture.time_per_answer + 1s);
+}
--- a/tests/proxy/store_reader_fixture.hpp
+++ b/tests/proxy/store_reader_fixture.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -84,6 +85,11 @@
     std::vector<std::string> targets;
     scripted_upstream store;
     proxy::store_codec codec = platform::store_codec();
+    /// Answers once the script is at its end; null: the store is silent.
+    std::function<std::string(std::string const& target)> answer_to;
+    /// Time that passes on the reader's clock with each answer.
+    model::milliseconds time_per_answer{0};
+    model::milliseconds time_passed{0};
     std::size_t slow_pieces = 0;
     model::milliseconds delay{0};
     std::vector<std::string> events;
@@ -98,8 +104,10 @@
         , store(loop,
                 [this](received const& request) -> script {
                     targets.push_back(request.head.target);
+                    time_passed += time_per_answer;
                     if (answers.empty()) {
-                        return {};
+                        return answer_to ? script{answer_to(targets.back())}
+                                         : script{};
                     }
                     std::string const next = answers.front();
                     answers.pop_front();
@@ -142,10 +150,16 @@
                   }})
     {
         reader.start(200ms, [this] {
-            return loop.now();
+            return now();
         });
     }
 
+    /// Time on the reader's clock.
+    model::time_point now() const
+    {
+        return loop.now() + time_passed;
+    }
+
     void run_for(model::milliseconds time)
     {
         bool over = false;
