A watch that skips changes confirms nothing until the store is read again

What callers would see: a key that was taken away in the second of two gaps within five seconds stays in use until the configuration changes again, and an engine that left there is used until its entry lapses.

Cause: a reader that had read the store again because of a gap took the next gap within 5 s as it was: it moved to the answer's revision and confirmed that it had all changes up to there. Nothing ever read what was missing, and other hosts renewed their keys by that confirmation.

Failed before: "a second gap confirms nothing until the store has been read again". The check of "a watch that skips revisions makes the reader read again" that held the old rule ("taken as it is", the next watch after=15) asked for the fault: what was missing lay before 15. It asks now that the watch goes on after=12 and that 12 stays what is confirmed; its other checks stay.

Why it works: the reader stays at the position up to which nothing is missing and reads the store again 2 s after the last time, within the time in which a change must be in force (2.5 s). Until then changes that do arrive are applied. A store with gaps all the time still confirms every 2 s, so that keys of 5 s are kept.

--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -183,8 +183,8 @@
         item.era = m_position.era;
         m_hooks.on_item(item);
     }
-    if (must_read_for_gap(changes)) {
-        read_again();
+    if (auto const missing = count_missing(changes); missing > 0) {
+        handle_gap(changes, missing);
         return;
     }
     m_position.revision = std::max(m_position.revision, changes.revision);
@@ -198,10 +198,15 @@
     m_hooks.on_confirmed(m_confirmed, m_position);
     if (changes.items.empty()) {
         idle_or_watch();
-        return;
+    } else {
+        continue_later();
     }
-    // Changes come in batches: the next request returns the rest of a batch at
-    // once.
+}
+
+// Changes come in batches: the next request returns the rest of a batch at
+// once.
+void store_reader::continue_later()
+{
     m_loop.cancel(m_delay_timer);
     m_delay_timer = m_loop.after(batch_time, [this] {
         idle_or_watch();
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -165,7 +165,8 @@
                                               std::string const& body);
     void handle_changes(int status, std::string const& body);
     std::size_t count_missing(store_answer const& changes) const;
-    bool must_read_for_gap(store_answer const& changes);
+    void handle_gap(store_answer const& changes, std::size_t missing);
+    void continue_later();
     void handle_failure(std::string_view reason);
     void handle_success();
 
--- a/src/proxy/store_reader_era.cpp
+++ b/src/proxy/store_reader_era.cpp
@@ -11,8 +11,9 @@
 /// read, and the spread of these times.
 constexpr model::milliseconds peer_read_time{1'000};
 constexpr std::uint32_t peer_read_spread_ms = 1'000;
-/// Least time between two complete reads because of missing changes.
-constexpr model::milliseconds gap_read_period{5'000};
+/// Least time between two complete reads because of missing changes. Shorter
+/// than the time in which a change must be in force.
+constexpr model::milliseconds gap_read_period{2'000};
 
 } // namespace
 
@@ -131,23 +132,21 @@
     return static_cast<std::size_t>(expected) - received.size();
 }
 
-// A reader that moved on would never hear of what is missing. A store that has
-// such answers all the time is read again now and then only.
-bool store_reader::must_read_for_gap(store_answer const& changes)
+// A reader that moved on would never hear of what is missing, and would confirm
+// what it hasn't read. A store that has such answers all the time is read again
+// now and then only; in between the reader continues from where it was.
+void store_reader::handle_gap(store_answer const& changes, std::size_t missing)
 {
-    std::size_t const missing = count_missing(changes);
-    if (missing == 0) {
-        return false;
-    }
     if (m_hooks.on_gap) {
         m_hooks.on_gap({m_position.revision, changes.revision, missing});
     }
     auto const now = m_loop.now();
     if (now < m_next_gap_read) {
-        return false;
+        continue_later();
+        return;
     }
     m_next_gap_read = now + gap_read_period;
-    return true;
+    read_again();
 }
 
 } // namespace caperjunction::proxy
--- a/tests/proxy/store_reader_era_test.cpp
+++ b/tests/proxy/store_reader_era_test.cpp
@@ -179,9 +179,35 @@
                             change("y", 16)});
     REQUIRE(fixture.run_until_requested(6));
     CHECK(is_complete_read(fixture.targets[2]));
-    // The second such answer in a row is taken as it is.
-    CHECK(fixture.targets[4].find("after=15&") != std::string::npos);
+    // After the second such answer in a row it waits before it reads again,
+    // and continues from where nothing was missing.
+    CHECK(fixture.targets[4].find("after=12&") != std::string::npos);
+    CHECK(fixture.revision == 12);
     CHECK(
         fixture.events
         == std::vector<std::string>{"+a", "all 1", "+b", "all 1", "+x", "+y"});
 }
+
+// Guards against a revocation in the second of two gaps: keys were confirmed as
+// of a watch that had skipped it, and it was never read.
+TEST_CASE("a second gap confirms nothing until the store has been read again")
+{
+    reader_fixture fixture({page("a", 9, false),
+                            json(R"({"events":[],"store_revision":12})"),
+                            page("b", 12, false)});
+    fixture.answer_to = [](std::string const& target) {
+        return is_complete_read(target) ? page("c", 15, false)
+                                        : change("x", 15);
+    };
+    REQUIRE(fixture.run_until_requested(4));
+    auto const confirmed_as_of = fixture.confirmed;
+    auto const begin = fixture.loop.now();
+    while (fixture.events.back() != "all 1" || fixture.events.size() < 5) {
+        REQUIRE(fixture.loop.now() < begin + 2'500ms);
+        CHECK(fixture.revision == 12);
+        CHECK(fixture.confirmed == confirmed_as_of);
+        fixture.loop.run_once();
+    }
+    CHECK(fixture.revision == 15);
+    CHECK(fixture.confirmed > confirmed_as_of);
+}
