An answer whose status is none breaks the attempt, as does an interim one with a body

What callers saw (`route`, a report of MIXED): an engine answered with status 000, and its body was the text of another answer; the caller got that text as the answer to its request, 200.

Cause: each status below 200 counted as an interim answer, whose body is none, so that what followed its head was parsed as the next answer. The same holds for a sound interim status that states a length. Statuses above 599 reached the caller.

Signs, letters and statuses over 999 were refused before.

Why it works: model/answer_status says in one place what a status makes of an answer: interim (100 to 199), final (200 to 599), none. A head with none, or an interim one with a length or in chunks, is malformed, as other bytes that are no answer: the connection ends, a lookup is repeated, a booking gets 502. 101 is none, since no request asks for another protocol. Interim answers without a body are passed over as before, other statuses are returned unchanged.

The store's and peers' answers are read by the same reader. By the number alone, 0200 is 200.

--- a/src/proxy/http_reader.cpp
+++ b/src/proxy/http_reader.cpp
@@ -1,12 +1,14 @@
 #include "proxy/http_reader.hpp"
 
+#include "model/answer_status.hpp"
+
+#include <algorithm>
 #include <limits>
 #include <utility>
 
 namespace caperjunction::proxy {
 namespace {
 
-constexpr int first_final_status = 200;
 constexpr int stop_reading = -1;
 
 bool is_safe(std::string const& value)
@@ -34,14 +36,33 @@
     return true;
 }
 
-int http_reader::end_head(http_parser* parser)
+bool http_reader::has_sound_head() const
 {
-    for (header_line const& line : m_head.headers) {
-        if (!is_safe(line.value)) {
-            m_fault = read_fault::malformed;
-            return stop_reading;
-        }
+    if (!std::all_of(
+            m_head.headers.begin(), m_head.headers.end(), [](auto const& line) {
+                return is_safe(line.value);
+            })) {
+        return false;
+    }
+    if (m_parser.type == HTTP_REQUEST) {
+        return true;
+    }
+    // An interim answer has no body. One that states a length would have its
+    // body taken for the answer.
+    bool const has_body = m_head.chunked || m_head.length.value_or(0) > 0;
+    switch (model::answer_status_of(m_head.status)) {
+    case model::answer_status::interim:
+        return !has_body;
+    case model::answer_status::final:
+        return true;
+    case model::answer_status::invalid:
+        return false;
     }
+    return false;
+}
+
+int http_reader::end_head(http_parser* parser)
+{
     m_head.minor_version = parser->http_minor;
     m_head.status = static_cast<int>(parser->status_code);
     m_head.chunked = (parser->flags & F_CHUNKED) != 0;
@@ -54,8 +75,13 @@
         m_head.method =
             http_method_str(static_cast<http_method>(parser->method));
     }
-    m_interim =
-        parser->type == HTTP_RESPONSE && m_head.status < first_final_status;
+    if (!has_sound_head()) {
+        m_fault = read_fault::malformed;
+        return stop_reading;
+    }
+    m_interim = parser->type == HTTP_RESPONSE
+                && model::answer_status_of(m_head.status)
+                       == model::answer_status::interim;
     bool const no_body = m_no_body || m_interim;
     if (m_interim) {
         m_head = {};
--- a/src/proxy/http_reader.hpp
+++ b/src/proxy/http_reader.hpp
@@ -91,6 +91,7 @@
     static http_parser_settings const& parser_callbacks();
     bool count_head_bytes(std::size_t bytes);
     void count_framing(std::size_t bytes);
+    bool has_sound_head() const;
     int end_head(http_parser* parser);
 
     http_parser m_parser{};
