serve: answers that are kept until they are complete are bounded together

Nothing bounded the sum; at the end of the memory the requests of all callers end.

One that is merged from events for a caller without streaming was not bounded at all.

Why it works: the relay counts what it keeps.

Not bounded: answers that a host receives from the one to which it handed a request over, and complete ones that callers read late.

--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -9,6 +9,7 @@
 #include "net/sse_scanner.hpp"
 #include "net/upstream_call.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -61,6 +62,8 @@
     // Over all attempts.
     answer_assembler assembler;
     std::string collected;
+    /// Bytes of the answer that are kept in `assembler` and `collected`.
+    std::size_t kept_bytes = 0;
     std::uint32_t relayed_tokens = 0;
     /// Relayed, but not yet reported to the decision logic.
     std::uint32_t unreported_tokens = 0;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -267,6 +267,7 @@
         ended.first_byte =
             elapsed(active.request.arrived, active.first_byte_at);
     }
+    m_kept_bytes -= active.kept_bytes;
     m_exchanges.erase(ended.id);
     report(std::move(ended));
 }
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -9,6 +9,7 @@
 #include "net/upstream_client.hpp"
 #include "runtime/event_loop.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -76,6 +77,11 @@
     void handle_head(model::request_id id, call_head const& head);
     void handle_bytes(model::request_id id, std::string_view bytes);
     void handle_stream(exchange& active, std::string_view bytes);
+    // Size of the answers that are kept until they are complete.
+    bool keep(exchange& active, std::size_t bytes);
+    void forget_collected(exchange& active);
+    void break_off(exchange& active);
+    exchange& longest_kept(exchange& among);
     void end_attempt(model::request_id id, call_end end);
     decide::attempt_end classify_end(exchange const& active,
                                      call_end end) const;
@@ -105,6 +111,8 @@
     std::unordered_map<model::request_id, std::unique_ptr<exchange>>
         m_exchanges;
     std::unordered_map<std::string, model::endpoint> m_addresses;
+    /// Of all exchanges.
+    std::size_t m_kept_bytes = 0;
     runtime::timer_handle m_poll_timer;
     // Reports that the other task could not accept yet.
     std::deque<relay_report> m_backlog;
--- a/src/net/relay_attempt.cpp
+++ b/src/net/relay_attempt.cpp
@@ -44,7 +44,7 @@
     active->upstream_not_run = false;
     active->upstream_retry_after = {};
     active->scanner = {};
-    active->collected.clear();
+    forget_collected(*active);
     if (m_addresses.count(to.upstream) == 0) {
         report_event(decide::attempt_ended{to.id,
                                            to.upstream,
@@ -102,10 +102,7 @@
         return;
     }
     active->collected.append(bytes);
-    if (active->collected.size() > m_settings.max_body_bytes) {
-        m_client.cancel(active->call);
-        end_attempt(id, call_end::broken);
-    }
+    keep(*active, bytes.size());
 }
 
 void relay::handle_stream(exchange& active, std::string_view bytes)
@@ -125,8 +122,10 @@
     bool const parsed =
         active.mode == reply_mode::events || active.assembler.add(events);
     if (found.overlong || !parsed) {
-        m_client.cancel(active.call);
-        end_attempt(active.request.id, call_end::broken);
+        break_off(active);
+        return;
+    }
+    if (active.mode == reply_mode::assembled && !keep(active, events.size())) {
         return;
     }
     if (active.mode == reply_mode::events && !events.empty()) {
--- a/src/program/flags.cpp
+++ b/src/program/flags.cpp
@@ -53,10 +53,12 @@
           max_requests,
           20'000,
           "Maximum number of concurrent requests; further ones are refused");
-ABSL_FLAG(std::uint32_t,
-          max_body_bytes,
-          8U * 1024U * 1024U,
-          "Maximum request body size in bytes");
+ABSL_FLAG(
+    std::uint32_t,
+    max_body_bytes,
+    8U * 1024U * 1024U,
+    "Maximum size of a request body and of an answer that is kept until it "
+    "is complete, in bytes; eight times that for all such answers");
 ABSL_FLAG(absl::Duration,
           caller_timeout,
           absl::Seconds(30),
@@ -116,6 +118,8 @@
     require_positive(absl::GetFlag(FLAGS_max_body_bytes), "max_body_bytes");
     relay.max_exchanges = absl::GetFlag(FLAGS_max_requests);
     relay.max_body_bytes = absl::GetFlag(FLAGS_max_body_bytes);
+    relay.max_kept_bytes =
+        model::limits::max_kept_answers * relay.max_body_bytes;
     relay.caller_timeout =
         positive(absl::GetFlag(FLAGS_caller_timeout), "caller_timeout");
     relay.upstreams.connect =
