serve: a host that stops closes kept connections, and takes nothing once it is done

Cause: a planned stop closed the listening socket alone. Once it had run out for a moment, the process ended with the next tick, or when the claims of its bookings were handed over; what came in between was accepted and passed on.

Failed before: both cases of serve_stop_test (no `Connection: close`, and a second request reached the service after the host had said that none was left).

Why it works: from the moment at which no connection is accepted, each answer closes its connection. Once the relay has said that no request is left, it takes none, also none that another host hands over: 503, not run.

`route` does both already: the cases of relay_close_test and relay_unsent_test.

--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -105,6 +105,10 @@
     evhttp_connection* const connection = evhttp_request_get_connection(caller);
     set_no_delay(connection);
     allow_reading(connection, m_settings.caller_timeout);
+    if (is_stopping()) {
+        evhttp_add_header(
+            evhttp_request_get_output_headers(caller), "Connection", "close");
+    }
     try {
         serve(caller, id);
     } catch (model::error const& failure) {
@@ -154,7 +158,9 @@
         return;
     }
     throw model::error(model::error_kind::unavailable,
-                       "this host has more requests than it can hold",
+                       is_stopping()
+                           ? "this host stops"
+                           : "this host has more requests than it can hold",
                        "send it again in a second");
 }
 
--- a/src/net/caller_server.hpp
+++ b/src/net/caller_server.hpp
@@ -60,6 +60,11 @@
     void release(evhttp_request* caller);
 
 private:
+    bool is_stopping() const
+    {
+        return m_socket == nullptr;
+    }
+
     /// Context of the close callback of a connection.
     struct connection_watch
     {
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -148,7 +148,8 @@
 
 bool relay::accept(std::unique_ptr<exchange> arrived)
 {
-    if (m_exchanges.size() >= m_settings.max_exchanges || !m_backlog.empty()) {
+    bool const is_full = m_exchanges.size() >= m_settings.max_exchanges;
+    if (is_full || m_is_done || !m_backlog.empty()) {
         return false;
     }
     relay_report arrival =
@@ -290,6 +291,7 @@
         }
     }
     if (m_stopping && m_exchanges.empty()) {
+        m_is_done = true;
         report(relay_idle{});
     }
 }
--- a/src/net/relay.hpp
+++ b/src/net/relay.hpp
@@ -117,6 +117,9 @@
     // Reports that the other task could not accept yet.
     std::deque<relay_report> m_backlog;
     bool m_stopping = false;
+    /// The process may end at any moment: it has been told that no exchange is
+    /// left.
+    bool m_is_done = false;
 };
 
 } // namespace caperjunction::net
