--- a/src/net/answer_assembler.cpp
+++ b/src/net/answer_assembler.cpp
@@ -33,11 +33,21 @@
            && value["index"].is_number_unsigned();
 }
 
-void merge(json& into, json const& from);
+/// Text that was added to an answer, in bytes.
+using added_bytes = std::size_t;
+
+added_bytes merge(json& into, json const& from);
+
+std::size_t size_of(json const& value)
+{
+    return value.is_string() ? value.get_ref<std::string const&>().size()
+                             : value.dump().size();
+}
 
 // Entries with the same index are parts of one entry; others are appended.
-void merge_arrays(json& into, json const& from)
+added_bytes merge_arrays(json& into, json const& from)
 {
+    added_bytes added = 0;
     for (json const& item : from) {
         json* match = nullptr;
         for (json& known : into) {
@@ -48,40 +58,45 @@
         }
         if (match == nullptr) {
             into.push_back(item);
+            added += size_of(item);
         } else {
-            merge(*match, item);
+            added += merge(*match, item);
         }
     }
+    return added;
 }
 
-void merge_field(json& into, std::string const& field, json const& value)
+added_bytes merge_field(json& into, std::string const& field, json const& value)
 {
     auto const known = into.find(field);
-    if (value.is_null()) {
-        if (known == into.end()) {
-            into[field] = value;
-        }
-        return;
+    if (value.is_null() && known != into.end()) {
+        return 0;
     }
     if (known == into.end() || known->is_null()) {
         into[field] = value;
-    } else if (value.is_object() && known->is_object()) {
-        merge(*known, value);
-    } else if (value.is_array() && known->is_array()) {
-        merge_arrays(*known, value);
-    } else if (value.is_string() && known->is_string()
-               && !is_unsplit_field(field)) {
+        return field.size() + size_of(value);
+    }
+    if (value.is_object() && known->is_object()) {
+        return merge(*known, value);
+    }
+    if (value.is_array() && known->is_array()) {
+        return merge_arrays(*known, value);
+    }
+    if (value.is_string() && known->is_string() && !is_unsplit_field(field)) {
         *known = known->get<std::string>() + value.get<std::string>();
-    } else {
-        *known = value;
+        return size_of(value);
     }
+    *known = value;
+    return size_of(value);
 }
 
-void merge(json& into, json const& from)
+added_bytes merge(json& into, json const& from)
 {
+    added_bytes added = 0;
     for (auto const& [field, value] : from.items()) {
-        merge_field(into, field, value);
+        added += merge_field(into, field, value);
     }
+    return added;
 }
 
 /// Returns the text after `data:`; empty for SSE comments.
@@ -97,6 +112,7 @@
 struct answer_assembler::state
 {
     json answer = json::object();
+    std::size_t bytes = 0;
 };
 
 answer_assembler::answer_assembler()
@@ -125,11 +141,16 @@
         if (!event.is_object()) {
             return false;
         }
-        merge(m_state->answer, event);
+        m_state->bytes += merge(m_state->answer, event);
     }
     return true;
 }
 
+std::size_t answer_assembler::size() const
+{
+    return m_state->bytes;
+}
+
 std::string answer_assembler::finish() const
 {
     json answer = m_state->answer;
--- a/src/net/answer_assembler.hpp
+++ b/src/net/answer_assembler.hpp
@@ -1,6 +1,7 @@
 #ifndef CAPERJUNCTION_NET_ANSWER_ASSEMBLER_HPP
 #define CAPERJUNCTION_NET_ANSWER_ASSEMBLER_HPP
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,6 +23,10 @@
     /// Adds complete events. Returns false if one of them is not JSON.
     bool add(std::string_view events);
 
+    /// Returns about how many bytes of text the answer has so far, far fewer
+    /// than its events.
+    std::size_t size() const;
+
     /// Returns the complete answer as JSON text.
     std::string finish() const;
 
--- a/src/net/relay_attempt.cpp
+++ b/src/net/relay_attempt.cpp
@@ -119,13 +119,14 @@
                                             active.unreported_tokens});
         active.unreported_tokens = 0;
     }
+    std::size_t const assembled = active.assembler.size();
     bool const parsed =
         active.mode == reply_mode::events || active.assembler.add(events);
     if (found.overlong || !parsed) {
         break_off(active);
         return;
     }
-    if (active.mode == reply_mode::assembled && !keep(active, events.size())) {
+    if (!keep(active, active.assembler.size() - assembled)) {
         return;
     }
     if (active.mode == reply_mode::events && !events.empty()) {
--- a/src/net/relay_settings.hpp
+++ b/src/net/relay_settings.hpp
@@ -23,8 +23,7 @@
     std::size_t max_body_bytes = model::limits::max_body_bytes;
     /// Maximum size of all answers together that are kept until they are
     /// complete. Beyond it, the longest one is broken off.
-    std::size_t max_kept_bytes =
-        model::limits::max_kept_answers * model::limits::max_body_bytes;
+    std::size_t max_kept_bytes = model::limits::max_kept_bytes;
     /// Time for a caller to send its complete request, and to read some more
     /// of its answer. After an answer, the next request may take 10 s longer.
     model::milliseconds caller_timeout{30'000};
--- a/src/program/flags.cpp
+++ b/src/program/flags.cpp
@@ -53,12 +53,16 @@
           max_requests,
           20'000,
           "Maximum number of concurrent requests; further ones are refused");
-ABSL_FLAG(
-    std::uint32_t,
-    max_body_bytes,
-    8U * 1024U * 1024U,
-    "Maximum size of a request body and of an answer that is kept until it "
-    "is complete, in bytes; eight times that for all such answers");
+ABSL_FLAG(std::uint32_t,
+          max_body_bytes,
+          8U * 1024U * 1024U,
+          "Maximum size in bytes of a request body, and of an answer that is "
+          "kept until it is complete");
+ABSL_FLAG(std::uint32_t,
+          max_kept_bytes,
+          256U * 1024U * 1024U,
+          "Maximum size in bytes of all answers that are kept until they are "
+          "complete; beyond it, the longest one is broken off");
 ABSL_FLAG(absl::Duration,
           caller_timeout,
           absl::Seconds(30),
@@ -118,8 +122,11 @@
     require_positive(absl::GetFlag(FLAGS_max_body_bytes), "max_body_bytes");
     relay.max_exchanges = absl::GetFlag(FLAGS_max_requests);
     relay.max_body_bytes = absl::GetFlag(FLAGS_max_body_bytes);
-    relay.max_kept_bytes =
-        model::limits::max_kept_answers * relay.max_body_bytes;
+    relay.max_kept_bytes = absl::GetFlag(FLAGS_max_kept_bytes);
+    if (relay.max_kept_bytes < relay.max_body_bytes) {
+        refuse_setting("--max_kept_bytes is below --max_body_bytes",
+                       "choose at least as much");
+    }
     relay.caller_timeout =
         positive(absl::GetFlag(FLAGS_caller_timeout), "caller_timeout");
     relay.upstreams.connect =
--- a/tests/proxy/serve_kept_test.cpp
+++ b/tests/proxy/serve_kept_test.cpp
@@ -95,3 +95,24 @@
         CHECK(call->body == body);
     }
 }
+
+// Guards against answers that are broken off for the size of their events,
+// which is many times that of the answer.
+TEST_CASE("an answer that is merged from events counts by its text")
+{
+    net::answer_assembler assembler;
+    constexpr std::size_t tokens = 1'000;
+    std::string const token = "word ";
+    std::size_t events = 0;
+    for (std::size_t number = 0; number < tokens; ++number) {
+        std::string const event =
+            R"(data: {"id":"c1","object":"chat.completion.chunk","choices":)"
+            R"([{"index":0,"delta":{"content":")"
+            + token + R"("},"finish_reason":null}]})" + "\n\n";
+        events += event.size();
+        REQUIRE(assembler.add(event));
+    }
+    CHECK(assembler.size() >= tokens * token.size());
+    CHECK(assembler.size() < events / 2);
+    CHECK(assembler.finish().size() >= tokens * token.size());
+}
