A revision of the store that is no whole number is unreadable on each processor

Cause: a float was converted to an unsigned number. Beyond its range that is undefined; arm64 gives the largest number, x86-64 gave 0. A host would have taken such an entry for one from before all history, or, by store_revision, its own position for one.

New: "an answer whose revision is no whole number is refused".

--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -206,6 +206,20 @@
     }
 }
 
+// Guards against a position that depends on the processor: a float that is too
+// large for a whole number became 0 on one and the largest number on another.
+TEST_CASE("an answer whose revision is no whole number is refused")
+{
+    auto const codec = platform::store_codec();
+    for (std::string const revision : {"1e300", "-1", "1.5", "\"9\"", "null"}) {
+        CAPTURE(revision);
+        CHECK_THROWS(codec.read_range(R"({"items":[],"store_revision":)"
+                                      + revision + "}"));
+        CHECK_THROWS(codec.read_watch(R"({"events":[],"store_revision":)"
+                                      + revision + "}"));
+    }
+}
+
 TEST_CASE("store items become records")
 {
     auto const codec = platform::store_codec();
