Log of a start: which program and which clock a host runs with

No log told an old program, a clock that the system refuses and a fault of the reader apart: all three end in requests with a revoked key.

Change: `started` and `listening` name the build (the commit, with -dirty behind it if files had been changed; without a commit a hash of the sources), as does `caperjunction version`. `started` says whether the clock that leases rest on can be read. The read of that clock has a file of its own and can fail; what is done with a failed read is as before (zero, mended next).

"a starting host survives the signal to reload its settings" asks for both fields.

--- a/src/program/commands.cpp
+++ b/src/program/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "model/error.hpp"
 #include "net/upstream_client.hpp"
+#include "program/build_version.hpp"
 #include "program/check_command.hpp"
 #include "program/flags.hpp"
 #include "program/report.hpp"
@@ -108,7 +109,7 @@
 
 int run_version(command_line const& /*line*/)
 {
-    fmt::print("caperjunction {}\n", version);
+    fmt::print("caperjunction {} ({})\n", version, build_version());
     return 0;
 }
 
--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -2,9 +2,11 @@
 
 #include "model/error.hpp"
 #include "platform/platform.hpp"
+#include "program/build_version.hpp"
 #include "program/flags.hpp"
 #include "program/routed_flags.hpp"
 #include "program/settings_file.hpp"
+#include "runtime/clock_source.hpp"
 #include "runtime/log_line.hpp"
 #include "runtime/signal_time.hpp"
 
@@ -13,7 +15,6 @@
 #include <unistd.h>
 
 #include <csignal>
-#include <ctime>
 #include <map>
 #include <string>
 #include <utility>
@@ -26,12 +27,7 @@
 
 model::time_point boot_now()
 {
-    timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return model::time_point(
-        std::chrono::duration_cast<model::time_point::duration>(
-            std::chrono::seconds(now.tv_sec)
-            + std::chrono::nanoseconds(now.tv_nsec)));
+    return runtime::boot_clock().read().value_or(model::time_point{});
 }
 
 routing::upstream_directory::location_of
@@ -121,7 +117,10 @@
 
 int routed_host::run()
 {
+    auto const boot = runtime::boot_clock();
     runtime::log_line("started")
+        .field("build", build_version())
+        .field("clock", boot.read() ? boot.name : "unreadable")
         .field("host", m_settings.host_name)
         .field("data_centre", m_settings.data_centre)
         .field("callers_port", m_relay.port())
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,6 +1,7 @@
 #include "program/serve.hpp"
 
 #include "net/relay.hpp"
+#include "program/build_version.hpp"
 #include "program/control.hpp"
 #include "runtime/log_line.hpp"
 #include "runtime/task.hpp"
@@ -46,6 +47,7 @@
     int run()
     {
         runtime::log_line("listening")
+            .field("build", build_version())
             .field("host", m_settings.host_name)
             .field("callers_port", m_relay.port())
             .field("admin_port", m_control.admin_port())
--- a/tests/program/route_start_test.cpp
+++ b/tests/program/route_start_test.cpp
@@ -69,4 +69,8 @@
         return host.output().find("event=started") != std::string::npos;
     }));
     CHECK(!host.has_ended());
+    // Without them, an old program, a clock that is missing and a fault of the
+    // program look alike.
+    CHECK(host.output().find(" build=") != std::string::npos);
+    CHECK(host.output().find(" clock=boottime") != std::string::npos);
 }
