Rename: lease_now, the clock that leases rest on

Change: boot_now is lease_now, arrived_boot is arrived_lease_time. Measured: nothing; the build passes.

--- a/src/program/routed_host_peers.cpp
+++ b/src/program/routed_host_peers.cpp
@@ -64,7 +64,7 @@
 void routed_host::update_store_polling()
 {
     bool const is_store_watcher = m_context.peers.is_store_watcher();
-    auto const age = m_context.keys.age(m_context.boot_now());
+    auto const age = m_context.keys.age(m_context.lease_now());
     auto const limit = m_settings.relay.apply_limit / polls_per_apply_limit;
     bool const is_behind = age > limit || m_lists.upstreams_lag() > limit;
     for (auto const& reader : m_readers) {
--- a/src/program/routed_host_store.cpp
+++ b/src/program/routed_host_store.cpp
@@ -51,7 +51,7 @@
         m_context.directory.store_regained(m_loop.now());
         runtime::log_line("store_regained")
             .field("config_age_ms",
-                   m_context.keys.age(m_context.boot_now()).count());
+                   m_context.keys.age(m_context.lease_now()).count());
     };
     return hooks;
 }
@@ -75,7 +75,7 @@
         .field("total_ms", failure.progress.total.count())
         .field("quiet_ms", failure.progress.idle.count())
         .field("config_age_ms",
-               m_context.keys.age(m_context.boot_now()).count());
+               m_context.keys.age(m_context.lease_now()).count());
 }
 
 } // namespace caperjunction::program
--- a/src/program/store_replica.cpp
+++ b/src/program/store_replica.cpp
@@ -33,10 +33,10 @@
     m_settled_at = now + routing::upstream_directory::settle_time;
     // A host that was out of touch before may lack a configuration that the
     // copy lacks as well, until it is written again.
-    auto const boot_now = m_context.boot_now();
-    if (!m_context.keys.is_valid(boot_now)) {
+    auto const lease_now = m_context.lease_now();
+    if (!m_context.keys.is_valid(lease_now)) {
         m_context.keys.ignore_before(
-            boot_now + routing::upstream_directory::settle_time);
+            lease_now + routing::upstream_directory::settle_time);
     }
 }
 
--- a/src/proxy/caller.cpp
+++ b/src/proxy/caller.cpp
@@ -202,7 +202,7 @@
                                             m_head,
                                             std::move(m_body),
                                             std::move(sink),
-                                            m_context.boot_now());
+                                            m_context.lease_now());
     m_body = {};
     auto const current = m_exchange;
     current->start();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -25,14 +25,14 @@
                    message_head head,
                    std::string body,
                    answer_sink sink,
-                   model::time_point arrived_boot)
+                   model::time_point arrived_lease_time)
     : m_context(context)
     , m_head(std::move(head))
     , m_body(std::move(body))
     , m_sink(std::move(sink))
     , m_metadata(read_metadata(m_head, context.names))
     , m_arrived(context.loop.now())
-    , m_arrived_boot(arrived_boot)
+    , m_arrived_lease_time(arrived_lease_time)
     , m_since_stop(context.since_stop())
 {
     if (m_metadata.deadline) {
@@ -84,7 +84,7 @@
                                          {m_metadata.authority,
                                           m_metadata.path,
                                           m_metadata.key,
-                                          m_arrived_boot});
+                                          m_arrived_lease_time});
     m_route = admitted.route;
     m_homes = admitted.homes;
     if (admitted.refused) {
@@ -241,7 +241,7 @@
     m_report.partial_event_bytes = m_framer.partial_event().size();
     m_report.longest_gap = m_event_gaps.longest();
     m_report.config_version = m_table ? m_table->config().version : 0;
-    m_report.config_age = m_context.keys.age(m_context.boot_now());
+    m_report.config_age = m_context.keys.age(m_context.lease_now());
     if (!m_service.empty()) {
         m_report.budget_left =
             m_context.retry_budget_for(m_service).available();
--- a/src/proxy/exchange.hpp
+++ b/src/proxy/exchange.hpp
@@ -35,13 +35,13 @@
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
-    /// `arrived_boot` is read from the clock of `context.boot_now` after the
-    /// request's last byte.
+    /// `arrived_lease_time` is read from the clock of `context.lease_now` after
+    /// the request's last byte.
     exchange(relay_context& context,
              message_head head,
              std::string body,
              answer_sink sink,
-             model::time_point arrived_boot);
+             model::time_point arrived_lease_time);
     ~exchange();
     exchange(exchange const&) = delete;
     exchange& operator=(exchange const&) = delete;
@@ -232,7 +232,7 @@
     bool m_is_least_urgent = false;
 
     model::time_point m_arrived;
-    model::time_point m_arrived_boot;
+    model::time_point m_arrived_lease_time;
     model::milliseconds m_since_stop;
     model::time_point m_deadline{};
     runtime::timer_handle m_deadline_timer;
--- a/src/proxy/exchange_end.cpp
+++ b/src/proxy/exchange_end.cpp
@@ -90,7 +90,7 @@
         m_attempted.pop_back();
         return;
     }
-    m_upstream->broken_at = m_context.boot_now();
+    m_upstream->broken_at = m_context.lease_now();
     if (fault == answer_fault::broken && m_connection->has_sent()) {
         report_broken_attempt();
         record_broken_parts();
--- a/src/proxy/exchange_send.cpp
+++ b/src/proxy/exchange_send.cpp
@@ -51,7 +51,7 @@
                                          {m_metadata.authority,
                                           m_metadata.path,
                                           m_metadata.key,
-                                          m_arrived_boot});
+                                          m_arrived_lease_time});
     if (admitted.route != nullptr) {
         m_homes = admitted.homes;
     }
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -217,7 +217,7 @@
     if (!frame) {
         return;
     }
-    auto const now = m_context.boot_now();
+    auto const now = m_context.lease_now();
     m_echoes[fmt::format("{}:{}", from.address, from.port)] = {frame->stamp,
                                                                now};
     // The sender had held our stamp for `echo_held` when it stated the age of
--- a/src/proxy/peer_gossip_digest.cpp
+++ b/src/proxy/peer_gossip_digest.cpp
@@ -61,7 +61,7 @@
     digest.limits = limits_to_advertise(m_context);
     digest.leaving = leaving_to_advertise(m_context);
     digest.pauses = pauses_to_advertise(m_context);
-    frame.stamp = m_context.boot_now();
+    frame.stamp = m_context.lease_now();
     if (auto const as_of = m_context.keys.as_of()) {
         frame.confirmed_age =
             std::chrono::duration_cast<std::chrono::microseconds>(frame.stamp
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -63,7 +63,7 @@
     wire_names const& names;
     relay_settings settings;
     /// Clock that includes the time during which the host was suspended.
-    std::function<model::time_point()> boot_now;
+    std::function<model::time_point()> lease_now;
     routing::key_lease keys;
     /// Null until a configuration has been received.
     std::shared_ptr<routing::route_table const> table;
@@ -169,12 +169,12 @@
     relay_context(runtime::event_loop& on,
                   wire_names const& wire,
                   relay_settings const& given,
-                  std::function<model::time_point()> boot,
+                  std::function<model::time_point()> lease_clock,
                   routing::upstream_directory::location_of locate)
         : loop(on)
         , names(wire)
         , settings(given)
-        , boot_now(std::move(boot))
+        , lease_now(std::move(lease_clock))
         , keys(given.key_lifetime)
         , directory(std::move(locate))
         , picker(directory)
--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -45,10 +45,10 @@
 }
 
 void store_reader::start(model::milliseconds wait,
-                         std::function<model::time_point()> boot_now)
+                         std::function<model::time_point()> lease_now)
 {
     set_watch_wait(wait);
-    m_boot_now = std::move(boot_now);
+    m_lease_now = std::move(lease_now);
     read_page("");
 }
 
@@ -62,7 +62,7 @@
     model::milliseconds first_byte_timeout,
     std::function<void(int, std::string const&)> on_answer)
 {
-    m_sent_at = m_boot_now();
+    m_sent_at = m_lease_now();
     get_request request;
     request.at = m_at;
     request.target = target;
@@ -86,7 +86,7 @@
 
 model::milliseconds store_reader::age_of(model::time_point moment) const
 {
-    return std::chrono::duration_cast<model::milliseconds>(m_boot_now()
+    return std::chrono::duration_cast<model::milliseconds>(m_lease_now()
                                                            - moment);
 }
 
@@ -188,7 +188,7 @@
     // request waited for its whole time without a change, the store evaluated
     // it no earlier than the end of that wait.
     bool const waited =
-        changes.items.empty() && m_boot_now() - m_sent_at >= m_requested_wait;
+        changes.items.empty() && m_lease_now() - m_sent_at >= m_requested_wait;
     m_confirmed =
         m_sent_at + (waited ? m_requested_wait : model::milliseconds{0});
     m_hooks.on_confirmed(m_confirmed, m_position);
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -110,7 +110,7 @@
     /// Starts reading. `wait` is the time for which a watch waits for a change,
     /// and thereby the interval at which the replicated state is confirmed.
     void start(model::milliseconds wait,
-               std::function<model::time_point()> boot_now);
+               std::function<model::time_point()> lease_now);
 
     /// Sets the time for which a watch waits, starting with the next watch.
     void set_watch_wait(model::milliseconds wait);
@@ -181,7 +181,7 @@
     model::milliseconds m_watch_wait{0};
     /// Wait that the current watch requested.
     model::milliseconds m_requested_wait{0};
-    std::function<model::time_point()> m_boot_now;
+    std::function<model::time_point()> m_lease_now;
 
     http_get m_get;
     runtime::timer_handle m_delay_timer;
--- a/src/proxy/stream_software.cpp
+++ b/src/proxy/stream_software.cpp
@@ -17,7 +17,7 @@
 bool has_current_list(relay_context const& context)
 {
     if (!context.keys.as_of()
-        || context.keys.age(context.boot_now())
+        || context.keys.age(context.lease_now())
                >= context.settings.key_lifetime) {
         return false;
     }
@@ -69,7 +69,7 @@
     }
     bool const may_have_started_again =
         state.broken_at && *state.broken_at >= *context.keys.as_of()
-        && context.keys.age(context.boot_now()) > max_list_lag;
+        && context.keys.age(context.lease_now()) > max_list_lag;
     return !may_have_started_again;
 }
 
@@ -77,7 +77,7 @@
 {
     return has_current_list(context)
            && (!has_other_hosts(context)
-               || context.keys.age(context.boot_now()) <= max_list_lag);
+               || context.keys.age(context.lease_now()) <= max_list_lag);
 }
 
 bool serves_one_version_each(relay_context const& context,
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -436,7 +436,7 @@
         return script{};
     });
     auto const engine = fixture.context.directory.find("i-1");
-    auto const begin = fixture.context.boot_now();
+    auto const begin = fixture.context.lease_now();
     fixture.context.keys.renew(begin);
     CHECK(is_software_certain(fixture.context, *engine));
     engine->broken_at = begin + 500ms;
