Leases rest on two clocks, and a clock that can't be read ends them

Cause: the result of clock_gettime(CLOCK_BOOTTIME) was ignored, and a refused read was time zero for good. The age of a confirmation rested on this clock alone, so that one that is refused or slow made every lease longer. It failed open, and no line told of it.

Why it works: the clock of leases adds to the steady clock what a clock that counts suspended time has advanced more. Its time advances at least as much as that of either. If the first such clock is refused at the start, the time of day takes its place, named in `started`; without any the start is refused. While it can't be read (`clock_lost`) no key is used and no age is told to peers, and suspended time is made up for once it is read again.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -25,11 +25,6 @@
 /// Poll interval of the settings file, which may change without a signal.
 constexpr model::milliseconds settings_period{1'000};
 
-model::time_point boot_now()
-{
-    return runtime::boot_clock().read().value_or(model::time_point{});
-}
-
 routing::upstream_directory::location_of
 locations_from(routed_settings const& settings)
 {
@@ -52,14 +47,19 @@
 
 routed_host::routed_host(routed_settings const& settings)
     : m_settings(settings)
+    , m_lease_clock(m_loop.clock(),
+                    {runtime::boot_clock(), runtime::time_of_day()})
     , m_log(m_loop, STDOUT_FILENO)
     , m_names(platform::wire_names())
     , m_codec(platform::store_codec())
-    , m_context(m_loop,
-                m_names,
-                m_settings.relay,
-                boot_now,
-                locations_from(m_settings))
+    , m_context(
+          m_loop,
+          m_names,
+          m_settings.relay,
+          [this] {
+              return m_lease_clock.now();
+          },
+          locations_from(m_settings))
     , m_replica(m_context, m_codec)
     , m_lists(m_context,
               m_replica,
@@ -77,6 +77,7 @@
     , m_admin(m_loop, m_settings.admin_listen)
     , m_settings_file(absl::GetFlag(FLAGS_config))
 {
+    m_lease_clock.set_hooks(clock_hooks());
     m_loop.every(settings_period, [this] {
         if (m_settings_file.has_changed()) {
             reload();
@@ -117,10 +118,9 @@
 
 int routed_host::run()
 {
-    auto const boot = runtime::boot_clock();
     runtime::log_line("started")
         .field("build", build_version())
-        .field("clock", boot.read() ? boot.name : "unreadable")
+        .field("clock", m_lease_clock.source())
         .field("host", m_settings.host_name)
         .field("data_centre", m_settings.data_centre)
         .field("callers_port", m_relay.port())
@@ -130,7 +130,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     watch_signals();
     for (auto const& reader : m_readers) {
-        reader->start(watch_wait(), boot_now);
+        reader->start(watch_wait(), m_context.lease_now);
     }
     m_loop.run();
     runtime::log_line("stopped").field("callers", m_relay.callers());
@@ -211,8 +211,9 @@
 {
     m_metrics.set_store_state(
         m_replica.config_version(),
-        model::seconds(m_context.keys.age(boot_now())).count(),
+        model::seconds(m_context.keys.age(m_context.lease_now())).count(),
         static_cast<double>(m_context.directory.size()));
+    m_metrics.set_clock_behind(m_lease_clock.total_behind().count());
     m_metrics.set_work(static_cast<double>(m_relay.callers()),
                        static_cast<double>(m_context.pool.connections_opened()),
                        static_cast<double>(m_log.dropped()));
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -13,6 +13,7 @@
 #include "proxy/store_reader.hpp"
 #include "proxy/tunnel_server.hpp"
 #include "runtime/event_loop.hpp"
+#include "runtime/lease_clock.hpp"
 #include "runtime/log_output.hpp"
 
 #include <memory>
@@ -43,6 +44,7 @@
     void update_store_polling();
     model::milliseconds watch_wait();
     void record_first_read();
+    runtime::lease_clock_hooks clock_hooks();
     void report_requests();
     void report_upstreams();
     void report_parts();
@@ -69,6 +71,7 @@
 
     routed_settings m_settings;
     runtime::event_loop m_loop;
+    runtime::lease_clock m_lease_clock;
     runtime::log_output m_log;
     proxy::wire_names m_names;
     proxy::store_codec m_codec;
--- a/src/program/routed_metrics.cpp
+++ b/src/program/routed_metrics.cpp
@@ -222,6 +222,11 @@
     m_gauges.Add({{"part", "upstreams"}}).Set(upstreams);
 }
 
+void routed_metrics::set_clock_behind(double seconds)
+{
+    m_gauges.Add({{"part", "clock_behind_seconds"}}).Set(seconds);
+}
+
 void routed_metrics::set_work(double callers,
                               double connections,
                               double dropped_lines)
--- a/src/program/routed_metrics.hpp
+++ b/src/program/routed_metrics.hpp
@@ -39,6 +39,8 @@
     void set_store_state(std::uint64_t config_version,
                          double config_age_s,
                          double upstreams);
+    /// `seconds`: by how much the clock of leases has fallen behind in total.
+    void set_clock_behind(double seconds);
     void set_work(double callers, double connections, double dropped_lines);
     /// `tunnels`: connections of other hosts that lead through this one.
     void set_paths(double lost_links, double tunnels);
--- a/src/proxy/relay_context.hpp
+++ b/src/proxy/relay_context.hpp
@@ -62,7 +62,8 @@
     runtime::event_loop& loop;
     wire_names const& names;
     relay_settings settings;
-    /// Clock that includes the time during which the host was suspended.
+    /// Clock of leases; it includes the time during which the host was
+    /// suspended.
     std::function<model::time_point()> lease_now;
     routing::key_lease keys;
     /// Null until a configuration has been received.
--- a/src/routing/key_lease.hpp
+++ b/src/routing/key_lease.hpp
@@ -15,7 +15,8 @@
 /// which the store confirmed the keys. Requests with a key are refused shortly
 /// before the lease expires; the caller may find another host.
 ///
-/// Times are on a clock that includes suspended time (CLOCK_BOOTTIME).
+/// Times are on a clock that includes suspended time. While it can't be read,
+/// the lease may have expired without this host knowing: no key is used.
 ///
 /// Thread safety: none; owned by one task.
 class key_lease
@@ -49,11 +50,22 @@
         }
     }
 
+    /// The clock can't be read from now on.
+    void clock_lost()
+    {
+        m_has_clock = false;
+    }
+
+    void clock_regained()
+    {
+        m_has_clock = true;
+    }
+
     /// Returns whether a request that was sent at `now` or earlier may use a
     /// key.
     bool is_valid(model::time_point now) const
     {
-        return m_as_of && now - *m_as_of < m_lifetime - margin;
+        return m_has_clock && m_as_of && now - *m_as_of < m_lifetime - margin;
     }
 
     /// Returns the time since the last confirmation; zero if there was none.
@@ -64,9 +76,10 @@
                        : model::milliseconds{0};
     }
 
+    /// Returns the last confirmation, if it is known how old it is.
     std::optional<model::time_point> as_of() const
     {
-        return m_as_of;
+        return m_has_clock ? m_as_of : std::nullopt;
     }
 
 private:
@@ -76,6 +89,7 @@
 
     model::milliseconds m_lifetime;
     std::optional<model::time_point> m_as_of;
+    bool m_has_clock = true;
     model::time_point m_earliest = model::time_point::min();
 };
 
--- a/tests/routing/admission_test.cpp
+++ b/tests/routing/admission_test.cpp
@@ -243,3 +243,19 @@
     CHECK(routing::request_key({"", "", "", "a", "a"})
           != routing::request_key({"", "", "", "b", "b"}));
 }
+
+// A host that can't read its clock may have been suspended for longer than the
+// lease, and would use a key that was revoked meanwhile.
+TEST_CASE("keys are refused while the clock of the lease can't be read")
+{
+    routing::key_lease lease(5'000ms);
+    lease.renew(start);
+    lease.clock_lost();
+    CHECK(!lease.is_valid(start));
+    CHECK(!lease.as_of());
+    lease.renew(start + 1s);
+    CHECK(!lease.is_valid(start + 1s));
+    lease.clock_regained();
+    CHECK(lease.is_valid(start + 2s));
+    CHECK(!lease.is_valid(start + 6s));
+}
