A watch confirms a wait only if the loop's clock shows it, too

Cause: whether a watch had waited was read from the clock of leases alone. That one may be ahead, which is safe for an age and unsafe for a time that is added to a confirmation.

Why it works: the clock of the loop doesn't count suspended time and isn't stepped; the wait counts if both show it.

--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -63,6 +63,7 @@
     std::function<void(int, std::string const&)> on_answer)
 {
     m_sent_at = m_lease_now();
+    m_sent_on_loop = m_loop.now();
     get_request request;
     request.at = m_at;
     request.target = target;
@@ -187,10 +188,10 @@
     // The store evaluated the request no earlier than it was sent. If the
     // request waited for its whole time without a change, the store evaluated
     // it no earlier than the end of that wait.
-    bool const waited =
-        changes.items.empty() && m_lease_now() - m_sent_at >= m_requested_wait;
-    m_confirmed =
-        m_sent_at + (waited ? m_requested_wait : model::milliseconds{0});
+    m_confirmed = m_sent_at;
+    if (changes.items.empty() && has_waited()) {
+        m_confirmed += m_requested_wait;
+    }
     m_hooks.on_confirmed(m_confirmed, m_position);
     if (changes.items.empty()) {
         idle_or_watch();
@@ -201,6 +202,13 @@
     }
 }
 
+// A clock that was stepped ahead shows a wait that has not passed.
+bool store_reader::has_waited() const
+{
+    return age_of(m_sent_at) >= m_requested_wait
+           && m_loop.now() - m_sent_on_loop >= m_requested_wait;
+}
+
 void store_reader::continue_after(model::milliseconds delay)
 {
     m_loop.cancel(m_delay_timer);
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -156,6 +156,7 @@
     void complete_list(model::time_point as_of);
     model::milliseconds age_of(model::time_point moment) const;
     model::milliseconds next_wait() const;
+    bool has_waited() const;
     void watch();
     void send_request(std::string const& target,
                       model::milliseconds first_byte_timeout,
@@ -185,7 +186,10 @@
 
     http_get m_get;
     runtime::timer_handle m_delay_timer;
+    /// When the current request was sent, on the clock of leases and on that of
+    /// the loop.
     model::time_point m_sent_at{};
+    model::time_point m_sent_on_loop{};
     model::time_point m_confirmed{};
     /// The changes up to here have been received.
     routing::store_position m_position;
--- a/tests/proxy/store_reader_confirm_test.cpp
+++ b/tests/proxy/store_reader_confirm_test.cpp
@@ -221,3 +221,20 @@
     CHECK(fixture.now() - *fixture.confirmed
           <= 2 * fixture.time_per_answer + 1s);
 }
+
+// A clock that is stepped ahead must not make a watch look as if it had waited:
+// a store that answered at once would be believed for the time until then.
+TEST_CASE("a watch confirms no wait that only one clock shows")
+{
+    reader_fixture fixture({json(one_item)});
+    fixture.answer_to = [](std::string const&) {
+        return json(no_events);
+    };
+    fixture.time_per_answer = 3s;
+    for (std::size_t watch = 1; watch <= 3; ++watch) {
+        REQUIRE(fixture.run_until_requested(watch + 2));
+        // Two steps have come since that watch was sent.
+        CHECK(*fixture.confirmed
+              <= fixture.now() - 2 * fixture.time_per_answer);
+    }
+}
