Digests: a stamp confirms keys only for the process that sent it, held no longer than it was

Cause: three times in a digest rested on the clock of leases of one host. - How long a stamp had been held was a difference on that clock. Negative after a step back, it was sent as 4,291 s (an unsigned field), and the receiver confirmed its keys as of now. A clock that runs ahead made it too long, too. - A stamp was taken for the receiver's own if it wasn't in the future, also one of an earlier process at the same address, whose clock was another one. - A negative age of a confirmation overflowed to a long one, and back to a negative one at the receiver.

Why it works: the hold is a difference on the loop's clock, which isn't stepped and doesn't count suspended time, and is clamped to what the field can state. Stamps have an offset drawn by each process, so that those of another one lie outside the time since the start. Stamps mean nothing to others, so that hosts of earlier versions echo them as before.

--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -5,10 +5,25 @@
 #include "routing/carried_readings.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace caperjunction::proxy {
 namespace {
 
+/// Longest time in a digest, some 73 years; sums of a few don't overflow.
+constexpr std::uint64_t max_micros =
+    std::chrono::duration_cast<std::chrono::microseconds>(
+        model::time_point::max().time_since_epoch())
+        .count()
+    / 4;
+
+std::uint32_t clamp_micros(std::chrono::microseconds time)
+{
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(time.count(), 0, longest));
+}
+
 std::uint64_t micros_of(model::time_point time)
 {
     return static_cast<std::uint64_t>(
@@ -19,7 +34,8 @@
 
 model::time_point time_of(std::uint64_t micros)
 {
-    return model::time_point(std::chrono::microseconds(micros));
+    return model::time_point(
+        std::chrono::microseconds(std::min(micros, max_micros)));
 }
 
 using load_list = flatbuffers::Vector<wire::Work const*>;
@@ -211,8 +227,7 @@
     result.add_stamp(micros_of(frame.stamp));
     if (frame.echoed) {
         result.add_echoed_stamp(micros_of(*frame.echoed));
-        result.add_echo_held_us(
-            static_cast<std::uint32_t>(frame.echo_held.count()));
+        result.add_echo_held_us(clamp_micros(frame.echo_held));
     }
     if (frame.confirmed_age) {
         result.add_has_confirmed(true);
@@ -273,7 +288,8 @@
         frame.echoed = time_of(from->echoed_stamp());
         frame.echo_held = std::chrono::microseconds(from->echo_held_us());
     }
-    if (from->has_confirmed()) {
+    // A longer one is that of a clock that went back.
+    if (from->has_confirmed() && from->confirmed_age_us() <= max_micros) {
         frame.confirmed_age =
             std::chrono::microseconds(from->confirmed_age_us());
     }
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -27,6 +27,10 @@
 
 constexpr std::size_t max_datagram = 65'536;
 
+/// Some 34 years: the stamps of an earlier process hardly ever fall into the
+/// time of this one.
+constexpr std::chrono::seconds max_stamp_offset{1U << 30U};
+
 sockaddr_in to_socket(model::endpoint const& at)
 {
     sockaddr_in address{};
@@ -42,6 +46,8 @@
     : m_context(context)
     , m_socket(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     , m_generation(std::random_device{}())
+    , m_stamp_offset(m_generation % max_stamp_offset.count())
+    , m_started(context.lease_now())
     , m_random(static_cast<std::minstd_rand::result_type>(m_generation))
     , m_origins(context,
                 [this](model::endpoint const& to, std::string const& bytes) {
@@ -135,31 +141,35 @@
 void peer_gossip::send_batch()
 {
     m_context.loop.cancel(m_batch_timer);
-    digest_frame frame = own_frame();
+    batch sent;
+    sent.stamped_at = m_context.loop.now();
+    sent.frame = own_frame();
     routing::digest_set digests =
-        m_context.peers.make_digests(std::move(frame.digest));
+        m_context.peers.make_digests(std::move(sent.frame.digest));
     bound_demands(m_context, digests);
     m_queue.send_batch([&](routing::peer_table::recipient const& to) {
-        frame.digest = digests.of(to.kind);
-        frame.digest.requests_reply = to.requests_reply;
-        frame.digest.neighbours = m_context.peers.neighbours_for(
+        routing::peer_digest& digest = sent.frame.digest;
+        digest = digests.of(to.kind);
+        digest.requests_reply = to.requests_reply;
+        digest.neighbours = m_context.peers.neighbours_for(
             to.at, to.max_neighbours, m_random());
-        return send_to(to.at, frame);
+        return send_to(to.at, sent);
     });
     if (!m_queue.is_empty()) {
         schedule_batch(routing::digest_queue::batch_interval);
     }
 }
 
-std::size_t peer_gossip::send_to(model::endpoint const& to, digest_frame& frame)
+std::size_t peer_gossip::send_to(model::endpoint const& to, batch& sent)
 {
+    digest_frame& frame = sent.frame;
     frame.echoed.reset();
     auto const last_echo =
         m_echoes.find(fmt::format("{}:{}", to.address, to.port));
     if (last_echo != m_echoes.end()) {
         frame.echoed = last_echo->second.stamp;
         frame.echo_held = std::chrono::duration_cast<std::chrono::microseconds>(
-            frame.stamp - last_echo->second.received_at);
+            sent.stamped_at - last_echo->second.received_at);
     }
     std::string const bytes = encode_digest(frame);
     send_bytes(to, bytes);
@@ -218,14 +228,16 @@
         return;
     }
     auto const now = m_context.lease_now();
-    m_echoes[fmt::format("{}:{}", from.address, from.port)] = {frame->stamp,
-                                                               now};
+    m_echoes[fmt::format("{}:{}", from.address, from.port)] = {
+        frame->stamp, m_context.loop.now()};
     // The sender had held our stamp for `echo_held` when it stated the age of
     // its confirmation. That moment is therefore no earlier than the stamp plus
     // `echo_held`.
-    if (frame->echoed && frame->confirmed_age && *frame->echoed <= now) {
+    auto const sent =
+        frame->echoed ? sent_at(*frame->echoed, now) : std::nullopt;
+    if (sent && frame->confirmed_age) {
         frame->digest.confirmed_at =
-            *frame->echoed + frame->echo_held - *frame->confirmed_age;
+            *sent + frame->echo_held - *frame->confirmed_age;
     }
     apply_confirmation(frame->digest, now);
     m_context.peers.record_digest(from, frame->digest, m_context.loop.now());
@@ -239,6 +251,15 @@
     }
 }
 
+// Returns when this process sent `stamp`; std::nullopt if it didn't.
+std::optional<model::time_point>
+peer_gossip::sent_at(model::time_point stamp, model::time_point now) const
+{
+    auto const at = stamp - m_stamp_offset;
+    bool const is_own = m_started <= at && at <= now;
+    return is_own ? std::optional(at) : std::nullopt;
+}
+
 void peer_gossip::apply_confirmation(routing::peer_digest const& received,
                                      model::time_point now)
 {
--- a/src/proxy/peer_gossip.hpp
+++ b/src/proxy/peer_gossip.hpp
@@ -61,14 +61,26 @@
     struct echo
     {
         model::time_point stamp{};
+        /// On the loop's clock: one that is ahead would make the time for which
+        /// the stamp was held too long.
         model::time_point received_at{};
     };
 
+    /// What a batch of digests has in common.
+    struct batch
+    {
+        digest_frame frame;
+        /// No later than the frame's stamp, on the loop's clock.
+        model::time_point stamped_at{};
+    };
+
     void send_digests();
     void schedule_batch(model::milliseconds delay);
     void send_batch();
     /// Returns the bytes that were sent.
-    std::size_t send_to(model::endpoint const& to, digest_frame& frame);
+    std::size_t send_to(model::endpoint const& to, batch& sent);
+    std::optional<model::time_point> sent_at(model::time_point stamp,
+                                             model::time_point now) const;
     void send_bytes(model::endpoint const& to, std::string const& bytes);
     void receive();
     void handle_digest(std::string_view bytes, model::endpoint const& from);
@@ -84,6 +96,10 @@
     runtime::timer_handle m_timer;
     runtime::timer_handle m_batch_timer;
     std::uint64_t m_generation = 0;
+    /// Added to the stamps of this process, so that those of an earlier one at
+    /// the same address aren't taken for them.
+    std::chrono::seconds m_stamp_offset;
+    model::time_point m_started;
     std::uint64_t m_sequence = 0;
     std::minstd_rand m_random;
     std::map<std::string, echo> m_echoes;
--- a/src/proxy/peer_gossip_digest.cpp
+++ b/src/proxy/peer_gossip_digest.cpp
@@ -61,11 +61,11 @@
     digest.limits = limits_to_advertise(m_context);
     digest.leaving = leaving_to_advertise(m_context);
     digest.pauses = pauses_to_advertise(m_context);
-    frame.stamp = m_context.lease_now();
+    auto const now = m_context.lease_now();
+    frame.stamp = now + m_stamp_offset;
     if (auto const as_of = m_context.keys.as_of()) {
         frame.confirmed_age =
-            std::chrono::duration_cast<std::chrono::microseconds>(frame.stamp
-                                                                  - *as_of);
+            std::chrono::duration_cast<std::chrono::microseconds>(now - *as_of);
     }
     return frame;
 }
--- a/tests/proxy/digest_codec_test.cpp
+++ b/tests/proxy/digest_codec_test.cpp
@@ -6,9 +6,11 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <vector>
 
 using namespace caperjunction;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -159,3 +161,27 @@
         CHECK(frame->digest.demands.empty());
     }
 }
+
+// The clock of a host goes back. A negative time became the longest one, or one
+// that overflows, and renewed the keys of its peers.
+TEST_CASE("a negative time in a digest is no long one")
+{
+    proxy::digest_frame frame;
+    frame.digest.generation = 1;
+    frame.stamp = model::time_point(1h);
+    frame.echoed = frame.stamp;
+    frame.echo_held = -4s;
+    frame.confirmed_age = -4s;
+    auto const read = proxy::decode_digest(proxy::encode_digest(frame));
+    REQUIRE(read);
+    CHECK(read->echo_held.count() == 0);
+    CHECK(!read->confirmed_age);
+    frame.echo_held = 2h;
+    frame.confirmed_age = 2h;
+    auto const late = proxy::decode_digest(proxy::encode_digest(frame));
+    REQUIRE(late);
+    // As long as the field can state; no longer than it was.
+    CHECK(late->echo_held > 70min);
+    CHECK(late->echo_held < 2h);
+    CHECK(late->confirmed_age == 2h);
+}
--- a/tests/proxy/peer_gossip_test.cpp
+++ b/tests/proxy/peer_gossip_test.cpp
@@ -176,3 +176,90 @@
     CHECK(echoed > 0);
     CHECK(received_by_second > 0);
 }
+
+namespace {
+
+/// A host that gossips with one peer, which exists only as a socket.
+struct paired_gossip
+{
+    relay_fixture fixture;
+    socket_peer peer;
+    bound_gossip host;
+
+    paired_gossip()
+    {
+        fixture.context.peers.seeds({peer.at()});
+        fixture.context.known = {1, 1, 1};
+        host = bind_gossip(fixture.context);
+    }
+
+    /// Returns the host's next digest.
+    proxy::digest_frame next()
+    {
+        std::optional<proxy::digest_frame> digest;
+        REQUIRE(fixture.run_until([&] {
+            digest = digest ? digest : peer.receive();
+            return digest.has_value();
+        }));
+        return *digest;
+    }
+
+    void send(std::optional<model::time_point> echoed,
+              std::optional<std::chrono::microseconds> confirmed_age)
+    {
+        proxy::digest_frame frame;
+        frame.digest.generation = 1;
+        frame.digest.sequence = ++m_sequence;
+        frame.digest.revisions = fixture.context.known;
+        frame.stamp = fixture.loop.now();
+        frame.echoed = echoed;
+        frame.confirmed_age = confirmed_age;
+        peer.send(host.at, frame);
+        fixture.run_for(50ms);
+    }
+
+private:
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace
+
+TEST_CASE("a peer that echoes a stamp renews the keys")
+{
+    paired_gossip pair;
+    auto const before = *pair.fixture.context.keys.as_of();
+    auto const stamped = pair.next().stamp;
+    pair.send(stamped, std::chrono::microseconds(0));
+    CHECK(*pair.fixture.context.keys.as_of() > before);
+    auto const renewed = *pair.fixture.context.keys.as_of();
+    pair.send(stamped, std::chrono::microseconds(900'000'000));
+    CHECK(*pair.fixture.context.keys.as_of() == renewed);
+}
+
+// A process echoes the stamp of a host that has restarted since. Its clock may
+// have been ahead of that of the new process, and a revoked key would be
+// renewed as of a later time than the peer means.
+TEST_CASE("a stamp of another process renews no keys")
+{
+    paired_gossip pair;
+    auto const before = *pair.fixture.context.keys.as_of();
+    pair.next();
+    pair.send(pair.fixture.loop.now(), std::chrono::microseconds(0));
+    CHECK(*pair.fixture.context.keys.as_of() == before);
+}
+
+// The peer takes the time for which its stamp was held as passed. A clock that
+// runs ahead, or is stepped back, would renew its keys as of a later time.
+TEST_CASE("the time for which a stamp was held is no longer than it was")
+{
+    for (auto const step : {4'000ms, -4'000ms}) {
+        CAPTURE(step.count());
+        paired_gossip pair;
+        pair.next();
+        pair.send({}, {});
+        while (pair.peer.receive()) {
+        }
+        pair.fixture.boot_offset = step;
+        CHECK(pair.next().echo_held < 2s);
+    }
+}
