serve: its clock counts the time during which the host was suspended

It dispatches bookings by claims that the others gave up long ago, and sends orders by a list that another host has replaced; a booking may run twice.

Cause: pauses, claims, views and orders are timed on the steady clock alone, which stands still meanwhile. It is the class of the lease on one clock: a time that bounds use rests on a clock that may not advance.

Evidence, failed before: "a host notices that it was suspended although no steady time passed": neither of two hosts wrote view_outdated within 30 s after the clock that counts suspended time had advanced by two minutes more.

Why it works: both tasks run on a lease clock of their own. It is the steady clock plus the suspended time, so that times of one task hold at the other; the first wake-up after a suspension is a pause as after SIGSTOP. `listening` names the clock.

Not covered: a clock that can't be read while the host runs (`clock_lost`); a suspension is then noticed once it can be read again.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -3,6 +3,7 @@
 #include "model/error.hpp"
 #include "platform/platform.hpp"
 #include "program/build_version.hpp"
+#include "program/clock_log.hpp"
 #include "program/flags.hpp"
 #include "program/routed_flags.hpp"
 #include "program/settings_file.hpp"
@@ -77,7 +78,7 @@
     , m_admin(m_loop, m_settings.admin_listen)
     , m_settings_file(absl::GetFlag(FLAGS_config))
 {
-    m_lease_clock.set_hooks(clock_hooks());
+    watch_clock();
     m_loop.every(settings_period, [this] {
         if (m_settings_file.has_changed()) {
             reload();
@@ -111,6 +112,20 @@
     }
 }
 
+void routed_host::watch_clock()
+{
+    auto hooks = log_clock_faults(m_lease_clock.source());
+    hooks.on_lost = [this, log = std::move(hooks.on_lost)] {
+        m_context.keys.clock_lost();
+        log();
+    };
+    hooks.on_regained = [this, log = std::move(hooks.on_regained)] {
+        m_context.keys.clock_regained();
+        log();
+    };
+    m_lease_clock.set_hooks(std::move(hooks));
+}
+
 bool routed_host::is_ready() const
 {
     return m_has_read && m_context.table && !m_relay.is_stopping();
--- a/src/program/routed_host.hpp
+++ b/src/program/routed_host.hpp
@@ -44,7 +44,7 @@
     void update_store_polling();
     model::milliseconds watch_wait();
     void record_first_read();
-    runtime::lease_clock_hooks clock_hooks();
+    void watch_clock();
     void report_requests();
     void report_upstreams();
     void report_parts();
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -2,18 +2,57 @@
 
 #include "net/relay.hpp"
 #include "program/build_version.hpp"
+#include "program/clock_log.hpp"
 #include "program/control.hpp"
+#include "runtime/clock_source.hpp"
+#include "runtime/lease_clock.hpp"
 #include "runtime/log_line.hpp"
 #include "runtime/task.hpp"
 
 #include <event2/event.h>
 
 #include <csignal>
+#include <memory>
 #include <random>
+#include <string_view>
+#include <vector>
 
 namespace caperjunction::program {
 namespace {
 
+/// Clock of one task that counts the time during which the host was suspended,
+/// on which views, claims and orders rest.
+class task_clock
+{
+public:
+    task_clock()
+        : m_clock(std::make_shared<runtime::lease_clock>(
+            runtime::clock{},
+            std::vector{runtime::boot_clock(), runtime::time_of_day()}))
+    {
+    }
+
+    runtime::clock as_clock() const
+    {
+        return {[clock = m_clock] {
+            return clock->now();
+        }};
+    }
+
+    std::string_view source() const
+    {
+        return m_clock->source();
+    }
+
+    void log_faults() const
+    {
+        m_clock->set_hooks(log_clock_faults(source()));
+    }
+
+private:
+    std::shared_ptr<runtime::lease_clock> m_clock;
+};
+
 /// Connects the relay task and the control task. The main thread runs the
 /// control task.
 class host_process
@@ -21,6 +60,8 @@
 public:
     explicit host_process(settings const& settings)
         : m_settings(with_prefix(settings))
+        , m_relay_task(task_clock().as_clock())
+        , m_control_task(m_control_clock.as_clock())
         , m_relay(m_relay_task.loop(),
                   m_settings.relay,
                   [this](net::relay_report& report) {
@@ -39,6 +80,8 @@
         m_control_task.set_message_handler([this](net::relay_report& report) {
             m_control.handle(report);
         });
+        // The other task reads the same clock.
+        m_control_clock.log_faults();
         m_control.on_stopped([this] {
             m_control_task.loop().stop();
         });
@@ -48,6 +91,7 @@
     {
         runtime::log_line("listening")
             .field("build", build_version())
+            .field("clock", m_control_clock.source())
             .field("host", m_settings.host_name)
             .field("callers_port", m_relay.port())
             .field("admin_port", m_control.admin_port())
@@ -96,6 +140,7 @@
 
     settings m_settings;
     metrics m_metrics;
+    task_clock m_control_clock;
     runtime::task<net::relay_message> m_relay_task;
     runtime::task<net::relay_report> m_control_task;
     net::relay m_relay;
--- a/src/proxy/digest_codec.cpp
+++ b/src/proxy/digest_codec.cpp
@@ -1,43 +1,15 @@
 #include "proxy/digest_codec.hpp"
 
 #include "proxy/digest_structs.hpp"
+#include "proxy/digest_times.hpp"
 #include "proxy/wire_buffer.hpp"
 #include "routing/carried_readings.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace caperjunction::proxy {
 namespace {
 
-/// Longest time in a digest, some 73 years; sums of a few don't overflow.
-constexpr std::uint64_t max_micros =
-    std::chrono::duration_cast<std::chrono::microseconds>(
-        model::time_point::max().time_since_epoch())
-        .count()
-    / 4;
-
-std::uint32_t clamp_micros(std::chrono::microseconds time)
-{
-    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(time.count(), 0, longest));
-}
-
-std::uint64_t micros_of(model::time_point time)
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            time.time_since_epoch())
-            .count());
-}
-
-model::time_point time_of(std::uint64_t micros)
-{
-    return model::time_point(
-        std::chrono::microseconds(std::min(micros, max_micros)));
-}
-
 using load_list = flatbuffers::Vector<wire::Work const*>;
 using reading_list = flatbuffers::Vector<wire::Reading const*>;
 using demand_list = flatbuffers::Vector<wire::Demand const*>;
@@ -289,7 +261,8 @@
         frame.echo_held = std::chrono::microseconds(from->echo_held_us());
     }
     // A longer one is that of a clock that went back.
-    if (from->has_confirmed() && from->confirmed_age_us() <= max_micros) {
+    if (from->has_confirmed()
+        && from->confirmed_age_us() <= max_digest_micros) {
         frame.confirmed_age =
             std::chrono::microseconds(from->confirmed_age_us());
     }
--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -162,16 +162,8 @@
 
 std::size_t peer_gossip::send_to(model::endpoint const& to, batch& sent)
 {
-    digest_frame& frame = sent.frame;
-    frame.echoed.reset();
-    auto const last_echo =
-        m_echoes.find(fmt::format("{}:{}", to.address, to.port));
-    if (last_echo != m_echoes.end()) {
-        frame.echoed = last_echo->second.stamp;
-        frame.echo_held = std::chrono::duration_cast<std::chrono::microseconds>(
-            sent.stamped_at - last_echo->second.received_at);
-    }
-    std::string const bytes = encode_digest(frame);
+    echo_stamp(to, sent);
+    std::string const bytes = encode_digest(sent.frame);
     send_bytes(to, bytes);
     return bytes.size();
 }
@@ -228,17 +220,7 @@
         return;
     }
     auto const now = m_context.lease_now();
-    m_echoes[fmt::format("{}:{}", from.address, from.port)] = {
-        frame->stamp, m_context.loop.now()};
-    // The sender had held our stamp for `echo_held` when it stated the age of
-    // its confirmation. That moment is therefore no earlier than the stamp plus
-    // `echo_held`.
-    auto const sent =
-        frame->echoed ? sent_at(*frame->echoed, now) : std::nullopt;
-    if (sent && frame->confirmed_age) {
-        frame->digest.confirmed_at =
-            *sent + frame->echo_held - *frame->confirmed_age;
-    }
+    record_stamps(*frame, from, now);
     apply_confirmation(frame->digest, now);
     m_context.peers.record_digest(from, frame->digest, m_context.loop.now());
     routing::store_revisions const& received = frame->digest.revisions;
@@ -251,28 +233,6 @@
     }
 }
 
-// Returns when this process sent `stamp`; std::nullopt if it didn't.
-std::optional<model::time_point>
-peer_gossip::sent_at(model::time_point stamp, model::time_point now) const
-{
-    auto const at = stamp - m_stamp_offset;
-    bool const is_own = m_started <= at && at <= now;
-    return is_own ? std::optional(at) : std::nullopt;
-}
-
-void peer_gossip::apply_confirmation(routing::peer_digest const& received,
-                                     model::time_point now)
-{
-    routing::store_revisions& known = m_context.known;
-    if (!known.covers_configuration(received.revisions)) {
-        return;
-    }
-    known.checked = std::max(known.checked, received.revisions.checked);
-    if (received.confirmed_at) {
-        m_context.keys.renew(std::min(*received.confirmed_at, now));
-    }
-}
-
 void peer_gossip::apply_loads()
 {
     m_context.peers.aggregate();
--- a/src/proxy/peer_gossip.hpp
+++ b/src/proxy/peer_gossip.hpp
@@ -79,6 +79,12 @@
     void send_batch();
     /// Returns the bytes that were sent.
     std::size_t send_to(model::endpoint const& to, batch& sent);
+    void echo_stamp(model::endpoint const& to, batch& sent) const;
+    /// Keeps the sender's stamp, and sets as of when it has confirmed its
+    /// configuration.
+    void record_stamps(digest_frame& received,
+                       model::endpoint const& from,
+                       model::time_point now);
     std::optional<model::time_point> sent_at(model::time_point stamp,
                                              model::time_point now) const;
     void send_bytes(model::endpoint const& to, std::string const& bytes);
--- a/tests/clock_faults/clock_gettime.cpp
+++ b/tests/clock_faults/clock_gettime.cpp
@@ -14,8 +14,15 @@
 
 using std::chrono::nanoseconds;
 
-/// Time since the first read after which a fault with `later` begins.
-constexpr std::chrono::milliseconds sound_time{500};
+/// Time since the first read after which "fails_later", "back" and "suspended"
+/// begin.
+nanoseconds sound_time()
+{
+    constexpr std::chrono::milliseconds by_default{500};
+    char const* const text = std::getenv("TEST_CLOCK_SOUND_MS");
+    return text == nullptr ? by_default
+                           : std::chrono::milliseconds(std::atoi(text));
+}
 
 std::string_view fault()
 {
@@ -26,7 +33,7 @@
 bool is_refused(nanoseconds since_first)
 {
     return fault() == "fails"
-           || (fault() == "fails_later" && since_first > sound_time);
+           || (fault() == "fails_later" && since_first > sound_time());
 }
 
 nanoseconds distort(nanoseconds since_first)
@@ -37,9 +44,12 @@
     if (fault() == "half") {
         return since_first / 2;
     }
-    if (fault() == "back" && since_first > sound_time) {
+    if (fault() == "back" && since_first > sound_time()) {
         return since_first - std::chrono::seconds(4);
     }
+    if (fault() == "suspended" && since_first > sound_time()) {
+        return since_first + std::chrono::minutes(2);
+    }
     if (fault() == "ahead") {
         return since_first * 2;
     }
--- a/tests/fleet_processes/fleet_test.cpp
+++ b/tests/fleet_processes/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <map>
 
 using namespace caperjunction;
@@ -154,3 +155,30 @@
     REQUIRE(fleet.wait(booking));
     CHECK(outcome_of(*booking) == "ran");
 }
+
+// A virtual machine is suspended, and the steady clock with it. A host that
+// goes by that clock alone doesn't notice, and dispatches bookings by claims
+// that the others have given up.
+TEST_CASE("a host notices that it was suspended although no steady time passed")
+{
+    runtime::event_loop loop;
+    auto options = seven_hosts();
+    options.program = PROGRAM_FOLDER "/caperjunction_faulty_clock";
+    options.hosts = 2;
+    setenv("TEST_CLOCK_FAULT", "suspended", 1);
+    setenv("TEST_CLOCK_SOUND_MS", "5000", 1);
+    process_fleet fleet(loop, options);
+    unsetenv("TEST_CLOCK_FAULT");
+    unsetenv("TEST_CLOCK_SOUND_MS");
+    REQUIRE(fleet.wait_until_joined());
+    for (std::size_t index = 0; index < fleet.hosts(); ++index) {
+        CHECK(fleet.run_until([&] {
+            return fleet.host(index).output().find("event=view_outdated")
+                   != std::string::npos;
+        }));
+    }
+    REQUIRE(fleet.wait_until_joined());
+    auto const booked = fleet.book(0, "order-1");
+    REQUIRE(fleet.wait(booked));
+    CHECK(booked->status == 200);
+}
