route: an address that isn't IPv4 is refused in place of listening on all interfaces

Cause: the flag takes IPv6 addresses, which `serve` can use. `route` passed them to inet_pton for IPv4 and ignored its failure, which leaves the address of all interfaces.

Why it works: one function makes socket addresses and says when there is none. Listening throws bad_settings with the flag's name; digests to such an address aren't sent, connections to it fail as before.

--- a/src/proxy/peer_gossip.cpp
+++ b/src/proxy/peer_gossip.cpp
@@ -7,6 +7,7 @@
 #include "proxy/pause_requests.hpp"
 #include "proxy/rank_load_updates.hpp"
 #include "proxy/rejection_limits.hpp"
+#include "proxy/socket_address.hpp"
 #include "proxy/team_share_updates.hpp"
 #include "proxy/upstream_paths.hpp"
 
@@ -31,15 +32,6 @@
 /// time of this one.
 constexpr std::chrono::seconds max_stamp_offset{1U << 30U};
 
-sockaddr_in to_socket(model::endpoint const& at)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
-    return address;
-}
-
 } // namespace
 
 peer_gossip::peer_gossip(relay_context& context, model::endpoint const& listen)
@@ -58,7 +50,7 @@
                   send_bytes(to, bytes);
               })
 {
-    sockaddr_in const address = to_socket(listen);
+    sockaddr_in const address = listen_address(listen, "peer_listen");
     if (m_socket < 0
         || bind(m_socket,
                 reinterpret_cast<sockaddr const*>(&address),
@@ -172,13 +164,16 @@
 void peer_gossip::send_bytes(model::endpoint const& to,
                              std::string const& bytes)
 {
-    sockaddr_in const address = to_socket(to);
+    auto const address = ipv4_address(to);
+    if (!address) {
+        return;
+    }
     sendto(m_socket,
            bytes.data(),
            bytes.size(),
            0,
-           reinterpret_cast<sockaddr const*>(&address),
-           sizeof address);
+           reinterpret_cast<sockaddr const*>(&*address),
+           sizeof *address);
 }
 
 void peer_gossip::receive()
--- a/src/proxy/tcp_listener.cpp
+++ b/src/proxy/tcp_listener.cpp
@@ -1,8 +1,8 @@
 #include "proxy/tcp_listener.hpp"
 
 #include "model/error.hpp"
+#include "proxy/socket_address.hpp"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -22,10 +22,7 @@
                           evconnlistener_cb on_accepted,
                           void* argument)
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(at.port);
-    inet_pton(AF_INET, at.address.c_str(), &address.sin_addr);
+    sockaddr_in address = listen_address(at, flag);
     evconnlistener* const made = evconnlistener_new_bind(
         loop.base(),
         on_accepted,
--- a/src/proxy/tcp_stream.cpp
+++ b/src/proxy/tcp_stream.cpp
@@ -1,8 +1,8 @@
 #include "proxy/tcp_stream.hpp"
 
+#include "proxy/socket_address.hpp"
 #include "proxy/socket_options.hpp"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <linux/sockios.h>
@@ -47,16 +47,14 @@
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     std::shared_ptr<tcp_stream> result(
         new tcp_stream(loop, socket, std::move(callbacks)));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(to.port);
-    bool ok = socket >= 0
-              && inet_pton(AF_INET, to.address.c_str(), &address.sin_addr) == 1;
+    auto const address = ipv4_address(to);
+    bool ok = socket >= 0 && address;
     if (ok) {
         set_no_delay(socket);
         set_unacknowledged_timeout(socket);
-        ok = ::connect(
-                 socket, reinterpret_cast<sockaddr*>(&address), sizeof address)
+        ok = ::connect(socket,
+                       reinterpret_cast<sockaddr const*>(&*address),
+                       sizeof *address)
                  == 0
              || errno == EINPROGRESS;
     }
--- a/tests/program/route_start_test.cpp
+++ b/tests/program/route_start_test.cpp
@@ -74,3 +74,28 @@
     CHECK(host.output().find(" build=") != std::string::npos);
     CHECK(host.output().find(" clock=boottime") != std::string::npos);
 }
+
+// An address that `route` can't use was taken for that of all interfaces, and
+// offered to everyone what was meant for this machine.
+TEST_CASE("an address of the wrong family is refused, not widened")
+{
+    for (std::string const flag : {"listen", "peer_listen", "tunnel_listen"}) {
+        CAPTURE(flag);
+        stand_ins::child_process host(PROGRAM_FOLDER "/caperjunction",
+                                      {"route",
+                                       "--host_name=h",
+                                       "--region=west",
+                                       "--data_centre=a",
+                                       "--platform=127.0.0.1:1",
+                                       "--listen=127.0.0.1:0",
+                                       "--admin_listen=127.0.0.1:0",
+                                       "--metrics_listen=127.0.0.1:0",
+                                       "--peer_listen=127.0.0.1:0",
+                                       "--" + flag + "=::1:1"});
+        CHECK(wait_until([&] {
+            return host.has_ended();
+        }));
+        CHECK(host.output().find("kind=bad_settings") != std::string::npos);
+        CHECK(host.output().find("--" + flag) != std::string::npos);
+    }
+}
