A signal that can't be watched ends the start, not the requests of the stop

Cause: the result of event_add for SIGTERM, SIGINT and SIGHUP was ignored; of the calls whose failure is ignored it is the one that a planned stop rests on. The code stood in `serve` and `route`.

Evidence: "a signal that can't be watched is an error" (the loop had no such function before; event_add's -1 for SIGKILL was dropped).

Why it works: the loop watches signals for both programs and throws unavailable, which ends the start with a line.

--- a/src/program/routed_host.cpp
+++ b/src/program/routed_host.cpp
@@ -12,7 +12,6 @@
 #include "runtime/signal_time.hpp"
 
 #include <absl/flags/flag.h>
-#include <event2/event.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -154,23 +153,13 @@
 
 void routed_host::watch_signals()
 {
-    event* const term = evsignal_new(
-        m_loop.base(),
-        SIGTERM,
-        [](int, short, void* self) {
-            static_cast<routed_host*>(self)->plan_stop();
-        },
-        this);
-    event_add(term, nullptr);
+    m_loop.on_signal(SIGTERM, [this] {
+        plan_stop();
+    });
     runtime::record_signal_time(SIGTERM);
-    event* const hup = evsignal_new(
-        m_loop.base(),
-        SIGHUP,
-        [](int, short, void* self) {
-            static_cast<routed_host*>(self)->reload();
-        },
-        this);
-    event_add(hup, nullptr);
+    m_loop.on_signal(SIGHUP, [this] {
+        reload();
+    });
 }
 
 void routed_host::plan_stop()
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -9,8 +9,6 @@
 #include "runtime/log_line.hpp"
 #include "runtime/task.hpp"
 
-#include <event2/event.h>
-
 #include <csignal>
 #include <memory>
 #include <random>
@@ -97,13 +95,14 @@
             .field("admin_port", m_control.admin_port())
             .field("peer_port", m_control.peer_port());
         std::signal(SIGPIPE, SIG_IGN);
-        event* const term = watch_signal(SIGTERM);
-        event* const interrupt = watch_signal(SIGINT);
+        for (int const number : {SIGTERM, SIGINT}) {
+            m_control_task.loop().on_signal(number, [this] {
+                plan_stop();
+            });
+        }
         m_relay_task.start();
         m_control_task.loop().run();
         m_relay_task.stop();
-        event_free(term);
-        event_free(interrupt);
         runtime::log_line("stopped").field("cut_off", m_relay.running());
         return m_relay.running() == 0 ? 0 : 1;
     }
@@ -116,19 +115,6 @@
         return settings_with_prefix;
     }
 
-    event* watch_signal(int number)
-    {
-        event* const watch = evsignal_new(
-            m_control_task.loop().base(),
-            number,
-            [](int /*number*/, short /*what*/, void* self) {
-                static_cast<host_process*>(self)->plan_stop();
-            },
-            this);
-        event_add(watch, nullptr);
-        return watch;
-    }
-
     void plan_stop()
     {
         m_control.plan_stop();
--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -6,6 +6,7 @@
 #include <event2/thread.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace caperjunction::runtime {
@@ -51,6 +52,9 @@
     decltype(m_timers) remaining;
     remaining.swap(m_timers);
     remaining.clear();
+    for (auto const& each : m_signals) {
+        event_free(each->watched);
+    }
     event_free(m_wake);
     event_free(m_timer);
     event_base_free(m_base);
@@ -100,6 +104,29 @@
     }
 }
 
+void event_loop::on_signal(int number, action run)
+{
+    auto watch = std::make_unique<signal_watch>();
+    watch->run = std::move(run);
+    watch->watched = evsignal_new(
+        m_base,
+        number,
+        [](int /*number*/, short /*what*/, void* self) {
+            static_cast<signal_watch*>(self)->run();
+        },
+        watch.get());
+    if (watch->watched == nullptr || event_add(watch->watched, nullptr) != 0) {
+        if (watch->watched != nullptr) {
+            event_free(watch->watched);
+        }
+        throw model::error(model::error_kind::unavailable,
+                           "cannot watch signal " + std::to_string(number),
+                           "allow the process to handle it; without that, a "
+                           "stop loses its requests");
+    }
+    m_signals.push_back(std::move(watch));
+}
+
 void event_loop::arm_timer()
 {
     if (m_timers.empty()) {
--- a/src/runtime/event_loop.hpp
+++ b/src/runtime/event_loop.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 struct event;
 struct event_base;
@@ -68,6 +69,11 @@
 
     void cancel(timer_handle timer);
 
+    /// Calls `run` after each delivery of the signal `number`.
+    ///
+    /// \throws model::error (unavailable) if the signal can't be watched.
+    void on_signal(int number, action run);
+
     /// Sets the function that the loop calls after `wake`.
     void set_wake_handler(action run)
     {
@@ -100,6 +106,12 @@
     void run_expired_timers();
     void arm_timer();
 
+    struct signal_watch
+    {
+        event* watched = nullptr;
+        action run;
+    };
+
     static void handle_wake(int, short, void* self);
     static void handle_timer(int, short, void* self);
 
@@ -108,6 +120,7 @@
     event* m_wake = nullptr;
     event* m_timer = nullptr;
     action m_on_wake;
+    std::vector<std::unique_ptr<signal_watch>> m_signals;
     std::multimap<model::time_point, timer> m_timers;
     std::uint64_t m_last_timer = 0;
     std::atomic<bool> m_stopping{false};
--- a/tests/runtime/event_loop_test.cpp
+++ b/tests/runtime/event_loop_test.cpp
@@ -1,9 +1,12 @@
 #include "runtime/event_loop.hpp"
 
+#include "model/error.hpp"
 #include "runtime/manual_clock.hpp"
 
 #include <doctest/doctest.h>
 
+#include <csignal>
+
 using namespace caperjunction;
 using namespace std::chrono_literals;
 
@@ -39,3 +42,18 @@
     loop.poll();
     CHECK(runs == 0);
 }
+
+// A stop whose signal isn't watched ends the process at once, with all
+// requests.
+TEST_CASE("a signal that can't be watched is an error")
+{
+    runtime::event_loop loop;
+    CHECK_THROWS_AS(loop.on_signal(SIGKILL, [] {}), model::error);
+    int delivered = 0;
+    loop.on_signal(SIGUSR1, [&delivered] {
+        ++delivered;
+    });
+    std::raise(SIGUSR1);
+    loop.run_once();
+    CHECK(delivered == 1);
+}
