Socket options that the system refuses are logged, and an unreadable error is one

A connection attempt whose error couldn't be read passed for one that stands.

Cause: the results of setsockopt (four places) and getsockopt were ignored. Of the other calls that the search finds: TCP_NODELAY bounds nothing; getsockname only names a port in logs; event_add for sockets fails for lack of memory, and timers bound what waits on them; shutdown fails on a connection that is gone; sigaction of the signal's time falls back to the time of its handling.

Evidence, failed before: both new cases of socket_options_test (nothing was logged; there was no check of the result).

Why it works: the first refusal of each option is a line, socket_option_refused; what can't be read counts as failed.

--- a/src/proxy/tcp_stream.cpp
+++ b/src/proxy/tcp_stream.cpp
@@ -134,10 +134,7 @@
 {
     auto const guard = shared_from_this();
     if (m_connecting) {
-        int failure = 0;
-        socklen_t size = sizeof failure;
-        getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &failure, &size);
-        if (failure != 0) {
+        if (take_socket_error(m_socket) != 0) {
             end(connection_end::unreachable);
             return;
         }
--- a/src/proxy/tcp_stream_close.cpp
+++ b/src/proxy/tcp_stream_close.cpp
@@ -1,3 +1,4 @@
+#include "proxy/socket_options.hpp"
 #include "proxy/tcp_stream.hpp"
 
 #include <event2/event.h>
@@ -19,9 +20,8 @@
 
 void tcp_stream::reset()
 {
-    linger const at_once{1, 0};
     if (is_open()) {
-        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        set_reset_on_close(m_socket);
     }
     close();
 }
