A store that is slow throughout is asked once a page

Cause: a later attempt waits longer, by the number of failures in a row, which each success sets to zero. The next page began with the short timeout again.

Evidence, failed before: "a store that is slow throughout is asked once a page".

Why it works: the longer wait stays until an answer comes within the time of a first attempt. "a store that is fast again is given the short timeout" holds that a silent connection is noticed as early as before. The back-off goes by failures in a row, as it did.

Also: the soak has hosts whose clocks misbehave (--clock_faults, with the program whose clock is wrapped): refused, standing, half speed, stepped back, double speed, one host sound.

--- a/src/proxy/store_reader.cpp
+++ b/src/proxy/store_reader.cpp
@@ -70,7 +70,8 @@
     request.connect_timeout = connect_timeout;
     // Later attempts wait longer, because a store that answers slowly is not
     // unavailable.
-    auto const extra_time = read_timeout * std::min(m_failures, 3U);
+    auto const extra_time = read_timeout * std::min(m_slow_answers, 3U);
+    m_first_byte_timeout = first_byte_timeout;
     request.first_byte_timeout = first_byte_timeout + extra_time;
     request.idle_timeout = read_timeout + extra_time;
     m_get.start(request,
@@ -220,6 +221,10 @@
 void store_reader::handle_success()
 {
     m_failures = 0;
+    // A store that is slow throughout would cost a timeout before each answer.
+    if (m_loop.now() - m_sent_on_loop < m_first_byte_timeout) {
+        m_slow_answers = 0;
+    }
     if (std::exchange(m_is_lost, false)) {
         m_hooks.on_regained();
     }
@@ -239,6 +244,7 @@
         std::min(first * (1U << std::min(m_failures, 8U)),
                  has_other_watchers ? max_idle_retry_delay : max_retry_delay);
     ++m_failures;
+    ++m_slow_answers;
     m_loop.cancel(m_delay_timer);
     m_delay_timer = m_loop.after(delay, [this] {
         if (m_is_complete) {
--- a/src/proxy/store_reader.hpp
+++ b/src/proxy/store_reader.hpp
@@ -215,6 +215,10 @@
     /// Changes since `m_list_as_of` can't be had from the store.
     bool m_has_lost_changes = false;
     std::uint32_t m_failures = 0;
+    /// Failures since an answer came within the time that a first attempt has.
+    std::uint32_t m_slow_answers = 0;
+    /// That time, for the current request.
+    model::milliseconds m_first_byte_timeout{0};
     bool m_is_lost = false;
 };
 
--- a/tests/proxy/store_reader_fixture.hpp
+++ b/tests/proxy/store_reader_fixture.hpp
@@ -93,6 +93,8 @@
     model::milliseconds time_passed{0};
     std::size_t slow_pieces = 0;
     model::milliseconds delay{0};
+    /// Time after which the store begins an answer.
+    model::milliseconds answer_delay{0};
     std::vector<std::string> events;
     std::optional<model::time_point> confirmed;
     std::uint64_t revision = 0;
@@ -115,6 +117,12 @@
                     if (next == "reset") {
                         return {"", false, true};
                     }
+                    if (answer_delay > 0ms) {
+                        script late;
+                        late.remainder = next;
+                        late.delay = answer_delay;
+                        return late;
+                    }
                     return slow_pieces == 0
                                ? script{next}
                                : in_pieces(next, slow_pieces, delay);
--- a/tests/proxy/store_reader_test.cpp
+++ b/tests/proxy/store_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 #include <string>
 #include <vector>
@@ -196,3 +197,45 @@
     CHECK(asked_in_outage(false) <= 6);
     CHECK(asked_in_outage(false) >= 5);
 }
+
+// A store that answers each page after more than the first timeout costs a
+// timeout and an answer a page, and a host that starts is ready twice as late.
+TEST_CASE("a store that is slow throughout is asked once a page")
+{
+    reader_fixture fixture({page("a", 9, true),
+                            page("a", 9, true),
+                            page("b", 9, true),
+                            page("c", 9, true),
+                            page("d", 9, false)});
+    fixture.answer_delay = 800ms;
+    REQUIRE(fixture.run_until_requested(6));
+    CHECK(std::count_if(
+              fixture.targets.begin(), fixture.targets.end(), is_complete_read)
+          == 2);
+    CHECK(std::count(fixture.targets.begin(),
+                     fixture.targets.end(),
+                     "/kv-range?prefix=&after=b")
+          == 1);
+    CHECK(fixture.events
+          == std::vector<std::string>{
+              "lost silent", "regained", "+a", "+b", "+c", "+d", "all 4"});
+}
+
+// Guards against a silent connection that is noticed late because the store was
+// slow at some time before.
+TEST_CASE("a store that is fast again is given the short timeout")
+{
+    reader_fixture fixture(
+        {page("a", 9, true), page("a", 9, true), page("b", 9, true)});
+    fixture.answer_delay = 800ms;
+    REQUIRE(fixture.run_until_requested(3));
+    fixture.answer_delay = 0ms;
+    fixture.answers.push_front(page("b", 9, true));
+    REQUIRE(fixture.run_until_requested(4));
+    REQUIRE(fixture.run_until_requested(5));
+    // From here on the store is silent.
+    auto const asked = fixture.loop.now();
+    REQUIRE(fixture.run_until_requested(6));
+    // A store that is still taken for a slow one gets twice 700 ms.
+    CHECK(fixture.loop.now() - asked < 1'400ms);
+}
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -148,6 +148,8 @@
                 [*settings_of(seed), *options.flag])
     if options.mostly_busy:
         site.store.busy_mode = stores.MOSTLY_BUSY
+    if options.clock_faults:
+        site.draw_clock_faults(random.Random(seed))
     try:
         await site.start()
         competing_teams = await competition(site, seed)
@@ -217,6 +219,8 @@
     parser.add_argument("--known_red", action="store_true", help="include the checks listed in KNOWN-RED.txt")
     parser.add_argument("--mostly_busy", action="store_true",
                         help="a store that refuses calls serves one in twelve of them")
+    parser.add_argument("--clock_faults", action="store_true",
+                        help="the clocks of most hosts misbehave; --program has to be caperjunction_faulty_clock")
     parser.add_argument("--keep", default="soak-findings", help="folder for the logs of seeds with findings")
     options = parser.parse_args()
     options.program = os.path.abspath(options.program)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -17,6 +17,10 @@
 from .streams import versions
 
 
+# How the clock of a host that counts suspended time may misbehave, as tests/clock_faults has it.
+CLOCK_FAULTS = ("fails", "stands", "half", "back", "ahead")
+
+
 class Host:
     def __init__(self, name, data_centre, program, folder, ports):
         self.name = name
@@ -36,6 +40,8 @@
         self.is_stopping = False
         # Killed by a fault, and not started again yet.
         self.is_killed = False
+        # With a name of CLOCK_FAULTS, `program` has to be the one whose clock misbehaves.
+        self.clock_fault = ""
 
     def start(self, seeds, flags):
         arguments = [
@@ -52,7 +58,8 @@
             return
         self.is_stopping = self.is_killed = False
         with open(self.log_path, "ab") as log:
-            self.process = subprocess.Popen(arguments, stdout=log, stderr=log)
+            self.process = subprocess.Popen(arguments, stdout=log, stderr=log,
+                                            env={**os.environ, "TEST_CLOCK_FAULT": self.clock_fault})
 
     def is_running(self):
         return self.process is not None and self.process.poll() is None
@@ -140,6 +147,12 @@
     def now(self):
         return time.monotonic()
 
+    def draw_clock_faults(self, rng):
+        """Clocks misbehave at all hosts but one, whose clock is sound."""
+        for host in self.hosts:
+            host.clock_fault = rng.choice(CLOCK_FAULTS)
+        rng.choice(self.hosts).clock_fault = ""
+
     def record_fault(self, seconds):
         """Records a fault that begins now and lasts `seconds`, including its after-effects."""
         self.fault_periods.append((self.now(), self.now() + seconds))
