--- a/tests/clock_faults/clock_gettime.cpp
+++ b/tests/clock_faults/clock_gettime.cpp
@@ -8,7 +8,10 @@
 #include <ctime>
 #include <string_view>
 
-extern "C" int __real_clock_gettime(clockid_t id, timespec* now);
+// The names that the linker gives to the function and to what replaces it.
+int real_clock_gettime(clockid_t id, timespec* now) asm("__real_clock_gettime");
+int faulty_clock_gettime(clockid_t id,
+                         timespec* now) asm("__wrap_clock_gettime");
 
 namespace {
 
@@ -58,9 +61,9 @@
 
 } // namespace
 
-extern "C" int __wrap_clock_gettime(clockid_t id, timespec* now)
+int faulty_clock_gettime(clockid_t id, timespec* now)
 {
-    int const result = __real_clock_gettime(id, now);
+    int const result = real_clock_gettime(id, now);
     if (id != CLOCK_BOOTTIME || result != 0 || fault().empty()) {
         return result;
     }
