serve: without a clock for suspended time it goes by the steady clock

What callers would see: a booking that runs twice, where the system refuses CLOCK_BOOTTIME and the time of day jumps ahead. The jump would be taken for suspended time, and witnesses would forget claims that are seconds old.

Cause: `serve` shared the fallback of `route`. For a lease, time that runs ahead is safe; for what has to be kept for some time, it isn't.

Change: `serve` falls back to the steady clock alone, as it was before, and names it in `listening`. `route` keeps no claims and goes on with the time of day.

Failed before: "a host without a clock for suspended time goes by the steady clock" (clock=time_of_day).

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -19,14 +19,15 @@
 namespace {
 
 /// Clock of one task that counts the time during which the host was suspended,
-/// on which views, claims and orders rest.
+/// on which views, claims and orders rest. Not the time of day: one that jumps
+/// ahead would make witnesses forget claims too early.
 class task_clock
 {
 public:
     task_clock()
         : m_clock(std::make_shared<runtime::lease_clock>(
             runtime::clock{},
-            std::vector{runtime::boot_clock(), runtime::time_of_day()}))
+            std::vector{runtime::boot_clock(), runtime::steady_clock()}))
     {
     }
 
--- a/src/runtime/clock_source.cpp
+++ b/src/runtime/clock_source.cpp
@@ -33,4 +33,11 @@
             }};
 }
 
+clock_source steady_clock()
+{
+    return {"steady", [] {
+                return std::optional(std::chrono::steady_clock::now());
+            }};
+}
+
 } // namespace caperjunction::runtime
--- a/src/runtime/clock_source.hpp
+++ b/src/runtime/clock_source.hpp
@@ -24,6 +24,9 @@
 /// CLOCK_REALTIME, which may jump in both directions.
 clock_source time_of_day();
 
+/// The steady clock, for a lease clock that is to do without suspended time.
+clock_source steady_clock();
+
 } // namespace caperjunction::runtime
 
 #endif
--- a/tests/fleet_processes/fleet_test.cpp
+++ b/tests/fleet_processes/fleet_test.cpp
@@ -182,3 +182,21 @@
     REQUIRE(fleet.wait(booked));
     CHECK(booked->status == 200);
 }
+
+// The time of day may jump ahead: taken for suspended time, it would make a
+// host forget claims, and a booking run twice.
+TEST_CASE("a host without a clock for suspended time goes by the steady clock")
+{
+    runtime::event_loop loop;
+    auto options = seven_hosts();
+    options.program = PROGRAM_FOLDER "/caperjunction_faulty_clock";
+    options.hosts = 2;
+    setenv("TEST_CLOCK_FAULT", "fails", 1);
+    process_fleet fleet(loop, options);
+    unsetenv("TEST_CLOCK_FAULT");
+    REQUIRE(fleet.wait_until_joined());
+    CHECK(fleet.host(0).output().find(" clock=steady") != std::string::npos);
+    auto const booked = fleet.book(0, "order-1");
+    REQUIRE(fleet.wait(booked));
+    CHECK(booked->status == 200);
+}
