--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -120,6 +120,11 @@
         inject_in_turn(site, seed + 6, until - 3.0, lambda site, rng: faults.fail_team_engines(site, rng, load.pairs))]
 
 
+def clock_drills(site, options):
+    """Leases of hosts whose clocks misbehave have to end while nothing renews them."""
+    return [faults.revoke_out_of_touch(site)] if options.clock_faults else []
+
+
 async def run_seed_in_time(seed, options, folder):
     """A seed that doesn't end is a failure of the soak: prints where its tasks wait."""
     run = asyncio.ensure_future(run_seed(seed, options, folder))
@@ -166,7 +171,7 @@
                              inject_in_turn(site, seed + 2, until - 2.0, faults.ask_for_pause),
                              *rollouts(site, seed, until), *parts(site, seed, until),
                              *repeats(site, seed, until),
-                             *drills(site, seed, until), *competing_teams(until), *tasks)
+                             *drills(site, seed, until), *clock_drills(site, options), *competing_teams(until), *tasks)
         await asyncio.sleep(SETTLE_SECONDS)
     finally:
         site.end()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -15,6 +15,9 @@
 CONTACT_SECONDS = 3.0
 # Time after which engines of the next version start.
 ROLLOUT_SECONDS = 5.0
+# Longer than keys are used without a confirmation, by enough for requests with them.
+OUT_OF_TOUCH_SECONDS = 8.0
+REVOKED_OUT_OF_TOUCH = 4
 # Engines that leave in one run, so that enough stay.
 MAX_LEAVING = 3
 
@@ -279,6 +282,15 @@
         site.publish()
 
 
+async def revoke_out_of_touch(site):
+    """Keys are revoked while the store answers nobody for longer than a lease lasts."""
+    outage = asyncio.ensure_future(fail_store(site, stores.SILENT, OUT_OF_TOUCH_SECONDS))
+    for _ in range(REVOKED_OUT_OF_TOUCH):
+        await asyncio.sleep(0.2)
+        await revoke_key(site)
+    await outage
+
+
 async def move_route(site):
     site.booking_service = "s1" if site.booking_service == "s0" else "s0"
     site.publish()
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -260,7 +260,8 @@
     async def poll_readiness(self):
         """Polls the readiness of each host once a second. Two failures take it out of rotation."""
         failures = {}
-        while True:
+        # asyncio.wait_for may swallow the cancellation at the end of a run, which then never ends.
+        while not self.has_ended:
             for host in self.hosts:
                 ready = await host.ask_ready()
                 failures[host] = 0 if ready else failures.get(host, 0) + 1
