A list whose age is unknown is no current one: the clock may be lost with its read

What callers would see (by the test): where the clock of leases is lost just when a host asks how old its list is, a broken stream may be taken up at an engine of another version; if that engine had broken off before, a confirmation that isn't there was read. Found on reading the change, before any release.

Cause: whether there is a confirmation was asked before the read of the clock, which can end it, and used after it.

Failed before: "software isn't certain if the clock is lost with the question".

Why it works: the confirmation is taken after the last read, and checked.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -79,7 +79,7 @@
         m_control_task.set_message_handler([this](net::relay_report& report) {
             m_control.handle(report);
         });
-        // The other task reads the same clock.
+        // The relay task reads the same source: one line is enough.
         m_control_clock.log_faults();
         m_control.on_stopped([this] {
             m_control_task.loop().stop();
--- a/src/proxy/stream_software.cpp
+++ b/src/proxy/stream_software.cpp
@@ -67,8 +67,13 @@
     if (!is_listed || !has_current_list(context)) {
         return false;
     }
+    // The clock of leases may have been lost with the last read.
+    auto const as_of = context.keys.as_of();
+    if (!as_of) {
+        return false;
+    }
     bool const may_have_started_again =
-        state.broken_at && *state.broken_at >= *context.keys.as_of()
+        state.broken_at && *state.broken_at >= *as_of
         && context.keys.age(context.lease_now()) > max_list_lag;
     return !may_have_started_again;
 }
--- a/tests/proxy/relay_version_test.cpp
+++ b/tests/proxy/relay_version_test.cpp
@@ -451,3 +451,20 @@
     fixture.context.list_behind_since = fixture.loop.now() - 2s;
     CHECK_FALSE(is_software_certain(fixture.context, *engine));
 }
+
+// The read that tells the list's age may be the one that fails: what was
+// confirmed before has no age from then on.
+TEST_CASE("software isn't certain if the clock is lost with the question")
+{
+    relay_fixture fixture;
+    add_version(fixture, "i-1", "v1", [](received const&) {
+        return script{};
+    });
+    auto const engine = fixture.context.directory.find("i-1");
+    fixture.context.keys.renew(fixture.loop.now());
+    fixture.context.lease_now = [&fixture] {
+        fixture.context.keys.clock_lost();
+        return fixture.loop.now();
+    };
+    CHECK_FALSE(proxy::is_software_certain(fixture.context, *engine));
+}
